--- /dev/null
+++ b/Makefile
@@ -0,0 +1,48 @@
+# Everything is built into bin/; run/ takes the settings and logs of the
+# processes that the scripts start.
+MODULES := core base router ctl lab/engine lab/list lab/log lab/service
+TOOLS := $(CURDIR)/bin/tools
+GOLANGCI_VERSION := v2.15.0
+SPIN_VERSION := 6.5.2
+
+.PHONY: build test lint format vet model demo measure bench e2e fuzz tools clean
+
+build:
+	go build -o bin/camphorpulley ./router
+	go build -o bin/camphorctl ./ctl
+	go build -o bin/lab-engine ./lab/engine
+	go build -o bin/lab-list ./lab/list
+	go build -o bin/lab-log ./lab/log
+	go build -o bin/lab-service ./lab/service
+
+test: build
+	go test $(MODULES:%=./%/...)
+
+format:
+	@bad=$$(gofmt -l $(MODULES)); if [ -n "$$bad" ]; then echo "not formatted: $$bad"; exit 1; fi
+
+vet:
+	go vet $(MODULES:%=./%/...)
+
+tools: $(TOOLS)/golangci-lint
+
+$(TOOLS)/golangci-lint:
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+
+lint: tools
+	@for m in $(MODULES); do (cd $$m && $(TOOLS)/golangci-lint run --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
+
+model:
+	bash model/check.sh $(SPIN_VERSION)
+
+demo: build
+	bash lab/demo.sh $(SHEET)
+
+measure: build
+	bash lab/measure.sh
+
+bench:
+	go test -run '^$$' -bench . -benchmem $(MODULES:%=./%/...)
+
+clean:
+	rm -rf bin run
--- /dev/null
+++ b/base/sheet/parse.go
@@ -0,0 +1,194 @@
+package sheet
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/samber/lo"
+
+	"camphorpulley.org/base/settings"
+	"camphorpulley.org/core"
+	"camphorpulley.org/core/account"
+	"camphorpulley.org/core/config"
+	"camphorpulley.org/core/datacentre"
+	"camphorpulley.org/core/pool"
+)
+
+// Parse reads a sheet and checks it whole. The error is a *settings.Error
+// that holds every problem.
+func Parse(name string, text []byte) (config.Sheet, error) {
+	f, err := settings.Parse[file](name, text)
+	if err != nil {
+		return config.Sheet{}, err
+	}
+	c := checker{file: name, text: string(text)}
+	c.check(f)
+	if len(c.problems) > 0 {
+		return config.Sheet{}, &settings.Error{Problems: c.problems}
+	}
+	return convert(f), nil
+}
+
+func convert(f file) config.Sheet {
+	return config.Sheet{
+		Name: f.Sheet.Name,
+		DataCentres: lo.Map(f.DataCentres, func(d dataCentre, _ int) datacentre.DataCentre {
+			return datacentre.DataCentre{
+				Name:    core.DataCentre(d.Name),
+				Region:  d.Region,
+				Service: datacentre.Service(lo.CoalesceOrEmpty(d.Service, string(datacentre.In))),
+				Seats:   d.Seats,
+			}
+		}),
+		Pools: lo.Map(f.Pools, func(p poolPart, _ int) pool.Pool {
+			return pool.Pool{
+				Name: core.Pool(p.Name), Kind: pool.Kind(p.Kind), Models: p.Models,
+				Prefix: p.Prefix, Once: p.Once, Bear: p.Bear, Cold: p.Cold, Ramp: p.Ramp,
+				Multiple: p.Multiple, Longest: p.Longest, Wait: p.Wait,
+			}
+		}),
+		Accounts: lo.Map(f.Accounts, func(a accountRow, _ int) account.Account {
+			return account.Account{Name: core.Account(a.Name), Token: a.Token, Share: a.Share, Priority: a.Priority}
+		}),
+		Rules: lo.Map(f.Rules, func(r rulePart, _ int) pool.Rule {
+			return pool.Rule{
+				Name: r.Name, Account: core.Account(r.Account), Pool: core.Pool(r.Pool),
+				Allow: centres(r.Allow), Bar: centres(r.Bar), Cross: r.Cross,
+			}
+		}),
+		Versions: lo.Map(f.Versions, func(v version, _ int) config.Version {
+			return config.Version{Pool: core.Pool(v.Pool), Model: v.Model, Version: v.Version}
+		}),
+	}
+}
+
+func centres(names []string) []core.DataCentre {
+	return lo.Map(names, func(n string, _ int) core.DataCentre { return core.DataCentre(n) })
+}
+
+// checker finds contradictions between sections.
+type checker struct {
+	file     string
+	text     string
+	problems []settings.Problem
+}
+
+func (c *checker) add(section, format string, args ...any) {
+	c.problems = append(c.problems, settings.Problem{
+		File: c.file, Line: c.line(section),
+		Text: fmt.Sprintf("[%s]: ", section) + fmt.Sprintf(format, args...),
+	})
+}
+
+// line returns the line of a section's header, counted from one.
+func (c *checker) line(section string) int {
+	for i, line := range strings.Split(c.text, "\n") {
+		if strings.TrimSpace(line) == "["+section+"]" {
+			return i + 1
+		}
+	}
+	return 0
+}
+
+func (c *checker) check(f file) {
+	c.checkPools(f)
+	c.checkTokens(f)
+	c.checkRules(f)
+	c.checkVersions(f)
+}
+
+func (c *checker) checkPools(f file) {
+	prefixes := map[string]string{}
+	models := map[string]string{}
+	for _, p := range f.Pools {
+		section := "pool " + p.Name
+		switch p.Kind {
+		case "model":
+			if len(p.Models) == 0 {
+				c.add(section, "a model pool needs models")
+			}
+			if p.Prefix != "" || len(p.Once) > 0 {
+				c.add(section, "prefix and once belong to service pools")
+			}
+			for _, m := range p.Models {
+				if other, taken := models[m]; taken {
+					c.add(section, "model %q is served by pool %q already", m, other)
+				}
+				models[m] = p.Name
+			}
+		case "service":
+			c.checkService(section, p)
+			if other, taken := prefixes[p.Prefix]; taken {
+				c.add(section, "prefix %q is taken by pool %q", p.Prefix, other)
+			}
+			prefixes[p.Prefix] = p.Name
+		}
+	}
+}
+
+func (c *checker) checkService(section string, p poolPart) {
+	if !strings.HasPrefix(p.Prefix, "/") || p.Prefix == "/" || strings.HasPrefix(p.Prefix, "/v1") {
+		c.add(section, "prefix must be a path such as /%s, and not /v1", p.Name)
+	}
+	for _, once := range p.Once {
+		method, path, ok := strings.Cut(once, " ")
+		if !ok || method != strings.ToUpper(method) || !strings.HasPrefix(path, p.Prefix) {
+			c.add(section, "once: %q must be a method and a path below %s", once, p.Prefix)
+		}
+	}
+	if len(p.Models) > 0 {
+		c.add(section, "models belong to model pools")
+	}
+}
+
+func (c *checker) checkTokens(f file) {
+	owners := map[string]string{}
+	for _, a := range f.Accounts {
+		if other, taken := owners[a.Token]; taken {
+			c.add("account "+a.Name, "has the same token as account %q", other)
+		}
+		owners[a.Token] = a.Name
+	}
+}
+
+func (c *checker) checkRules(f file) {
+	centreNames := lo.Map(f.DataCentres, func(d dataCentre, _ int) string { return d.Name })
+	regions := lo.Map(f.DataCentres, func(d dataCentre, _ int) string { return d.Region })
+	accounts := lo.Map(f.Accounts, func(a accountRow, _ int) string { return a.Name })
+	pools := lo.Map(f.Pools, func(p poolPart, _ int) string { return p.Name })
+	for _, r := range f.Rules {
+		section := "rule " + r.Name
+		for _, name := range append(append([]string{}, r.Allow...), r.Bar...) {
+			if !lo.Contains(centreNames, name) {
+				c.add(section, "unknown data centre %q", name)
+			}
+		}
+		for _, region := range r.Cross {
+			if !lo.Contains(regions, region) {
+				c.add(section, "unknown region %q", region)
+			}
+		}
+		if r.Account != "" && !lo.Contains(accounts, r.Account) {
+			c.add(section, "unknown account %q", r.Account)
+		}
+		if r.Pool != "" && !lo.Contains(pools, r.Pool) {
+			c.add(section, "unknown pool %q", r.Pool)
+		}
+		if both := lo.Intersect(r.Allow, r.Bar); len(both) > 0 {
+			c.add(section, "data centre %q is both allowed and barred", both[0])
+		}
+	}
+}
+
+func (c *checker) checkVersions(f file) {
+	for _, v := range f.Versions {
+		p, ok := lo.Find(f.Pools, func(p poolPart) bool { return p.Name == v.Pool })
+		if !ok {
+			c.add("version "+v.Model, "unknown pool %q", v.Pool)
+			continue
+		}
+		if !lo.Contains(p.Models, v.Model) {
+			c.add("version "+v.Model, "pool %q does not serve the model", v.Pool)
+		}
+	}
+}
--- /dev/null
+++ b/core/account/account.go
@@ -0,0 +1,32 @@
+// Package account holds client accounts and the fair order of their requests.
+package account
+
+import (
+	"camphorpulley.org/core"
+)
+
+// Account is a client account as the sheet states it.
+type Account struct {
+	Name core.Account
+	// Token is the SHA-256 digest of the bearer token, in lower-case hex.
+	Token string
+	// Share is the weight in fair queueing; zero counts as one.
+	Share int
+	// Priority orders whole accounts; a higher one is served first.
+	Priority int
+}
+
+// Weight returns the share, at least one.
+func (a Account) Weight() int {
+	return max(a.Share, 1)
+}
+
+// ByToken returns the account whose token digest matches.
+func ByToken(accounts []Account, digest string) (Account, bool) {
+	for _, a := range accounts {
+		if a.Token == digest {
+			return a, true
+		}
+	}
+	return Account{}, false
+}
--- /dev/null
+++ b/core/node/script_test.go
@@ -0,0 +1,214 @@
+package node_test
+
+import (
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"camphorpulley.org/core"
+	"camphorpulley.org/core/node"
+	"camphorpulley.org/core/upstream"
+)
+
+type fleetKey struct{}
+
+// TestScripts runs the scripts in testdata. Each drives a fleet with a made
+// clock; the commands are the functions below.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			env.Values[fleetKey{}] = newFleet()
+			return nil
+		},
+		Cmds: commands(),
+	})
+}
+
+type command func(ts *testscript.TestScript, f *fleet, args []string)
+
+func commands() map[string]func(*testscript.TestScript, bool, []string) {
+	all := map[string]command{
+		"sheet":    cmdSheet,
+		"lease":    func(ts *testscript.TestScript, f *fleet, a []string) { f.lease.Length = duration(ts, a[0]) },
+		"router":   cmdRouter,
+		"upstream": cmdUpstream,
+		"run":      func(ts *testscript.TestScript, f *fleet, a []string) { f.run(duration(ts, a[0])) },
+		"cut":      func(_ *testscript.TestScript, f *fleet, a []string) { f.cuts[pair(a)] = true },
+		"heal":     func(_ *testscript.TestScript, f *fleet, _ []string) { clear(f.cuts) },
+		"freeze":   func(_ *testscript.TestScript, f *fleet, a []string) { f.routers[core.RouterID(a[0])].frozen = true },
+		"thaw":     func(_ *testscript.TestScript, f *fleet, a []string) { f.thaw(core.RouterID(a[0])) },
+		"kill":     func(_ *testscript.TestScript, f *fleet, a []string) { f.kill(core.RouterID(a[0])) },
+		"crash":    func(_ *testscript.TestScript, f *fleet, a []string) { f.crash(core.UpstreamID(a[0])) },
+		"silent": func(_ *testscript.TestScript, f *fleet, a []string) {
+			f.engines[core.UpstreamID(a[0])].silent = a[1] == "yes"
+		},
+		"leave":    func(_ *testscript.TestScript, f *fleet, a []string) { f.routers[core.RouterID(a[0])].node.Leave() },
+		"ask":      cmdAsk,
+		"send":     func(_ *testscript.TestScript, f *fleet, a []string) { f.send(f.requests[a[0]]) },
+		"done":     func(_ *testscript.TestScript, f *fleet, a []string) { f.finish(f.requests[a[0]]) },
+		"state":    cmdState,
+		"inflight": cmdInflight,
+		"keeper":   cmdKeeper,
+		"revision": cmdRevision,
+		"granted":  cmdGranted,
+		"unlist":   cmdUnlist,
+		"show":     cmdShow,
+	}
+	wrapped := map[string]func(*testscript.TestScript, bool, []string){}
+	for name, run := range all {
+		wrapped[name] = func(ts *testscript.TestScript, _ bool, args []string) {
+			f, ok := ts.Value(fleetKey{}).(*fleet)
+			if !ok {
+				ts.Fatalf("no fleet")
+			}
+			run(ts, f, args)
+			if len(f.faults) > 0 {
+				ts.Fatalf("%s", strings.Join(f.faults, "\n"))
+			}
+		}
+	}
+	return wrapped
+}
+
+func duration(ts *testscript.TestScript, text string) time.Duration {
+	d, err := time.ParseDuration(text)
+	ts.Check(err)
+	return d
+}
+
+func number(ts *testscript.TestScript, text string) int {
+	n, err := strconv.Atoi(text)
+	ts.Check(err)
+	return n
+}
+
+func pair(a []string) [2]core.RouterID {
+	return [2]core.RouterID{core.RouterID(a[0]), core.RouterID(a[1])}
+}
+
+// sheet FILE: the sheet is published and in force at every router that runs.
+func cmdSheet(ts *testscript.TestScript, f *fleet, a []string) {
+	f.publish([]byte(ts.ReadFile(a[0])))
+}
+
+// router ID DC SEAT: a process of the router starts.
+func cmdRouter(ts *testscript.TestScript, f *fleet, a []string) {
+	f.start(core.RouterID(a[0]), core.DataCentre(a[1]), core.Seat(number(ts, a[2])))
+}
+
+// upstream ID POOL DC [AGE]: an upstream that started AGE ago is listed.
+func cmdUpstream(ts *testscript.TestScript, f *fleet, a []string) {
+	age := time.Hour
+	if len(a) > 3 {
+		age = duration(ts, a[3])
+	}
+	f.engines[core.UpstreamID(a[0])] = &engine{
+		upstream: upstream.Upstream{
+			ID: core.UpstreamID(a[0]), Pool: core.Pool(a[1]), DataCentre: core.DataCentre(a[2]), Address: a[0],
+		},
+		booted: f.now.Add(-age),
+	}
+	f.list()
+}
+
+// unlist ID: the upstream is leaving.
+func cmdUnlist(_ *testscript.TestScript, f *fleet, a []string) {
+	f.engines[core.UpstreamID(a[0])].upstream.Leaving = true
+	f.list()
+}
+
+// ask NAME ROUTER UPSTREAM [COUNT] [wait=D] [for=D] [hold] [account=A] [suspect]:
+// a router asks for permits and sends at once when it has one; with hold, it
+// sends at the command send. COUNT asks are named NAME1 and so on.
+func cmdAsk(ts *testscript.TestScript, f *fleet, a []string) {
+	w := node.Want{Upstream: core.UpstreamID(a[2]), Account: "a", Weight: 1}
+	count, hold, length := 0, false, time.Duration(0)
+	for _, arg := range a[3:] {
+		key, value, _ := strings.Cut(arg, "=")
+		switch key {
+		case "wait":
+			w.Wait = duration(ts, value)
+		case "for":
+			length = duration(ts, value)
+		case "hold":
+			hold = true
+		case "account":
+			w.Account = core.Account(value)
+		case "suspect":
+			w.Suspect = true
+		default:
+			count = number(ts, arg)
+		}
+	}
+	names := []string{a[0]}
+	if count > 0 {
+		names = nil
+		for i := range count {
+			names = append(names, a[0]+strconv.Itoa(i+1))
+		}
+	}
+	for _, name := range names {
+		rq := &request{name: name, router: core.RouterID(a[1]), manual: hold}
+		if length > 0 {
+			rq.until = f.now.Add(length)
+		}
+		f.ask(rq, w)
+	}
+}
+
+// state NAME WANT: what has become of a request.
+func cmdState(ts *testscript.TestScript, f *fleet, a []string) {
+	if got, want := f.requests[a[0]].state, a[1]; got != want {
+		ts.Fatalf("state of %s: got %s, want %s", a[0], got, want)
+	}
+}
+
+// inflight UPSTREAM WANT: what the upstream itself counts.
+func cmdInflight(ts *testscript.TestScript, f *fleet, a []string) {
+	if got, want := len(f.engines[core.UpstreamID(a[0])].running), number(ts, a[1]); got != want {
+		ts.Fatalf("in flight at %s: got %d, want %d", a[0], got, want)
+	}
+}
+
+// granted PREFIX WANT: how many requests whose names begin so are running.
+func cmdGranted(ts *testscript.TestScript, f *fleet, a []string) {
+	got := 0
+	for name, rq := range f.requests {
+		if strings.HasPrefix(name, a[0]) && rq.state == "running" {
+			got++
+		}
+	}
+	if want := number(ts, a[1]); got != want {
+		ts.Fatalf("running of %s: got %d, want %d", a[0], got, want)
+	}
+}
+
+// keeper ROUTER UPSTREAM WANT: whom a router takes for the keeper.
+func cmdKeeper(ts *testscript.TestScript, f *fleet, a []string) {
+	for _, u := range f.routers[core.RouterID(a[0])].node.Upstreams(f.now) {
+		if u.ID == core.UpstreamID(a[1]) && u.Keeper != core.RouterID(a[2]) {
+			ts.Fatalf("keeper of %s at %s: got %s, want %s", a[1], a[0], u.Keeper, a[2])
+		}
+	}
+}
+
+// revision ROUTER WANT: which revision is in force.
+func cmdRevision(ts *testscript.TestScript, f *fleet, a []string) {
+	_, got := f.routers[core.RouterID(a[0])].node.Sheet()
+	if want := core.Offset(number(ts, a[1])); got != want {
+		ts.Fatalf("revision at %s: got %d, want %d", a[0], got, want)
+	}
+}
+
+// show: prints what every router knows of every upstream.
+func cmdShow(ts *testscript.TestScript, f *fleet, _ []string) {
+	for _, id := range f.routerIDs() {
+		for _, u := range f.routers[id].node.Upstreams(f.now) {
+			ts.Logf("%s: %+v", id, u)
+		}
+	}
+}
--- /dev/null
+++ b/ctl/burn.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"camphorpulley.org/base/wrap"
+
+	"github.com/olekukonko/tablewriter"
+	"github.com/urfave/cli/v3"
+
+	"camphorpulley.org/core/burn"
+)
+
+func burnCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "burn",
+		Usage: "report how fast service-level objectives use up their error budgets",
+		Description: "A rate of 1 uses the budget up exactly; more is too fast. With --html, a page with a plot.\n" +
+			"Example: camphorctl burn --router 127.0.0.1:21103 --html burn.html",
+		Flags: []cli.Flag{routersFlag, &cli.StringFlag{Name: "html", Usage: "write the report to this file"}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			rows, err := collect(c.StringSlice("router"))
+			if err != nil {
+				return err
+			}
+			if path := c.String("html"); path != "" {
+				return writePage(path, time.Now(), rows)
+			}
+			return wrap.Err(burnTable(rows), "burn")
+		},
+	}
+}
+
+// collect adds up the counts of several routers.
+func collect(routers []string) ([]burn.Row, error) {
+	var sets [][]burn.Row
+	var failed error
+	for _, address := range routers {
+		rows, err := get[[]burn.Row](address, "/burn")
+		if err != nil {
+			failed = err
+			fmt.Fprintln(os.Stderr, err)
+			continue
+		}
+		sets = append(sets, rows)
+	}
+	if len(sets) == 0 {
+		return nil, wrap.Err(failed, "no router answered")
+	}
+	return burn.Merge(sets...), nil
+}
+
+func burnTable(rows []burn.Row) error {
+	t := tablewriter.NewTable(os.Stdout)
+	header := []any{"account", "pool", "objective", "goal"}
+	for _, w := range burn.Windows() {
+		header = append(header, window(w))
+	}
+	t.Header(append(header, "requests")...)
+	for _, row := range rows {
+		cells := []any{row.Series.Account, row.Series.Pool, row.Series.Objective, row.Series.Objective.Goal()}
+		for _, count := range row.Counts {
+			cells = append(cells, fmt.Sprintf("%.2f", count.Rate(row.Series.Objective)))
+		}
+		cells = append(cells, row.Counts[len(row.Counts)-1].Total)
+		if err := t.Append(cells...); err != nil {
+			return err
+		}
+	}
+	return t.Render()
+}
+
+func window(d time.Duration) string {
+	if d >= time.Hour {
+		return fmt.Sprintf("%dh", int(d.Hours()))
+	}
+	return fmt.Sprintf("%dm", int(d.Minutes()))
+}
--- /dev/null
+++ b/ctl/sheet.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+
+	"camphorpulley.org/base/wrap"
+
+	"github.com/pmezard/go-difflib/difflib"
+	"github.com/urfave/cli/v3"
+
+	"camphorpulley.org/base/sheet"
+	"camphorpulley.org/core"
+	"camphorpulley.org/core/datacentre"
+)
+
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "check",
+		Usage:       "check a sheet and report every problem",
+		Description: "Example: camphorctl check deploy/trust.ini",
+		Arguments:   fileArgument(),
+		Action: func(_ context.Context, c *cli.Command) error {
+			path, _, err := readSheet(c)
+			if err == nil {
+				fmt.Printf("%s: no problems\n", path)
+			}
+			return err
+		},
+	}
+}
+
+// readSheet reads and checks the sheet that the command names.
+func readSheet(c *cli.Command) (string, []byte, error) {
+	path, err := argument(c, "file")
+	if err != nil {
+		return "", nil, err
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return "", nil, &usageError{Text: err.Error()}
+	}
+	_, err = sheet.Parse(path, text)
+	return path, text, err
+}
+
+func author() string {
+	if name := os.Getenv("USER"); name != "" {
+		return name
+	}
+	return "operator"
+}
+
+func publishCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "publish",
+		Usage: "put a sheet into force",
+		Description: "The sheet is made from the revision in force now, or from --base. If another revision came " +
+			"into force meanwhile, the command fails and changes nothing.\n" +
+			"Example: camphorctl publish deploy/trust.ini",
+		Arguments: fileArgument(),
+		Flags: []cli.Flag{logFlag, &cli.Uint64Flag{
+			Name: "base", Usage: "number of the revision that the sheet was made from; the one in force if not given",
+		}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			path, text, err := readSheet(c)
+			if err != nil {
+				return err
+			}
+			p := newPublisher(c.String("log"))
+			if err := p.read(); err != nil {
+				return err
+			}
+			base := p.reader.InForce().Number
+			if c.IsSet("base") {
+				base = core.Offset(c.Uint64("base"))
+			}
+			number, err := p.publish(base, text)
+			if err == nil {
+				fmt.Printf("%s is revision %d\n", path, number)
+			}
+			return err
+		},
+	}
+}
+
+func diffCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "diff",
+		Usage:       "show what a sheet would change",
+		Description: "Example: camphorctl diff deploy/trust.ini",
+		Arguments:   fileArgument(),
+		Flags:       []cli.Flag{logFlag},
+		Action: func(_ context.Context, c *cli.Command) error {
+			path, text, err := readSheet(c)
+			if err != nil {
+				return err
+			}
+			p := newPublisher(c.String("log"))
+			if err := p.read(); err != nil {
+				return err
+			}
+			r := p.reader.InForce()
+			diff, err := difflib.GetUnifiedDiffString(difflib.UnifiedDiff{
+				A: difflib.SplitLines(string(r.Text)), B: difflib.SplitLines(string(text)),
+				FromFile: fmt.Sprintf("revision %d", r.Number), ToFile: path, Context: 2,
+			})
+			fmt.Print(diff)
+			return wrap.Err(err, "diff")
+		},
+	}
+}
+
+// serviceCommand returns the command that takes a data centre in or out.
+func serviceCommand(service, usage string) *cli.Command {
+	return &cli.Command{
+		Name:        service,
+		Usage:       usage,
+		Description: "Example: camphorctl " + service + " kandy",
+		Arguments:   []cli.Argument{&cli.StringArg{Name: "datacentre", UsageText: "DATACENTRE"}},
+		Flags:       []cli.Flag{logFlag},
+		Action: func(_ context.Context, c *cli.Command) error {
+			name, err := argument(c, "datacentre")
+			if err != nil {
+				return err
+			}
+			p := newPublisher(c.String("log"))
+			if err := p.read(); err != nil {
+				return err
+			}
+			r := p.reader.InForce()
+			if r.Number == 0 {
+				return errNothing
+			}
+			text, err := sheet.SetService(r.Text, core.DataCentre(name), datacentre.Service(service))
+			if err != nil {
+				return &usageError{Text: err.Error()}
+			}
+			number, err := p.publish(r.Number, text)
+			if err == nil {
+				fmt.Printf("%s is %s as of revision %d\n", strings.TrimSpace(name), service, number)
+			}
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/ctl/show.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"camphorpulley.org/base/wrap"
+
+	"github.com/go-faster/errors"
+	"github.com/olekukonko/tablewriter"
+	"github.com/urfave/cli/v3"
+	"github.com/valyala/fasthttp"
+
+	"camphorpulley.org/base/operator"
+)
+
+// callTimeout bounds a call to a router.
+const callTimeout = 2 * time.Second
+
+// get reads JSON from a router's operator address.
+func get[T any](address, path string) (T, error) {
+	var result T
+	status, body, err := fasthttp.GetTimeout(nil, "http://"+address+path, callTimeout)
+	if err != nil {
+		return result, wrap.Err(err, address)
+	}
+	if status != fasthttp.StatusOK {
+		return result, errors.Errorf("%s: status %d", address, status)
+	}
+	return result, wrap.Err(json.Unmarshal(body, &result), address)
+}
+
+func showCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "show",
+		Usage: "show which router has which revision, and what it knows",
+		Description: "Example: camphorctl show --router 127.0.0.1:21103 --router 127.0.0.1:21113\n" +
+			"With --sheet, the text of the sheet in force at the first router.",
+		Flags: []cli.Flag{
+			routersFlag,
+			&cli.BoolFlag{Name: "sheet", Usage: "print the sheet in force"},
+			&cli.BoolFlag{Name: "upstreams", Usage: "print the upstreams as each router sees them"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error { return show(c) },
+	}
+}
+
+func show(c *cli.Command) error {
+	var all []operator.Status
+	var failed error
+	for _, address := range c.StringSlice("router") {
+		s, err := get[operator.Status](address, "/status")
+		if err != nil {
+			failed = err
+			fmt.Fprintln(os.Stderr, err)
+			continue
+		}
+		all = append(all, s)
+	}
+	if len(all) == 0 {
+		return wrap.Err(failed, "no router answered")
+	}
+	if c.Bool("sheet") {
+		fmt.Print(all[0].Text)
+		return failed
+	}
+	if c.Bool("upstreams") {
+		return wrap.Err(upstreamTable(all), "show")
+	}
+	if err := routerTable(all); err != nil {
+		return wrap.Err(err, "show")
+	}
+	return failed
+}
+
+func routerTable(all []operator.Status) error {
+	t := tablewriter.NewTable(os.Stdout)
+	t.Header("router", "data centre", "seat", "revision", "as of", "author", "running", "live peers", "fault")
+	for _, s := range all {
+		live := 0
+		for _, p := range s.Peers {
+			if p.Heard {
+				live++
+			}
+		}
+		fault := s.Fault
+		if s.Waiting {
+			fault = "waits for a snapshot"
+		}
+		err := t.Append(s.Router, s.DataCentre, s.Seat, s.Revision, s.AsOf, s.Author, s.Running,
+			fmt.Sprintf("%d of %d", live, len(s.Peers)), fault)
+		if err != nil {
+			return err
+		}
+	}
+	return t.Render()
+}
+
+func upstreamTable(all []operator.Status) error {
+	t := tablewriter.NewTable(os.Stdout)
+	t.Header("router", "upstream", "pool", "data centre", "keeper", "open", "limit", "share", "out", "owed", "waiting")
+	for _, s := range all {
+		for _, u := range s.Upstreams {
+			err := t.Append(s.Router, u.ID, u.Pool, u.DataCentre, u.Keeper, u.Open, u.Limit, u.Share, u.Out, u.Owed, u.Waiting)
+			if err != nil {
+				return err
+			}
+		}
+	}
+	return t.Render()
+}
--- /dev/null
+++ b/lab/list/server.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+
+	"camphorpulley.org/base/platform"
+	"camphorpulley.org/core"
+)
+
+// server is the list. Changes show after the lag.
+type server struct {
+	lag     time.Duration
+	mu      sync.Mutex
+	changes []change
+	away    bool
+}
+
+type change struct {
+	at       time.Time
+	instance platform.Instance
+	removed  bool
+}
+
+func newServer(now time.Time, s settings) *server {
+	list := &server{lag: s.List.Lag}
+	for _, row := range s.Instances {
+		list.changes = append(list.changes, change{
+			at: now.Add(-s.List.Lag),
+			instance: platform.Instance{
+				ID: row.ID, Role: platform.Role(row.Role), Pool: core.Pool(row.Pool),
+				DataCentre: core.DataCentre(row.DataCentre), Address: row.Address, Seat: core.Seat(row.Seat),
+			},
+		})
+	}
+	return list
+}
+
+func (s *server) routes(app *fiber.App) {
+	app.Get("/instances", s.get)
+	app.Put("/instances/:id", s.put)
+	app.Delete("/instances/:id", s.remove)
+	app.Put("/faults", s.setFaults)
+}
+
+func (s *server) get(c *fiber.Ctx) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		return fiber.NewError(fiber.StatusServiceUnavailable, "the list is away")
+	}
+	return c.JSON(platform.Listing{Instances: s.visible(time.Now())})
+}
+
+// visible folds the changes that are older than the lag.
+func (s *server) visible(now time.Time) []platform.Instance {
+	byID := map[string]platform.Instance{}
+	for _, ch := range s.changes {
+		if now.Sub(ch.at) < s.lag {
+			break
+		}
+		byID[ch.instance.ID] = ch.instance
+		if ch.removed {
+			delete(byID, ch.instance.ID)
+		}
+	}
+	all := make([]platform.Instance, 0, len(byID))
+	for _, i := range byID {
+		all = append(all, i)
+	}
+	slices.SortFunc(all, func(a, b platform.Instance) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+func (s *server) put(c *fiber.Ctx) error {
+	var i platform.Instance
+	if err := c.BodyParser(&i); err != nil {
+		return fiber.NewError(fiber.StatusBadRequest, err.Error())
+	}
+	i.ID = c.Params("id")
+	s.add(change{at: time.Now(), instance: i})
+	return c.SendStatus(fiber.StatusNoContent)
+}
+
+func (s *server) remove(c *fiber.Ctx) error {
+	s.add(change{at: time.Now(), instance: platform.Instance{ID: c.Params("id")}, removed: true})
+	return c.SendStatus(fiber.StatusNoContent)
+}
+
+func (s *server) add(ch change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.changes = append(s.changes, ch)
+}
+
+func (s *server) setFaults(c *fiber.Ctx) error {
+	var f struct {
+		Away bool `json:"away"`
+	}
+	if err := c.BodyParser(&f); err != nil {
+		return fiber.NewError(fiber.StatusBadRequest, err.Error())
+	}
+	s.mu.Lock()
+	s.away = f.Away
+	s.mu.Unlock()
+	return c.JSON(f)
+}
--- /dev/null
+++ b/lab/log/main.go
@@ -0,0 +1,21 @@
+// Command log is a stand-in for the platform's log service: streams with
+// offsets, a limited rate of appends, retention, outages, and answers that are
+// lost after the append has taken effect.
+package main
+
+import (
+	"camphorpulley.org/base/daemon"
+)
+
+func main() {
+	daemon.Main(daemon.Program[settings]{
+		Name:    "log",
+		Usage:   "stand-in for the platform's log service",
+		Example: "log run deploy/lab/log.ini",
+		Run: func(p daemon.Process, s settings) error {
+			app := daemon.App()
+			newServer(s.Log).routes(app)
+			return p.Serve(s.Log.Listen, app)
+		},
+	})
+}
--- /dev/null
+++ b/router/app/operator.go
@@ -0,0 +1,72 @@
+package app
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/gofiber/fiber/v2"
+	"github.com/gofiber/fiber/v2/middleware/adaptor"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"camphorpulley.org/base/daemon"
+	"camphorpulley.org/base/operator"
+	"camphorpulley.org/core/burn"
+	"camphorpulley.org/core/table"
+)
+
+// Reasons why a router is not ready.
+var (
+	errNoConfiguration = errors.New("no configuration is in force yet")
+	errNoList          = errors.New("the list of instances was not read yet")
+	errStarting        = errors.New("earlier permits of this seat may still be in use")
+)
+
+// ready reports whether the router can serve.
+func (r *Router) ready() error {
+	if _, number := r.node.Sheet(); number == 0 {
+		return errNoConfiguration
+	}
+	if !r.listed.set.Load() {
+		return errNoList
+	}
+	if r.exchange.Permits && !r.node.Settled(time.Now()) {
+		return errStarting
+	}
+	return nil
+}
+
+// operatorApp returns the HTTP server for operators.
+func (r *Router) operatorApp() *fiber.App {
+	app := daemon.App()
+	app.Get("/status", func(c *fiber.Ctx) error { return c.JSON(r.status(time.Now())) })
+	app.Get("/burn", func(c *fiber.Ctx) error {
+		rows := table.Read(r.front.Burn, table.Hold{}, func(t *burn.Table) []burn.Row { return t.Rows(time.Now()) })
+		return c.JSON(rows)
+	})
+	app.Get("/metrics", adaptor.HTTPHandler(promhttp.Handler()))
+	return app
+}
+
+func (r *Router) status(now time.Time) operator.Status {
+	self := r.node.Self()
+	s, gap, fault := r.node.Configuration()
+	sent, received := r.network.Bytes()
+	status := operator.Status{
+		Router: self.ID, DataCentre: self.DataCentre, Seat: self.Seat, Incarnation: self.Incarnation,
+		Revision: s.Revision.Number, AsOf: s.AsOf, Author: s.Revision.Author, Text: string(s.Revision.Text),
+		Waiting: gap, Running: r.exchange.Running(), BytesSent: sent, BytesReceived: received,
+		Upstreams: r.node.Upstreams(now),
+	}
+	if fault != nil {
+		status.Fault = fault.Error()
+	}
+	for _, m := range r.node.Routers() {
+		p := operator.Peer{ID: m.ID, DataCentre: m.DataCentre, Seat: m.Seat, Revision: m.Revision, Leaving: m.Leaving}
+		if !m.Heard.IsZero() {
+			p.SilentMS = now.Sub(m.Heard).Milliseconds()
+		}
+		p.Heard = !m.Heard.IsZero()
+		status.Peers = append(status.Peers, p)
+	}
+	return status
+}
--- /dev/null
+++ b/router/app/wire.go
@@ -0,0 +1,149 @@
+// Package app puts the router together and runs it.
+package app
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/samber/do/v2"
+	"go.uber.org/zap"
+
+	"camphorpulley.org/base/platform"
+	"camphorpulley.org/base/sheet"
+	"camphorpulley.org/core"
+	"camphorpulley.org/core/burn"
+	"camphorpulley.org/core/chat"
+	"camphorpulley.org/core/config"
+	"camphorpulley.org/core/node"
+	"camphorpulley.org/core/permit"
+	"camphorpulley.org/core/route"
+	"camphorpulley.org/core/table"
+	"camphorpulley.org/router/back"
+	"camphorpulley.org/router/exchange"
+	"camphorpulley.org/router/front"
+	"camphorpulley.org/router/metrics"
+	"camphorpulley.org/router/orders"
+	"camphorpulley.org/router/setup"
+)
+
+// wire registers how the parts of the router are made.
+func wire(now time.Time, f setup.File, log *zap.Logger) do.Injector {
+	i := do.New()
+	do.ProvideValue(i, f)
+	do.ProvideValue(i, log)
+	do.ProvideValue(i, node.New(now, identity(now, f)))
+	do.ProvideValue(i, table.New(table.RankBurn, burn.Table{}))
+	do.Provide(i, provideClient)
+	do.Provide(i, provideDesk)
+	do.Provide(i, provideBack)
+	do.Provide(i, provideExchange)
+	do.Provide(i, provideFront)
+	do.Provide(i, provideMetrics)
+	return i
+}
+
+func identity(now time.Time, f setup.File) node.Settings {
+	return node.Settings{
+		ID:          core.RouterID(f.Router.ID),
+		DataCentre:  core.DataCentre(f.Router.DataCentre),
+		Seat:        core.Seat(f.Router.Seat),
+		Address:     f.Router.Peer,
+		Incarnation: core.Incarnation(now.UnixMilli()),
+		Lease:       permit.Lease{Length: f.Router.Lease},
+		Parse: func(text []byte) (config.Sheet, error) {
+			return sheet.Parse("sheet", text)
+		},
+	}
+}
+
+func provideClient(i do.Injector) (*platform.Client, error) {
+	f := do.MustInvoke[setup.File](i)
+	return &platform.Client{Log: f.Platform.Log, List: f.Platform.List}, nil
+}
+
+func provideDesk(i do.Injector) (*orders.Desk, error) {
+	self := do.MustInvoke[*node.Node](i).Self()
+	return orders.New(self.ID, self.Incarnation, do.MustInvoke[*platform.Client](i), do.MustInvoke[*zap.Logger](i)), nil
+}
+
+func provideMetrics(i do.Injector) (*metrics.Metrics, error) {
+	n := do.MustInvoke[*node.Node](i)
+	desk := do.MustInvoke[*orders.Desk](i)
+	return metrics.New(
+		metrics.Gauge{Name: "revision", Description: "revision in force", Read: func() int64 {
+			_, number := n.Sheet()
+			return int64(number)
+		}},
+		metrics.Gauge{Name: "order_keys", Description: "idempotency keys remembered", Read: func() int64 {
+			return int64(desk.Len())
+		}},
+	)
+}
+
+// boots takes in which process answered on a new connection.
+type boots struct {
+	node *node.Node
+}
+
+// SeenBoot implements back.Boots.
+func (b boots) SeenBoot(id core.UpstreamID, boot string) bool {
+	return b.node.SeenBoot(time.Now(), id, boot)
+}
+
+func provideBack(i do.Injector) (*back.Client, error) {
+	f := do.MustInvoke[setup.File](i)
+	return back.New(boots{do.MustInvoke[*node.Node](i)}, f.Limits.Stall), nil
+}
+
+func provideExchange(i do.Injector) (*exchange.Server, error) {
+	f := do.MustInvoke[setup.File](i)
+	s := exchange.New()
+	s.Node = do.MustInvoke[*node.Node](i)
+	s.Back = do.MustInvoke[*back.Client](i)
+	s.Orders = do.MustInvoke[*orders.Desk](i)
+	s.Log = do.MustInvoke[*zap.Logger](i)
+	s.Metrics = do.MustInvoke[*metrics.Metrics](i)
+	s.Place = placer(f.Router.Policy, s.Node)
+	s.Permits = f.Router.Policy == setup.FleetPolicy
+	return s, nil
+}
+
+func provideFront(i do.Injector) (*front.Front, error) {
+	return &front.Front{
+		Node:     do.MustInvoke[*node.Node](i),
+		Exchange: do.MustInvoke[*exchange.Server](i),
+		Log:      do.MustInvoke[*zap.Logger](i),
+		Burn:     do.MustInvoke[*table.Cell[burn.Table]](i),
+	}, nil
+}
+
+// boundMultiple is the bound on load of the baseline policies.
+const boundMultiple = 1.25
+
+// seed makes the random policy the same in every run.
+const seed = 1
+
+// placer returns the policy of a name. All but the fleet's are baselines for
+// measurements.
+func placer(name string, n *node.Node) exchange.Placer {
+	switch name {
+	case "random":
+		return place(n, chat.NewRandom(rand.NewPCG(seed, uint64(n.Self().Seat))))
+	case "robin":
+		return place(n, &chat.Robin{})
+	case "rendezvous":
+		return place(n, chat.First{})
+	case "bounded":
+		return place(n, chat.Bounded{Multiple: boundMultiple})
+	case "oracle":
+		return place(n, &chat.Sticky{Multiple: boundMultiple})
+	default:
+		return place(n, chat.Rendezvous{})
+	}
+}
+
+func place[P chat.Policy](n *node.Node, policy P) exchange.Placer {
+	return func(now time.Time, r route.Request) []chat.Candidate {
+		return node.Place(now, n, policy, r)
+	}
+}
--- /dev/null
+++ b/router/metrics/metrics.go
@@ -0,0 +1,110 @@
+// Package metrics holds the OpenTelemetry instruments of the router.
+package metrics
+
+import (
+	"context"
+	"time"
+
+	"camphorpulley.org/base/wrap"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"camphorpulley.org/core"
+)
+
+// Metrics are the instruments. The zero value counts nothing.
+type Metrics struct {
+	requests  metric.Int64Counter
+	attempts  metric.Int64Counter
+	dropped   metric.Int64Counter
+	crashes   metric.Int64Counter
+	firstByte metric.Float64Histogram
+}
+
+// Gauge is a value that is read when metrics are collected.
+type Gauge struct {
+	Name        string
+	Description string
+	Read        func() int64
+}
+
+// New returns instruments that the Prometheus endpoint shows.
+func New(gauges ...Gauge) (*Metrics, error) {
+	exporter, err := prometheus.New()
+	if err != nil {
+		return nil, wrap.Err(err, "metrics exporter")
+	}
+	meter := sdk.NewMeterProvider(sdk.WithReader(exporter)).Meter("camphorpulley.org/router")
+	m := &Metrics{}
+	counters := []struct {
+		target            *metric.Int64Counter
+		name, description string
+	}{
+		{&m.requests, "requests", "requests by pool and outcome"},
+		{&m.attempts, "attempts", "attempts at upstreams"},
+		{&m.dropped, "dropped_parts", "late, doubled or crossed parts of answers"},
+		{&m.crashes, "crashes", "requests that were running when an upstream crashed"},
+	}
+	for _, c := range counters {
+		if *c.target, err = meter.Int64Counter(c.name, metric.WithDescription(c.description)); err != nil {
+			return nil, wrap.Err(err, c.name)
+		}
+	}
+	m.firstByte, err = meter.Float64Histogram("first_byte", metric.WithUnit("s"),
+		metric.WithDescription("time to the first byte of an answer"))
+	if err != nil {
+		return nil, wrap.Err(err, "first_byte")
+	}
+	return m, observe(meter, gauges)
+}
+
+func observe(meter metric.Meter, gauges []Gauge) error {
+	for _, g := range gauges {
+		_, err := meter.Int64ObservableGauge(g.Name, metric.WithDescription(g.Description),
+			metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+				o.Observe(g.Read())
+				return nil
+			}))
+		if err != nil {
+			return wrap.Err(err, g.Name)
+		}
+	}
+	return nil
+}
+
+func poolAttribute(pool core.Pool) attribute.KeyValue {
+	return attribute.String("pool", string(pool))
+}
+
+// Request counts a request that has ended, by its outcome.
+func (m *Metrics) Request(pool core.Pool, outcome string) {
+	if m.requests != nil {
+		m.requests.Add(context.Background(), 1,
+			metric.WithAttributes(poolAttribute(pool), attribute.String("outcome", outcome)))
+	}
+}
+
+// FirstByte records the time to the first byte of an answer.
+func (m *Metrics) FirstByte(pool core.Pool, d time.Duration) {
+	if m.firstByte != nil {
+		m.firstByte.Record(context.Background(), d.Seconds(), metric.WithAttributes(poolAttribute(pool)))
+	}
+}
+
+// Attempt counts an attempt.
+func (m *Metrics) Attempt(pool core.Pool) { m.count(m.attempts, pool) }
+
+// Dropped counts a part of an answer that was not delivered.
+func (m *Metrics) Dropped(pool core.Pool) { m.count(m.dropped, pool) }
+
+// Crash counts a request that was running during a crash.
+func (m *Metrics) Crash(pool core.Pool) { m.count(m.crashes, pool) }
+
+func (m *Metrics) count(c metric.Int64Counter, pool core.Pool) {
+	if c != nil {
+		c.Add(context.Background(), 1, metric.WithAttributes(poolAttribute(pool)))
+	}
+}
--- /dev/null
+++ b/router/wire/wire.go
@@ -0,0 +1,208 @@
+// Package wire encodes the messages between routers: CBOR with whole numbers
+// as keys.
+package wire
+
+import (
+	"github.com/samber/lo"
+
+	"camphorpulley.org/base/record"
+	"camphorpulley.org/core"
+	"camphorpulley.org/core/config"
+	"camphorpulley.org/core/node"
+	"camphorpulley.org/core/permit"
+)
+
+// The types of this file have the fields of their namesakes in package node,
+// so that Go converts one to the other.
+
+type message struct {
+	Hello    *hello           `cbor:"1,keyasint,omitempty"`
+	Beat     *beat            `cbor:"2,keyasint,omitempty"`
+	Ask      *ask             `cbor:"3,keyasint,omitempty"`
+	Grant    *grant           `cbor:"4,keyasint,omitempty"`
+	Deny     *deny            `cbor:"5,keyasint,omitempty"`
+	Cancel   *cancel          `cbor:"6,keyasint,omitempty"`
+	Release  *release         `cbor:"7,keyasint,omitempty"`
+	Snapshot *config.Snapshot `cbor:"8,keyasint,omitempty"`
+	Suspect  *suspect         `cbor:"9,keyasint,omitempty"`
+	Ping     *ping            `cbor:"10,keyasint,omitempty"`
+}
+
+type ping struct {
+	Stamp node.Stamp `cbor:"1,keyasint"`
+}
+
+type hello struct {
+	Router      core.RouterID    `cbor:"1,keyasint"`
+	DataCentre  core.DataCentre  `cbor:"2,keyasint"`
+	Seat        core.Seat        `cbor:"3,keyasint"`
+	Address     string           `cbor:"4,keyasint"`
+	Incarnation core.Incarnation `cbor:"5,keyasint"`
+}
+
+type beat struct {
+	Stamp     node.Stamp  `cbor:"1,keyasint"`
+	Echo      node.Stamp  `cbor:"2,keyasint,omitempty"`
+	Revision  core.Offset `cbor:"3,keyasint,omitempty"`
+	Leaving   bool        `cbor:"4,keyasint,omitempty"`
+	Alive     uint64      `cbor:"5,keyasint,omitempty"`
+	Running   []running   `cbor:"6,keyasint,omitempty"`
+	Loans     []loan      `cbor:"7,keyasint,omitempty"`
+	Confirmed []confirmed `cbor:"8,keyasint,omitempty"`
+	Health    []health    `cbor:"9,keyasint,omitempty"`
+	Held      []statement `cbor:"10,keyasint,omitempty"`
+	Spoken    bool        `cbor:"11,keyasint,omitempty"`
+	Claims    []claim     `cbor:"12,keyasint,omitempty"`
+	Speak     bool        `cbor:"13,keyasint,omitempty"`
+}
+
+type running struct {
+	Pool  core.Pool `cbor:"1,keyasint"`
+	Count int       `cbor:"2,keyasint"`
+}
+
+type loan struct {
+	Upstream core.UpstreamID `cbor:"1,keyasint"`
+	Epoch    uint64          `cbor:"2,keyasint"`
+	Amount   int             `cbor:"3,keyasint"`
+	Owed     int             `cbor:"4,keyasint,omitempty"`
+}
+
+type confirmed struct {
+	Upstream core.UpstreamID `cbor:"1,keyasint"`
+	Epoch    uint64          `cbor:"2,keyasint"`
+	Amount   int             `cbor:"3,keyasint"`
+}
+
+type health struct {
+	Upstream core.UpstreamID `cbor:"1,keyasint"`
+	Boot     string          `cbor:"2,keyasint,omitempty"`
+	AgeMS    int64           `cbor:"3,keyasint"`
+	Down     bool            `cbor:"4,keyasint,omitempty"`
+}
+
+type statement struct {
+	Upstream core.UpstreamID `cbor:"1,keyasint"`
+	Seen     uint64          `cbor:"2,keyasint"`
+	Held     []uint64        `cbor:"3,keyasint,omitempty"`
+}
+
+type claim struct {
+	Upstream core.UpstreamID `cbor:"1,keyasint"`
+	Epoch    uint64          `cbor:"2,keyasint"`
+	Count    int             `cbor:"3,keyasint"`
+}
+
+type ask struct {
+	ID       uint64          `cbor:"1,keyasint"`
+	Stamp    node.Stamp      `cbor:"2,keyasint"`
+	Upstream core.UpstreamID `cbor:"3,keyasint"`
+	Account  core.Account    `cbor:"4,keyasint"`
+	Weight   int             `cbor:"5,keyasint,omitempty"`
+	Priority int             `cbor:"6,keyasint,omitempty"`
+	Suspect  bool            `cbor:"7,keyasint,omitempty"`
+	WaitMS   int64           `cbor:"8,keyasint,omitempty"`
+	Running  int             `cbor:"9,keyasint"`
+}
+
+type grant struct {
+	Ask      uint64          `cbor:"1,keyasint"`
+	Seq      uint64          `cbor:"2,keyasint"`
+	Upstream core.UpstreamID `cbor:"3,keyasint"`
+	Owner    core.Seat       `cbor:"4,keyasint"`
+	Epoch    uint64          `cbor:"5,keyasint,omitempty"`
+	Boot     string          `cbor:"6,keyasint,omitempty"`
+	Echo     node.Stamp      `cbor:"7,keyasint"`
+}
+
+type deny struct {
+	Ask uint64 `cbor:"1,keyasint"`
+}
+
+type cancel struct {
+	Ask      uint64          `cbor:"1,keyasint"`
+	Upstream core.UpstreamID `cbor:"2,keyasint"`
+}
+
+type release struct {
+	Upstream core.UpstreamID `cbor:"1,keyasint"`
+	Seq      uint64          `cbor:"2,keyasint"`
+	Outcome  node.Outcome    `cbor:"3,keyasint,omitempty"`
+	Boot     string          `cbor:"4,keyasint,omitempty"`
+}
+
+type suspect struct {
+	Digest  core.Digest `cbor:"1,keyasint"`
+	Process string      `cbor:"2,keyasint,omitempty"`
+	Clear   bool        `cbor:"3,keyasint,omitempty"`
+}
+
+// Encode returns the bytes of a message.
+func Encode(m node.Message) ([]byte, error) {
+	return record.Encode(message{
+		Hello:    (*hello)(m.Hello),
+		Beat:     encodeBeat(m.Beat),
+		Ask:      (*ask)(m.Ask),
+		Grant:    (*grant)(m.Grant),
+		Deny:     (*deny)(m.Deny),
+		Cancel:   (*cancel)(m.Cancel),
+		Release:  (*release)(m.Release),
+		Snapshot: m.Snapshot,
+		Suspect:  (*suspect)(m.Suspect),
+		Ping:     (*ping)(m.Ping),
+	})
+}
+
+// Decode returns the message in some bytes.
+func Decode(data []byte) (node.Message, error) {
+	m, err := record.Decode[message](data)
+	if err != nil {
+		return node.Message{}, err
+	}
+	return node.Message{
+		Hello:    (*node.Hello)(m.Hello),
+		Beat:     decodeBeat(m.Beat),
+		Ask:      (*node.Ask)(m.Ask),
+		Grant:    (*node.Grant)(m.Grant),
+		Deny:     (*node.Deny)(m.Deny),
+		Cancel:   (*node.Cancel)(m.Cancel),
+		Release:  (*node.Release)(m.Release),
+		Snapshot: m.Snapshot,
+		Suspect:  (*node.Suspect)(m.Suspect),
+		Ping:     (*node.Ping)(m.Ping),
+	}, nil
+}
+
+func encodeBeat(b *node.Beat) *beat {
+	if b == nil {
+		return nil
+	}
+	return &beat{
+		Stamp: b.Stamp, Echo: b.Echo, Revision: b.Revision, Leaving: b.Leaving, Alive: b.Alive,
+		Running:   lo.Map(b.Running, func(r node.Running, _ int) running { return running(r) }),
+		Loans:     lo.Map(b.Loans, func(l node.Loan, _ int) loan { return loan(l) }),
+		Confirmed: lo.Map(b.Confirmed, func(c node.Confirmed, _ int) confirmed { return confirmed(c) }),
+		Health:    lo.Map(b.Health, func(h node.Health, _ int) health { return health(h) }),
+		Held:      lo.Map(b.Held, func(s permit.Statement, _ int) statement { return statement(s) }),
+		Spoken:    b.Spoken,
+		Claims:    lo.Map(b.Claims, func(c permit.Claim, _ int) claim { return claim(c) }),
+		Speak:     b.Speak,
+	}
+}
+
+func decodeBeat(b *beat) *node.Beat {
+	if b == nil {
+		return nil
+	}
+	return &node.Beat{
+		Stamp: b.Stamp, Echo: b.Echo, Revision: b.Revision, Leaving: b.Leaving, Alive: b.Alive,
+		Running:   lo.Map(b.Running, func(r running, _ int) node.Running { return node.Running(r) }),
+		Loans:     lo.Map(b.Loans, func(l loan, _ int) node.Loan { return node.Loan(l) }),
+		Confirmed: lo.Map(b.Confirmed, func(c confirmed, _ int) node.Confirmed { return node.Confirmed(c) }),
+		Health:    lo.Map(b.Health, func(h health, _ int) node.Health { return node.Health(h) }),
+		Held:      lo.Map(b.Held, func(s statement, _ int) permit.Statement { return permit.Statement(s) }),
+		Spoken:    b.Spoken,
+		Claims:    lo.Map(b.Claims, func(c claim, _ int) permit.Claim { return permit.Claim(c) }),
+		Speak:     b.Speak,
+	}
+}
