Bind a permit to the upstream's process, and drive the permit tables at random

Cause: a random run of the real tables put two requests on a cold engine that bears one. The holder did not know the engine's process, so a connection to a new one passed as the one that the permit was granted for. Ruled out: the ramp itself and the keeper, whose permits named the old process. A permit now names the process, the holder takes that name over before it connects, and a permit for another known process is settled by a load report.

--- a/core/node/ask.go
+++ b/core/node/ask.go
@@ -141,14 +141,34 @@
 	return e
 }
 
-// Usable reports whether a request may be sent on a permit now: the permit is
-// fresh, and the upstream's process is the one that it was granted for.
-func (n *Node) Usable(now time.Time, h permit.Held) bool {
-	if !h.Usable(now, n.settings.Lease) {
-		return false
-	}
+// Validity says whether a permit may be used.
+type Validity int
+
+const (
+	// Valid means that a request may be sent now.
+	Valid Validity = iota
+	// Late means that the permit is too old.
+	Late
+	// Doubtful means that the keeper granted the permit for another process
+	// of the upstream than the one known here. A load report settles which is
+	// the present one.
+	Doubtful
+)
+
+// Check decides whether a request may be sent on a permit now. It is asked
+// just before the send.
+func (n *Node) Check(now time.Time, h permit.Held) Validity {
 	u, ok := n.Upstream(h.Upstream)
-	return ok && (h.Boot == "" || u.State.Boot == "" || h.Boot == u.State.Boot)
+	switch {
+	case !ok || !h.Usable(now, n.settings.Lease):
+		return Late
+	case h.Boot != "" && u.State.Boot != "" && h.Boot != u.State.Boot:
+		return Doubtful
+	case h.Boot != "" && u.State.Boot == "":
+		// A new connection must show the process that the permit is for.
+		n.observe(now, h.Upstream, Answered, h.Boot)
+	}
+	return Valid
 }
 
 // Finish ends a permit and says what its holder saw of the upstream.
--- a/core/node/fleet_test.go
+++ b/core/node/fleet_test.go
@@ -231,10 +231,17 @@
 func (f *fleet) send(rq *request) {
 	p := f.routers[rq.router]
 	en := f.engines[rq.held.Upstream]
-	if !p.node.Usable(f.now, rq.held) {
+	switch p.node.Check(f.now, rq.held) {
+	case node.Late:
 		rq.state = "unused"
 		f.carry(rq.router, p.node.Finish(f.now, rq.held, node.Unused, ""))
 		return
+	case node.Doubtful:
+		rq.state = "unused"
+		f.probe(rq.router, en.upstream.ID)
+		f.carry(rq.router, p.node.Finish(f.now, rq.held, node.Answered, f.seen(en)))
+		return
+	case node.Valid:
 	}
 	if en.silent {
 		rq.state = "refused"
@@ -247,6 +254,9 @@
 		return
 	}
 	rq.state = "running"
+	if last := f.now.Add(f.longest(en)); rq.until.IsZero() || rq.until.After(last) {
+		rq.until = last
+	}
 	en.running = append(en.running, rq)
 	en.most = max(en.most, len(en.running))
 	if limit := f.limit(en); len(en.running) > limit && !f.unchecked {
@@ -254,6 +264,21 @@
 	}
 }
 
+// seen is the process that a probe finds.
+func (f *fleet) seen(en *engine) string {
+	if en.silent {
+		return ""
+	}
+	return en.bootName()
+}
+
+// longest is how long a request may run.
+func (f *fleet) longest(en *engine) time.Duration {
+	sheet, _ := parseSheet(f.sheet)
+	p, _ := sheet.Pool(en.upstream.Pool)
+	return p.Longest
+}
+
 // limit is what an engine bears by its own clock.
 func (f *fleet) limit(en *engine) int {
 	sheet, _ := parseSheet(f.sheet)
@@ -379,8 +404,19 @@
 		}
 		f.withdraw(id, p)
 	}
+	f.endRequests()
+}
+
+// endRequests ends what the engines have finished. A frozen router hears of it
+// when it wakes.
+func (f *fleet) endRequests() {
 	for _, rq := range f.sorted() {
-		if rq.state == "running" && !rq.until.IsZero() && !f.now.Before(rq.until) && !f.routers[rq.router].frozen {
+		if rq.state == "running" && !rq.until.IsZero() && !f.now.Before(rq.until) {
+			f.drop(rq)
+			rq.state = "ended"
+		}
+		if rq.state == "ended" && !f.routers[rq.router].frozen {
+			rq.state = "running"
 			f.finish(rq)
 		}
 	}
--- /dev/null
+++ b/core/node/property_test.go
@@ -0,0 +1,198 @@
+package node_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"camphorpulley.org/core"
+	"camphorpulley.org/core/node"
+	"camphorpulley.org/core/upstream"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	defaults := map[string]string{"rapid.seed": "20261204", "rapid.checks": "400", "rapid.nofailfile": "true", "rapid.shrinktime": "5s"}
+	flag.Visit(func(f *flag.Flag) { delete(defaults, f.Name) })
+	for name, value := range defaults {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+const propertySheet = `{
+ "DataCentres":[{"Name":"colombo","Region":"lk","Seats":3},{"Name":"kandy","Region":"lk","Seats":1}],
+ "Pools":[{"Name":"p","Kind":"model","Bear":5,"Cold":1,"Ramp":3000000000,"Longest":8000000000}]}`
+
+type seatOf struct {
+	dc   core.DataCentre
+	seat core.Seat
+}
+
+var propertyRouters = map[core.RouterID]seatOf{
+	"r1": {"colombo", 1}, "r2": {"colombo", 2}, "r3": {"colombo", 3}, "r4": {"kandy", 1},
+}
+
+// TestLimitHolds drives the real tables through random failures. At no instant
+// may an engine have more in flight than it bears, and when all is well again
+// its whole limit must be there.
+func TestLimitHolds(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newFleet()
+		f.publish([]byte(propertySheet))
+		for i, id := range []core.UpstreamID{"e1", "e2", "e3"} {
+			dc := core.DataCentre("colombo")
+			if i == 2 {
+				dc = "kandy"
+			}
+			f.engines[id] = &engine{
+				upstream: upstream.Upstream{ID: id, Pool: "p", DataCentre: dc, Address: string(id)}, booted: f.now.Add(-time.Hour),
+			}
+		}
+		ids := []core.RouterID{"r1", "r2", "r3", "r4"}
+		for _, id := range ids {
+			f.start(id, propertyRouters[id].dc, propertyRouters[id].seat)
+		}
+		f.run(12 * time.Second)
+		lossy := false
+		drop := rapid.IntRange(0, 9)
+		f.loss = func() bool { return lossy && drop.Draw(rt, "loss") < 3 }
+		steps := rapid.IntRange(5, 60).Draw(rt, "steps")
+		trace := []string{}
+		for i := range steps {
+			trace = append(trace, randomStep(rt, f, i, &lossy))
+			check(rt, f, trace)
+		}
+		lossy = false
+		recoverFleet(f)
+		check(rt, f, trace)
+		checkCapacity(rt, f, trace)
+	})
+}
+
+func check(rt *rapid.T, f *fleet, trace []string) {
+	if len(f.faults) > 0 {
+		rt.Fatalf("got %v after %v, want no fault", f.faults, trace)
+	}
+}
+
+func randomStep(rt *rapid.T, f *fleet, i int, lossy *bool) string {
+	id := rapid.SampledFrom(f.routerIDs()).Draw(rt, "router")
+	en := rapid.SampledFrom(f.engineIDs()).Draw(rt, "engine")
+	p := f.routers[id]
+	switch action := rapid.SampledFrom(propertyActions).Draw(rt, "action"); action {
+	case "ask", "hold":
+		if !p.alive || p.frozen {
+			return ""
+		}
+		count := rapid.IntRange(1, 8).Draw(rt, "count")
+		length := time.Duration(rapid.IntRange(1, 100).Draw(rt, "length")) * 100 * time.Millisecond
+		wait := time.Duration(rapid.SampledFrom([]int{0, 0, 1000, 3000}).Draw(rt, "wait")) * time.Millisecond
+		for k := range count {
+			rq := &request{name: fmt.Sprintf("q%d-%d", i, k), router: id, manual: action == "hold", until: f.now.Add(length)}
+			f.ask(rq, node.Want{Upstream: en, Account: "a", Weight: 1, Wait: wait})
+		}
+		return fmt.Sprintf("%s %s %s %d for=%s wait=%s", action, id, en, count, length, wait)
+	case "send":
+		for _, rq := range f.sorted() {
+			if rq.state == "granted" && f.routers[rq.router].alive && !f.routers[rq.router].frozen {
+				f.send(rq)
+			}
+		}
+		return "send"
+	case "run":
+		d := time.Duration(rapid.IntRange(1, 60).Draw(rt, "time")) * 50 * time.Millisecond
+		f.run(d)
+		return "run " + d.String()
+	case "cut":
+		other := rapid.SampledFrom(f.routerIDs()).Draw(rt, "other")
+		f.cuts[[2]core.RouterID{id, other}] = true
+		return fmt.Sprintf("cut %s %s", id, other)
+	case "heal":
+		clear(f.cuts)
+		return "heal"
+	case "freeze":
+		p.frozen = p.alive
+		return "freeze " + string(id)
+	case "thaw":
+		if p.frozen {
+			f.thaw(id)
+		}
+		return "thaw " + string(id)
+	case "kill":
+		if p.alive {
+			f.kill(id)
+		}
+		return "kill " + string(id)
+	case "start":
+		if !p.alive {
+			f.start(id, propertyRouters[id].dc, propertyRouters[id].seat)
+		}
+		return "start " + string(id)
+	case "crash":
+		f.crash(en)
+		return "crash " + string(en)
+	case "silent":
+		f.engines[en].silent = !f.engines[en].silent
+		if f.engines[en].silent {
+			f.crash(en)
+		}
+		return "silent " + string(en) + " " + strconv.FormatBool(f.engines[en].silent)
+	default:
+		*lossy = !*lossy
+		return "loss"
+	}
+}
+
+var propertyActions = []string{
+	"ask", "ask", "ask", "ask", "hold", "send", "run", "run", "run", "run",
+	"cut", "heal", "freeze", "thaw", "kill", "start", "crash", "silent", "loss",
+}
+
+// recoverFleet mends every failure and lets the longest request pass.
+func recoverFleet(f *fleet) {
+	clear(f.cuts)
+	for _, id := range f.engineIDs() {
+		f.engines[id].silent = false
+	}
+	for _, id := range f.routerIDs() {
+		p := f.routers[id]
+		if p.frozen {
+			f.thaw(id)
+		}
+		if !p.alive {
+			f.start(id, propertyRouters[id].dc, propertyRouters[id].seat)
+		}
+	}
+	for _, rq := range f.sorted() {
+		if rq.state == "granted" {
+			f.send(rq)
+		}
+	}
+	f.run(30 * time.Second)
+}
+
+// checkCapacity asks for more than the limit from a router of another data
+// centre. An ask may find that it knew an engine's earlier process and is then
+// made again, as the front end does.
+func checkCapacity(rt *rapid.T, f *fleet, trace []string) {
+	for _, en := range f.engineIDs() {
+		for i := range 21 {
+			rq := &request{name: fmt.Sprintf("%s-last%d", en, i), router: "r4", until: f.now.Add(time.Hour)}
+			f.ask(rq, node.Want{Upstream: en, Account: "a", Weight: 1})
+			if i%7 == 6 {
+				f.run(200 * time.Millisecond)
+			}
+		}
+		if got, want := len(f.engines[en].running), 5; got != want {
+			rt.Fatalf("in flight at %s after recovery: got %d, want %d; trace %v", en, got, want, trace)
+		}
+	}
+}
--- a/router/exchange/open.go
+++ b/router/exchange/open.go
@@ -116,10 +116,13 @@
 	s := t.server
 	target, ok := s.target(held.Upstream)
 	t.id = t.exchange.Start(held.Upstream)
-	if !ok || (s.Permits && !s.Node.Usable(time.Now(), held)) {
+	if !ok {
 		s.finish(held, node.Unused, "")
 		return false, false
 	}
+	if !s.valid(held, target) {
+		return false, false
+	}
 	t.held, t.target = held, target
 	t.resp = fasthttp.AcquireResponse()
 	req := fasthttp.AcquireRequest()
@@ -138,6 +141,28 @@
 	return false, t.failed(err)
 }
 
+// valid reports whether a request may be sent on a permit, and ends the permit
+// if not.
+func (s *Server) valid(held permit.Held, target back.Target) bool {
+	if !s.Permits {
+		return true
+	}
+	switch s.Node.Check(time.Now(), held) {
+	case node.Valid:
+		return true
+	case node.Doubtful:
+		load, err := back.Report(target)
+		if err != nil {
+			s.finish(held, node.Refused, "")
+			return false
+		}
+		s.finish(held, node.Answered, load.Boot)
+	default:
+		s.finish(held, node.Unused, "")
+	}
+	return false
+}
+
 // prepare writes the request for the upstream.
 func (t *try) prepare(req *fasthttp.Request) {
 	c := t.call
