--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Everything is built into bin/; run/ takes the settings and logs of the
 # processes that the scripts start.
-MODULES := core base router ctl lab/engine lab/list lab/log lab/service
+MODULES := core base router ctl lab/engine lab/list lab/log lab/service proof
 TOOLS := $(CURDIR)/bin/tools
 GOLANGCI_VERSION := v2.15.0
 SPIN_VERSION := 6.5.2
@@ -16,7 +16,7 @@
 	go build -o bin/lab-service ./lab/service
 
 test: build
-	go test $(MODULES:%=./%/...)
+	go test -count=1 $(MODULES:%=./%/...)
 
 format:
 	@bad=$$(gofmt -l $(MODULES)); if [ -n "$$bad" ]; then echo "not formatted: $$bad"; exit 1; fi
--- a/core/node/fleet_test.go
+++ b/core/node/fleet_test.go
@@ -62,6 +62,7 @@
 	held    permit.Held
 	ask     uint64
 	manual  bool
+	length  time.Duration
 	until   time.Time
 	withdrw time.Time
 }
@@ -254,8 +255,9 @@
 		return
 	}
 	rq.state = "running"
-	if last := f.now.Add(f.longest(en)); rq.until.IsZero() || rq.until.After(last) {
-		rq.until = last
+	rq.until = f.now.Add(f.longest(en))
+	if rq.length > 0 && rq.length < f.longest(en) {
+		rq.until = f.now.Add(rq.length)
 	}
 	en.running = append(en.running, rq)
 	en.most = max(en.most, len(en.running))
--- a/core/node/message.go
+++ b/core/node/message.go
@@ -8,8 +8,9 @@
 	"camphorpulley.org/core/permit"
 )
 
-// Stamp is a time on one router's clock, in milliseconds since its start plus
-// one; zero means none.
+// Stamp is a time on one router's clock, in milliseconds of Unix time at
+// its start plus what has passed since; zero means none. Stamps of a router's earlier processes are
+// lower than its incarnation.
 type Stamp int64
 
 // Message is what one router tells another. One field is set.
@@ -203,9 +204,15 @@
 }
 
 func (n *Node) stamp(now time.Time) Stamp {
-	return Stamp(now.Sub(n.started).Milliseconds()) + 1
+	return Stamp(n.settings.Incarnation) + Stamp(now.Sub(n.started).Milliseconds())
 }
 
+// timeOf returns the time of an own stamp. One of an earlier process is as old
+// as can be.
 func (n *Node) timeOf(s Stamp) time.Time {
-	return n.started.Add(time.Duration(s-1) * time.Millisecond)
+	since := s - Stamp(n.settings.Incarnation)
+	if since < 0 {
+		return time.Time{}
+	}
+	return n.started.Add(time.Duration(since) * time.Millisecond)
 }
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -103,11 +103,20 @@
 		peers:     table.New(table.RankInstances, peers{links: map[core.RouterID]link{}}),
 		upstreams: table.New(table.RankUpstreams, upstreams{byID: map[core.UpstreamID]upstream.Upstream{}}),
 		permits:   table.New(table.RankPermits, ledgers{}),
-		holdings:  table.New(table.RankHoldings, holdings{asks: map[uint64]pending{}}),
+		holdings:  table.New(table.RankHoldings, holdings{asks: map[uint64]pending{}, next: firstAsk(s.Incarnation)}),
 		suspects:  table.New(table.RankSuspects, poison.Suspects{}),
 	}
 }
 
+// asksPerMS is how many asks a process may make for each millisecond that has
+// passed before the next one starts, for their ids to differ.
+const asksPerMS = 1 << 10
+
+// firstAsk returns the id below the first ask of a process. The ids of a
+// router's processes differ, so that a late answer to one process never
+// answers an ask of the next.
+func firstAsk(in core.Incarnation) uint64 { return uint64(in) * asksPerMS }
+
 // Self returns who the router is.
 func (n *Node) Self() Settings { return n.settings }
 
--- a/core/node/property_test.go
+++ b/core/node/property_test.go
@@ -96,7 +96,7 @@
 		length := time.Duration(rapid.IntRange(1, 100).Draw(rt, "length")) * 100 * time.Millisecond
 		wait := time.Duration(rapid.SampledFrom([]int{0, 0, 1000, 3000}).Draw(rt, "wait")) * time.Millisecond
 		for k := range count {
-			rq := &request{name: fmt.Sprintf("q%d-%d", i, k), router: id, manual: action == "hold", until: f.now.Add(length)}
+			rq := &request{name: fmt.Sprintf("q%d-%d", i, k), router: id, manual: action == "hold", length: length}
 			f.ask(rq, node.Want{Upstream: en, Account: "a", Weight: 1, Wait: wait})
 		}
 		return fmt.Sprintf("%s %s %s %d for=%s wait=%s", action, id, en, count, length, wait)
@@ -185,7 +185,7 @@
 func checkCapacity(rt *rapid.T, f *fleet, trace []string) {
 	for _, en := range f.engineIDs() {
 		for i := range 21 {
-			rq := &request{name: fmt.Sprintf("%s-last%d", en, i), router: "r4", until: f.now.Add(time.Hour)}
+			rq := &request{name: fmt.Sprintf("%s-last%d", en, i), router: "r4", length: time.Hour}
 			f.ask(rq, node.Want{Upstream: en, Account: "a", Weight: 1})
 			if i%7 == 6 {
 				f.run(200 * time.Millisecond)
--- a/core/node/receive.go
+++ b/core/node/receive.go
@@ -274,7 +274,7 @@
 			Upstream: g.Upstream, Owner: g.Owner, Epoch: g.Epoch, Boot: g.Boot,
 		},
 		Keeper: permit.Borrower{Keeper: from.Router, Incarnation: from.Incarnation},
-		Stamp:  n.timeOf(max(g.Echo, 1)),
+		Stamp:  n.timeOf(g.Echo),
 	})
 }
 
--- a/core/node/script_test.go
+++ b/core/node/script_test.go
@@ -32,17 +32,19 @@
 
 func commands() map[string]func(*testscript.TestScript, bool, []string) {
 	all := map[string]command{
-		"sheet":    cmdSheet,
-		"lease":    func(ts *testscript.TestScript, f *fleet, a []string) { f.lease.Length = duration(ts, a[0]) },
-		"router":   cmdRouter,
-		"upstream": cmdUpstream,
-		"run":      func(ts *testscript.TestScript, f *fleet, a []string) { f.run(duration(ts, a[0])) },
-		"cut":      func(_ *testscript.TestScript, f *fleet, a []string) { f.cuts[pair(a)] = true },
-		"heal":     func(_ *testscript.TestScript, f *fleet, _ []string) { clear(f.cuts) },
-		"freeze":   func(_ *testscript.TestScript, f *fleet, a []string) { f.routers[core.RouterID(a[0])].frozen = true },
-		"thaw":     func(_ *testscript.TestScript, f *fleet, a []string) { f.thaw(core.RouterID(a[0])) },
-		"kill":     func(_ *testscript.TestScript, f *fleet, a []string) { f.kill(core.RouterID(a[0])) },
-		"crash":    func(_ *testscript.TestScript, f *fleet, a []string) { f.crash(core.UpstreamID(a[0])) },
+		"sheet":        cmdSheet,
+		"lease":        func(ts *testscript.TestScript, f *fleet, a []string) { f.lease.Length = duration(ts, a[0]) },
+		"router":       cmdRouter,
+		"late":         cmdLate,
+		"delay":        func(ts *testscript.TestScript, f *fleet, a []string) { f.delay = duration(ts, a[0]) },
+		"upstream":     cmdUpstream,
+		"run":          func(ts *testscript.TestScript, f *fleet, a []string) { f.run(duration(ts, a[0])) },
+		"cut":          func(_ *testscript.TestScript, f *fleet, a []string) { f.cuts[pair(a)] = true },
+		"heal":         func(_ *testscript.TestScript, f *fleet, _ []string) { clear(f.cuts) },
+		"freeze":       func(_ *testscript.TestScript, f *fleet, a []string) { f.routers[core.RouterID(a[0])].frozen = true },
+		"thaw":         func(_ *testscript.TestScript, f *fleet, a []string) { f.thaw(core.RouterID(a[0])) },
+		"stop-process": func(_ *testscript.TestScript, f *fleet, a []string) { f.kill(core.RouterID(a[0])) },
+		"crash":        func(_ *testscript.TestScript, f *fleet, a []string) { f.crash(core.UpstreamID(a[0])) },
 		"silent": func(_ *testscript.TestScript, f *fleet, a []string) {
 			f.engines[core.UpstreamID(a[0])].silent = a[1] == "yes"
 		},
@@ -100,6 +102,14 @@
 	f.start(core.RouterID(a[0]), core.DataCentre(a[1]), core.Seat(number(ts, a[2])))
 }
 
+// late ID DC SEAT: a process of the router starts that can't read the log.
+func cmdLate(ts *testscript.TestScript, f *fleet, a []string) {
+	offset := f.offset
+	f.offset = 0
+	cmdRouter(ts, f, a)
+	f.offset = offset
+}
+
 // upstream ID POOL DC [AGE]: an upstream that started AGE ago is listed.
 func cmdUpstream(ts *testscript.TestScript, f *fleet, a []string) {
 	age := time.Hour
@@ -152,11 +162,7 @@
 		}
 	}
 	for _, name := range names {
-		rq := &request{name: name, router: core.RouterID(a[1]), manual: hold}
-		if length > 0 {
-			rq.until = f.now.Add(length)
-		}
-		f.ask(rq, w)
+		f.ask(&request{name: name, router: core.RouterID(a[1]), manual: hold, length: length}, w)
 	}
 }
 
--- a/core/permit/keeper.go
+++ b/core/permit/keeper.go
@@ -130,9 +130,16 @@
 }
 
 // InFlight returns how many requests may be running at the upstream as far as
-// the keeper knows: its own permits and what lapsed loans may still use.
+// the keeper knows: its own permits and what lapsed loans may still use. A
+// permit on a loan that its owner has since replaced is part of what the owner
+// says it is owed.
 func (k *Keeper) InFlight() int {
-	n := len(k.out)
+	n := 0
+	for _, p := range k.out {
+		if t, ok := k.trusts[p.Owner]; !ok || p.Epoch >= t.Epoch {
+			n++
+		}
+	}
 	for _, t := range k.trusts {
 		n += t.Owed
 	}
