--- /dev/null
+++ b/core/config/script_test.go
@@ -0,0 +1,92 @@
+package config
+
+import (
+	"strconv"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"camphorpulley.org/core"
+)
+
+type readersKey struct{}
+
+type readers map[string]*Reader
+
+// TestScripts runs the scripts in testdata. Each has readers of one log.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			env.Values[readersKey{}] = readers{}
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"propose": with(cmdPropose),
+			"trimmed": with(func(ts *testscript.TestScript, r *Reader, a []string) { r.Trimmed(offset(ts, a[0])) }),
+			"other":   with(func(ts *testscript.TestScript, r *Reader, a []string) { r.Skip(offset(ts, a[0])) }),
+			"force":   with(cmdForce),
+			"adopt":   cmdAdopt,
+		},
+	})
+}
+
+func reader(ts *testscript.TestScript, name string) *Reader {
+	all, ok := ts.Value(readersKey{}).(readers)
+	if !ok {
+		ts.Fatalf("no readers")
+	}
+	if all[name] == nil {
+		all[name] = &Reader{}
+	}
+	return all[name]
+}
+
+func with(run func(*testscript.TestScript, *Reader, []string)) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, _ bool, args []string) {
+		run(ts, reader(ts, args[0]), args[1:])
+	}
+}
+
+func offset(ts *testscript.TestScript, text string) core.Offset {
+	n, err := strconv.ParseUint(text, 10, 64)
+	ts.Check(err)
+	return core.Offset(n)
+}
+
+// propose READER OFFSET BASE WANT: a proposal is read; want is force, void,
+// waits or known.
+func cmdPropose(ts *testscript.TestScript, r *Reader, a []string) {
+	before := r.InForce().Number
+	err := r.Propose(offset(ts, a[0]), Proposal{Base: offset(ts, a[1]), Text: []byte(a[0])})
+	var void *VoidError
+	var gap *GapError
+	got := "known"
+	switch {
+	case errors.As(err, &void):
+		got = "void"
+	case errors.As(err, &gap):
+		got = "waits"
+	case r.InForce().Number != before:
+		got = "force"
+	}
+	if want := a[2]; got != want {
+		ts.Fatalf("proposal %s: got %s, want %s", a[0], got, want)
+	}
+}
+
+// force READER NUMBER [GAP]: the revision in force.
+func cmdForce(ts *testscript.TestScript, r *Reader, a []string) {
+	if got, want := r.InForce().Number, offset(ts, a[0]); got != want {
+		ts.Fatalf("in force: got %d, want %d", got, want)
+	}
+	if got, want := r.Gap(), len(a) > 1; got != want {
+		ts.Fatalf("gap: got %t, want %t", got, want)
+	}
+}
+
+// adopt READER FROM: the reader takes over another's snapshot.
+func cmdAdopt(ts *testscript.TestScript, _ bool, a []string) {
+	reader(ts, a[0]).Adopt(reader(ts, a[1]).Snapshot())
+}
--- a/lab/fleet.sh
+++ b/lab/fleet.sh
@@ -64,6 +64,7 @@
 [limits]
 shutdown = ${FLEET_SHUTDOWN:-20s}
 stall = ${FLEET_STALL:-2s}
+home = ${FLEET_HOME:-40ms}
 
 [log]
 level = ${FLEET_LEVEL:-info}
--- a/lab/load/stats.go
+++ b/lab/load/stats.go
@@ -33,7 +33,6 @@
 	codes   map[string]int
 	skew    float64
 	samples int
-	most    int
 }
 
 func newPhaseStats(p phase) *phaseStats {
--- a/router/app/wire.go
+++ b/router/app/wire.go
@@ -104,6 +104,7 @@
 	s.Log = do.MustInvoke[*zap.Logger](i)
 	s.Metrics = do.MustInvoke[*metrics.Metrics](i)
 	s.Place = placer(f.Router.Policy, s.Node)
+	s.Home = f.Limits.Home
 	s.Permits = f.Router.Policy == setup.FleetPolicy
 	return s, nil
 }
--- a/router/exchange/acquire.go
+++ b/router/exchange/acquire.go
@@ -30,9 +30,14 @@
 	want := node.Want{
 		Account: c.Account.Name, Weight: c.Account.Weight(), Priority: c.Account.Priority, Suspect: t.suspect,
 	}
-	for _, candidate := range candidates[:min(len(candidates), immediateTries)] {
+	for i, candidate := range candidates[:min(len(candidates), immediateTries)] {
 		want.Upstream = candidate.ID
-		if held, ok := s.ask(ctx, want, askTimeout); ok {
+		timeout := askTimeout
+		if want.Wait = 0; i == 0 && s.Home > 0 {
+			want.Wait = s.Home
+			timeout = s.Home + homeSlack
+		}
+		if held, ok := s.ask(ctx, want, timeout); ok {
 			return held, nil
 		}
 	}
--- a/router/exchange/call.go
+++ b/router/exchange/call.go
@@ -51,6 +51,9 @@
 	immediateTries = 3
 	// askTimeout is how long a keeper may take to answer an ask at once.
 	askTimeout = 100 * time.Millisecond
+	// homeSlack is the time for a grant to come from another data centre at
+	// the end of a wait.
+	homeSlack = 10 * time.Millisecond
 	// linger is how long a permit is kept after a stream was cut, so that the
 	// upstream has noticed before another request comes.
 	linger = 300 * time.Millisecond
--- a/router/exchange/server.go
+++ b/router/exchange/server.go
@@ -33,6 +33,9 @@
 	Place    Placer
 	// Permits is false for the policies that send without permits.
 	Permits bool
+	// Home is how long a request waits for the upstream that has its chat
+	// cached before it goes to another.
+	Home    time.Duration
 	Carry   func(node.Effects)
 	Log     *zap.Logger
 	Metrics *metrics.Metrics
--- a/router/setup/setup.go
+++ b/router/setup/setup.go
@@ -45,6 +45,9 @@
 	Body int `ini:"body" validate:"min=0,max=1073741824"`
 	// Stall is the longest silence in a stream; zero means DefaultStall.
 	Stall time.Duration `ini:"stall" validate:"min=0"`
+	// Home is how long a request waits for the upstream that has its chat
+	// cached before it goes to another; zero means DefaultHome.
+	Home time.Duration `ini:"home" validate:"min=0,max=10s"`
 	// Shutdown is how long requests may go on after SIGTERM; zero means
 	// DefaultShutdown.
 	Shutdown time.Duration `ini:"shutdown" validate:"min=0"`
@@ -62,6 +65,7 @@
 	DefaultBody     = 4 << 20
 	DefaultStall    = 15 * time.Second
 	DefaultShutdown = 60 * time.Second
+	DefaultHome     = 40 * time.Millisecond
 	// FleetPolicy is the policy that asks for permits.
 	FleetPolicy = "fleet"
 )
@@ -73,6 +77,7 @@
 	f.Platform.Poll = orDefault(f.Platform.Poll, DefaultPoll)
 	f.Limits.Body = orDefault(f.Limits.Body, DefaultBody)
 	f.Limits.Stall = orDefault(f.Limits.Stall, DefaultStall)
+	f.Limits.Home = orDefault(f.Limits.Home, DefaultHome)
 	f.Limits.Shutdown = orDefault(f.Limits.Shutdown, DefaultShutdown)
 	return f
 }
--- /dev/null
+++ b/router/wire/control_bench_test.go
@@ -0,0 +1,147 @@
+package wire
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"camphorpulley.org/core"
+	"camphorpulley.org/core/config"
+	"camphorpulley.org/core/datacentre"
+	"camphorpulley.org/core/instance"
+	"camphorpulley.org/core/node"
+	"camphorpulley.org/core/permit"
+	"camphorpulley.org/core/pool"
+	"camphorpulley.org/core/upstream"
+)
+
+// size is a fleet of which one router is driven.
+type size struct {
+	centres, routers, upstreams int
+	// held is the number of permits that the router holds.
+	held int
+}
+
+// BenchmarkTick measures what one interval of heartbeats costs a router, in
+// time and in bytes that it sends, by the size of the fleet.
+func BenchmarkTick(b *testing.B) {
+	for _, s := range []size{
+		{4, 1, 4, 0}, {4, 2, 4, 0}, {4, 4, 4, 0}, {4, 4, 8, 0}, {4, 4, 8, 50}, {11, 9, 18, 50},
+		{11, 18, 35, 100}, {11, 36, 70, 0}, {11, 36, 70, 215},
+	} {
+		b.Run(fmt.Sprintf("centres=%d/routers=%d/upstreams=%d/held=%d", s.centres, s.routers, s.upstreams, s.held), func(b *testing.B) {
+			n, now := s.router(b)
+			bytes := 0
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				now = now.Add(time.Second)
+				for _, o := range n.Tick(now).Out {
+					data, err := Encode(o.Message)
+					if err != nil {
+						b.Fatal(err)
+					}
+					bytes += len(data)
+				}
+			}
+			b.ReportMetric(float64(bytes)/float64(b.N), "bytes/tick")
+		})
+	}
+}
+
+// router returns a router of the first data centre that has heard all others
+// there, with as many permits as the size says.
+func (s size) router(b *testing.B) (*node.Node, time.Time) {
+	now := time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+	sheet := config.Sheet{Pools: []pool.Pool{{Name: "model", Kind: pool.Model, Bear: 128, Cold: 8, Longest: time.Hour}}}
+	var routers []instance.Router
+	var upstreams []upstream.Upstream
+	for dc := range s.centres {
+		name := core.DataCentre(fmt.Sprintf("centre%d", dc))
+		sheet.DataCentres = append(sheet.DataCentres, datacentre.DataCentre{Name: name, Region: "r", Seats: s.routers})
+		for i := range s.routers {
+			id := core.RouterID(fmt.Sprintf("router-%d-%d", dc, i))
+			routers = append(routers, instance.Router{ID: id, DataCentre: name, Seat: core.Seat(i + 1)})
+		}
+		for i := range s.upstreams {
+			id := core.UpstreamID(fmt.Sprintf("runner-%d-%d", dc, i))
+			upstreams = append(upstreams, upstream.Upstream{ID: id, Pool: "model", DataCentre: name})
+		}
+	}
+	n := node.New(now, node.Settings{
+		ID: routers[0].ID, DataCentre: routers[0].DataCentre, Seat: 1, Incarnation: core.Incarnation(now.UnixMilli()),
+		Lease: permit.Lease{Length: 10 * time.Second},
+		Parse: func([]byte) (config.Sheet, error) { return sheet, nil },
+	})
+	n.Adopt(now, config.Snapshot{Revision: config.Revision{Number: 1}, AsOf: 1})
+	n.Listed(routers[1:], upstreams)
+	now = now.Add(2 * time.Hour)
+	s.hear(n, now, routers)
+	for i := range s.held {
+		s.hold(b, n, now, upstreams[i%len(upstreams)].ID)
+	}
+	return n, now
+}
+
+// hear delivers heartbeats of all routers.
+func (s size) hear(n *node.Node, now time.Time, routers []instance.Router) {
+	n.Tick(now)
+	for _, r := range routers[1:] {
+		h := node.Hello{Router: r.ID, DataCentre: r.DataCentre, Seat: r.Seat, Incarnation: core.Incarnation(now.UnixMilli())}
+		n.Receive(now, h, node.Message{Hello: &h})
+		n.Receive(now, h, node.Message{Beat: &node.Beat{Stamp: 1, Echo: node.Stamp(n.Self().Incarnation) + 7_200_000, Spoken: true}})
+	}
+	n.Tick(now)
+}
+
+// hold asks for a permit and has the keeper grant it.
+func (s size) hold(b *testing.B, n *node.Node, now time.Time, id core.UpstreamID) {
+	answer, effects := n.Ask(now, node.Want{Upstream: id, Account: "a", Weight: 1, Wait: time.Hour})
+	if answer.Outcome == permit.Denied {
+		b.Fatalf("ask at %s: got a refusal, want a permit", id)
+	}
+	for _, o := range effects.Out {
+		h := node.Hello{Router: o.To, Incarnation: core.Incarnation(now.UnixMilli())}
+		n.Receive(now, h, node.Message{Grant: &node.Grant{
+			Ask: o.Message.Ask.ID, Seq: answer.Ask, Upstream: id, Owner: 1, Epoch: 7, Boot: "39e7a175", Echo: o.Message.Ask.Stamp,
+		}})
+	}
+}
+
+// BenchmarkRequest measures the messages of one request that asks another
+// router's keeper.
+func BenchmarkRequest(b *testing.B) {
+	all := fixtures(b)
+	ask, grant := all["ask.json"], all["grant.json"]
+	release := node.Message{Release: &node.Release{Upstream: ask.Ask.Upstream, Seq: 77, Outcome: node.Answered}}
+	bytes := 0
+	for range b.N {
+		for _, m := range []node.Message{ask, grant, release} {
+			data, err := Encode(m)
+			if err != nil {
+				b.Fatal(err)
+			}
+			bytes += len(data)
+		}
+	}
+	b.ReportMetric(float64(bytes)/float64(b.N), "bytes/request")
+}
+
+// BenchmarkAsk measures the decision on one permit, by the size of the fleet.
+func BenchmarkAsk(b *testing.B) {
+	for _, s := range []size{{4, 1, 4, 0}, {11, 36, 70, 215}} {
+		b.Run(fmt.Sprintf("routers=%d", s.centres*s.routers), func(b *testing.B) {
+			n, now := s.router(b)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				answer, _ := n.Ask(now, node.Want{Upstream: "runner-0-1", Account: "a", Weight: 1})
+				if answer.Outcome == permit.Granted {
+					n.Finish(now, answer.Held, node.Unused, "")
+				} else {
+					n.Withdraw(answer.Ask, false)
+				}
+			}
+		})
+	}
+}
