Make a view of the tables once, and ask others while a request waits

Cause: one interval of heartbeats at the target (396 routers, 70 upstreams a data centre, 215 permits held) took 126 ms and one ask 347 us, since each decision copied and sorted all members and hashed every upstream's keepers. A view is now shared for up to 20 ms or until the tables change. The bytes of the first bench were wrong: its made clock let all peers fall silent.

--- a/core/node/ledger.go
+++ b/core/node/ledger.go
@@ -22,7 +22,9 @@
 		l[u.ID] = book
 	}
 	longest := v.pool(u).Longest
-	book.share.Lapse(v.now, n.others(v))
+	if book.share.Due(v.now) {
+		book.share.Lapse(v.now, n.others(v))
+	}
 	book.share.Expire(v.now, longest)
 	book.keeper.Expire(v.now, longest+n.settings.Lease.Whole())
 	own := permit.Trust{Owner: n.settings.Seat, Stamp: v.now}
@@ -38,6 +40,7 @@
 // lend returns the loans of the own shares to a keeper.
 func (n *Node) lend(v view, to permit.Borrower) []Loan {
 	var loans []Loan
+	others := n.others(v)
 	n.permits.Do(table.Hold{}, func(_ table.Hold, l *ledgers) {
 		for _, u := range v.Upstreams {
 			if u.DataCentre != n.settings.DataCentre {
@@ -48,7 +51,7 @@
 			}
 			book := n.refresh(v, *l, u)
 			size := n.size(v, u) - book.keeper.Used(n.settings.Seat, 0)
-			loan := book.share.Lend(v.now, to, size, n.settings.Lease.Whole(), n.others(v))
+			loan := book.share.Lend(v.now, to, size, n.settings.Lease.Whole(), others)
 			if loan.Epoch == 0 {
 				continue
 			}
@@ -119,18 +122,19 @@
 		if !ok {
 			return
 		}
-		t.put(u, u.State.Observe(now, evidence, boot))
+		n.put(t, u, u.State.Observe(now, evidence, boot))
 	})
 }
 
 // put stores the state of an upstream and replaces the list if it changed.
-func (t *upstreams) put(u upstream.Upstream, s upstream.State) {
+func (n *Node) put(t *upstreams, u upstream.Upstream, s upstream.State) {
 	if s == u.State {
 		return
 	}
 	u.State = s
 	t.byID[u.ID] = u
 	t.rebuild()
+	n.changed()
 }
 
 func (t *upstreams) rebuild() {
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -4,6 +4,7 @@
 package node
 
 import (
+	"sync/atomic"
 	"time"
 
 	"camphorpulley.org/core"
@@ -38,6 +39,10 @@
 	permits   *table.Cell[ledgers]
 	holdings  *table.Cell[holdings]
 	suspects  *table.Cell[poison.Suspects]
+	// latest is the last view that was made, and generation counts the changes
+	// after which a new one is needed.
+	latest     atomic.Pointer[view]
+	generation atomic.Uint64
 }
 
 type configuration struct {
--- a/core/node/receive.go
+++ b/core/node/receive.go
@@ -68,6 +68,7 @@
 	if stale {
 		return Effects{}
 	}
+	n.changed()
 	n.holdings.Do(table.Hold{}, func(_ table.Hold, t *holdings) {
 		t.held.Forget(permit.Borrower{Keeper: h.Router, Incarnation: h.Incarnation})
 	})
@@ -88,7 +89,7 @@
 		e.add(n.serve(now, id))
 	}
 	if b.Speak {
-		e.send(from.Router, Message{Beat: n.Beat(now, from.Router)})
+		e.send(from.Router, Message{Beat: n.beatTo(n.view(now), from.Router)})
 	}
 	n.config.Do(table.Hold{}, func(_ table.Hold, c *configuration) {
 		if snapshot := c.reader.Snapshot(); snapshot.Revision.Number > b.Revision {
@@ -105,6 +106,9 @@
 		if ok && known.Incarnation > from.Incarnation {
 			return
 		}
+		if !known.Alive(now, n.settings.Lease.Silence()) || known.Leaving != b.Leaving {
+			n.changed()
+		}
 		router := from.member()
 		router.Revision = b.Revision
 		router.Leaving = b.Leaving
@@ -135,7 +139,7 @@
 			if !ok {
 				continue
 			}
-			t.put(u, h.apply(now, u.State))
+			n.put(t, u, h.apply(now, u.State))
 		}
 	})
 }
@@ -318,4 +322,5 @@
 	n.peers.Do(table.Hold{}, func(_ table.Hold, p *peers) {
 		p.members.Lose(router)
 	})
+	n.changed()
 }
--- a/core/node/revision.go
+++ b/core/node/revision.go
@@ -65,6 +65,7 @@
 		}
 		c.number = r.Number
 		e.InForce = true
+		n.changed()
 		sheet, err := n.settings.Parse(r.Text)
 		c.fault = err
 		if err == nil {
--- a/core/node/tick.go
+++ b/core/node/tick.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"camphorpulley.org/core"
@@ -25,10 +27,11 @@
 		p.members.Forget(now, forgetAfter)
 		p.settled = p.settled || settled
 	})
+	n.changed()
 	v := n.view(now)
 	var e Effects
 	for _, id := range n.due(now, v) {
-		e.send(id, Message{Beat: n.Beat(now, id)})
+		e.send(id, Message{Beat: n.beatTo(v, id)})
 	}
 	for _, u := range v.Upstreams {
 		if u.DataCentre != n.settings.DataCentre {
@@ -82,10 +85,9 @@
 	return local
 }
 
-// Beat returns the heartbeat to a router.
-func (n *Node) Beat(now time.Time, to core.RouterID) *Beat {
-	v := n.view(now)
-	b := &Beat{Stamp: n.stamp(now), Leaving: v.leaving, Spoken: true}
+// beatTo returns the heartbeat to a router.
+func (n *Node) beatTo(v view, to core.RouterID) *Beat {
+	b := &Beat{Stamp: n.stamp(v.now), Leaving: v.leaving, Spoken: true}
 	_, b.Revision = n.Sheet()
 	var peer instance.Router
 	n.peers.Do(table.Hold{}, func(_ table.Hold, p *peers) {
@@ -115,14 +117,14 @@
 	return b
 }
 
+// locatedIn returns a function that tells whether an upstream is in a data
+// centre.
 func (n *Node) locatedIn(v view, dc core.DataCentre) func(core.UpstreamID) bool {
 	return func(id core.UpstreamID) bool {
-		for _, u := range v.Upstreams {
-			if u.ID == id {
-				return u.DataCentre == dc
-			}
-		}
-		return false
+		i, ok := slices.BinarySearchFunc(v.Upstreams, id, func(u upstream.Upstream, id core.UpstreamID) int {
+			return cmp.Compare(u.ID, id)
+		})
+		return ok && v.Upstreams[i].DataCentre == dc
 	}
 }
 
@@ -160,6 +162,7 @@
 	n.peers.Do(table.Hold{}, func(_ table.Hold, p *peers) {
 		p.leaving = true
 	})
+	n.changed()
 }
 
 // Listed takes over the platform's list. Upstreams that are no longer listed
@@ -179,4 +182,5 @@
 		}
 		t.rebuild()
 	})
+	n.changed()
 }
--- a/core/node/view.go
+++ b/core/node/view.go
@@ -15,7 +15,7 @@
 )
 
 // view is a copy of what decisions on permits need from the tables of lower
-// rank.
+// rank. Its parts are shared and never changed.
 type view struct {
 	route.View
 	now        time.Time
@@ -24,10 +24,38 @@
 	running    map[core.RouterID]map[core.Pool]int
 	superseded bool
 	leaving    bool
+	// keepers are the keepers of the upstreams.
+	keepers map[core.UpstreamID]instance.Router
+	// served counts the upstreams of each pool that can be given work.
+	served map[core.Pool]int
+	// generation is that of the tables when the view was made, at a time.
+	generation uint64
+	made       time.Time
 }
 
+// viewAge is how old a view may be. No promise depends on it: only who is
+// alive, and so where a request is tried, may be seen later.
+const viewAge = 20 * time.Millisecond
+
+// view returns what the tables hold now, or held a moment ago.
 func (n *Node) view(now time.Time) view {
-	v := view{now: now}
+	if known := n.latest.Load(); known != nil && known.generation == n.generation.Load() {
+		if age := now.Sub(known.made); 0 <= age && age < viewAge {
+			v := *known
+			v.now = now
+			return v
+		}
+	}
+	v := n.newView(now)
+	n.latest.Store(&v)
+	return v
+}
+
+// changed says that views made before are out of date.
+func (n *Node) changed() { n.generation.Add(1) }
+
+func (n *Node) newView(now time.Time) view {
+	v := view{now: now, made: now, generation: n.generation.Load()}
 	n.config.Do(table.Hold{}, func(_ table.Hold, c *configuration) {
 		v.Sheet = c.sheet
 	})
@@ -35,7 +63,7 @@
 		v.members = p.members.All()
 		v.superseded = p.superseded
 		v.leaving = p.away()
-		v.alive = n.alive(now, p)
+		v.alive = n.alive(now, p, v.members)
 		v.running = make(map[core.RouterID]map[core.Pool]int, len(v.alive))
 		for _, r := range v.alive {
 			v.running[r.ID] = p.links[r.ID].running
@@ -46,13 +74,50 @@
 	})
 	dc, _ := v.Sheet.DataCentre(n.settings.DataCentre)
 	v.Region = dc.Region
+	v.keep()
 	return v
 }
 
+// keep finds the keepers of all upstreams, and counts those that can be given
+// work: they are open and a live router keeps them.
+func (v *view) keep() {
+	byCentre := map[core.DataCentre][]instance.Router{}
+	for _, r := range v.alive {
+		if !r.Leaving {
+			byCentre[r.DataCentre] = append(byCentre[r.DataCentre], r)
+		}
+	}
+	v.keepers = make(map[core.UpstreamID]instance.Router, len(v.Upstreams))
+	v.served = map[core.Pool]int{}
+	for _, u := range v.Upstreams {
+		keeper, ok := firstFor(u, byCentre[u.DataCentre])
+		if !ok {
+			continue
+		}
+		v.keepers[u.ID] = keeper
+		dc, _ := v.Sheet.DataCentre(u.DataCentre)
+		if dc.Region == v.Region && route.Open(v.now, v.View, u) {
+			v.served[u.Pool]++
+		}
+	}
+}
+
+// firstFor returns the router that is first for an upstream by rendezvous hash.
+func firstFor(u upstream.Upstream, routers []instance.Router) (instance.Router, bool) {
+	key := chat.Key("", string(u.ID), nil)
+	best, top := instance.Router{}, uint64(0)
+	for _, r := range routers {
+		if score := chat.Score(key, string(r.ID)); best.ID == "" || score > top {
+			best, top = r, score
+		}
+	}
+	return best, best.ID != ""
+}
+
 // alive returns the routers that may be keepers, the own one among them.
-func (n *Node) alive(now time.Time, p *peers) []instance.Router {
-	alive := []instance.Router{}
-	for _, r := range p.members.All() {
+func (n *Node) alive(now time.Time, p *peers, members []instance.Router) []instance.Router {
+	alive := make([]instance.Router, 0, len(members)+1)
+	for _, r := range members {
 		if r.ID != n.settings.ID && r.Alive(now, n.settings.Lease.Silence()) {
 			alive = append(alive, r)
 		}
@@ -101,17 +166,8 @@
 // keeperOf returns the router that keeps an upstream's permits: the first by
 // rendezvous hash among the live ones of its data centre.
 func (v view) keeperOf(u upstream.Upstream) (instance.Router, bool) {
-	key := chat.Key("", string(u.ID), nil)
-	best, top := instance.Router{}, uint64(0)
-	for _, r := range v.alive {
-		if r.DataCentre != u.DataCentre || r.Leaving {
-			continue
-		}
-		if score := chat.Score(key, string(r.ID)); best.ID == "" || score > top {
-			best, top = r, score
-		}
-	}
-	return best, best.ID != ""
+	keeper, ok := v.keepers[u.ID]
+	return keeper, ok
 }
 
 // pool returns the pool of an upstream.
@@ -142,27 +198,11 @@
 		Bear:      v.bear(u),
 		Multiple:  v.pool(u).Multiple,
 		Total:     total,
-		Upstreams: v.serving(u.Pool),
+		Upstreams: v.served[u.Pool],
 		Boot:      u.State.Boot,
 	}
 }
 
-// serving counts the upstreams of a pool in the own region that can be given
-// work: they are open and a live router keeps them.
-func (v view) serving(name core.Pool) int {
-	n := 0
-	for _, u := range v.Upstreams {
-		dc, _ := v.Sheet.DataCentre(u.DataCentre)
-		if u.Pool != name || dc.Region != v.Region || !route.Open(v.now, v.View, u) {
-			continue
-		}
-		if _, ok := v.keeperOf(u); ok {
-			n++
-		}
-	}
-	return n
-}
-
 // size returns the own seat's share of an upstream's limit.
 func (n *Node) size(v view, u upstream.Upstream) int {
 	if v.superseded || u.DataCentre != n.settings.DataCentre {
--- a/core/permit/share.go
+++ b/core/permit/share.go
@@ -102,10 +102,15 @@
 	}
 }
 
+// Due reports whether the time of a loan is over.
+func (s *Share) Due(now time.Time) bool {
+	return s.Loan.Amount > 0 && !now.Before(s.Loan.Until)
+}
+
 // Lapse turns a loan whose time is over into a debt. The keeper itself holds
 // no permit on units that are not its own, so it need not speak.
 func (s *Share) Lapse(now time.Time, routers []core.RouterID) {
-	if s.Loan.Amount == 0 || now.Before(s.Loan.Until) {
+	if !s.Due(now) {
 		return
 	}
 	others := make([]core.RouterID, 0, len(routers))
--- a/router/exchange/acquire.go
+++ b/router/exchange/acquire.go
@@ -11,60 +11,56 @@
 	"camphorpulley.org/core/route"
 )
 
-// acquire returns a permit for a request: at once from one of the first
-// upstreams, or after a wait at the first.
+// acquire returns a permit for a request. It asks the first upstreams, waiting a
+// little at the first, and begins anew until the wait of the pool is over.
 func (t *try) acquire(ctx context.Context) (permit.Held, *core.Refusal) {
 	s, c := t.server, t.call
-	candidates := s.Place(time.Now(), route.Request{
-		Account: c.Account.Name, Pool: c.Pool.Name, Key: c.Key, Avoid: t.avoid, Only: t.only,
-	})
-	if len(candidates) == 0 {
-		return permit.Held{}, &core.Refusal{
-			Status: 503, Certainty: core.NotRun, Code: "no_upstream",
-			Message: "no upstream that may serve the request is in service", RetryAfter: retryAfter,
+	over := time.Now().Add(min(c.Pool.Wait, time.Until(c.Deadline)))
+	wait := s.Home
+	for {
+		candidates := s.Place(time.Now(), route.Request{
+			Account: c.Account.Name, Pool: c.Pool.Name, Key: c.Key, Avoid: t.avoid, Only: t.only,
+		})
+		if len(candidates) == 0 {
+			return permit.Held{}, unserved("no_upstream", 503, "no upstream that may serve the request is in service")
 		}
-	}
-	if !s.Permits {
-		return s.Node.HoldUnbounded(candidates[0].ID), nil
-	}
-	want := node.Want{
-		Account: c.Account.Name, Weight: c.Account.Weight(), Priority: c.Account.Priority, Suspect: t.suspect,
-	}
-	for i, candidate := range candidates[:min(len(candidates), immediateTries)] {
-		want.Upstream = candidate.ID
-		timeout := askTimeout
-		if want.Wait = 0; i == 0 && s.Home > 0 {
-			want.Wait = s.Home
-			timeout = s.Home + homeSlack
+		if !s.Permits {
+			return s.Node.HoldUnbounded(candidates[0].ID), nil
 		}
-		if held, ok := s.ask(ctx, want, timeout); ok {
+		if held, ok := t.askFirst(ctx, candidates, wait); ok {
 			return held, nil
 		}
+		left := time.Until(over)
+		if left <= 0 || ctx.Err() != nil {
+			return permit.Held{}, unserved("no_capacity", 429, "no upstream could take the request in time")
+		}
+		// An upstream that fails meanwhile must not hold the request up for
+		// the whole wait.
+		wait = min(waitSlice, left)
 	}
-	if held, ok := s.waitAny(ctx, c, want, candidates); ok {
-		return held, nil
-	}
-	return permit.Held{}, &core.Refusal{
-		Status: 429, Certainty: core.NotRun, Code: "no_capacity",
-		Message: "no upstream could take the request in time", RetryAfter: retryAfter,
+}
+
+// unserved refuses a request for which there is no permit.
+func unserved(code string, status int, message string) *core.Refusal {
+	return &core.Refusal{
+		Status: status, Certainty: core.NotRun, Code: code, Message: message, RetryAfter: retryAfter,
 	}
 }
 
-// waitAny waits for a permit at the first upstream, and then asks the others
-// once more.
-func (s *Server) waitAny(ctx context.Context, c *Call, want node.Want, candidates []chat.Candidate) (permit.Held, bool) {
-	wait := min(c.Pool.Wait, time.Until(c.Deadline))
-	if wait > 0 {
-		want.Upstream = candidates[0].ID
-		want.Wait = wait
-		if held, ok := s.ask(ctx, want, wait); ok {
-			return held, true
+// askFirst waits for a permit at the first upstream and asks some others for
+// one at once.
+func (t *try) askFirst(ctx context.Context, candidates []chat.Candidate, wait time.Duration) (permit.Held, bool) {
+	s, a := t.server, t.call.Account
+	for i, candidate := range candidates[:min(len(candidates), immediateTries)] {
+		want := node.Want{
+			Upstream: candidate.ID, Account: a.Name, Weight: a.Weight(), Priority: a.Priority, Suspect: t.suspect,
 		}
-		want.Wait = 0
-	}
-	for _, candidate := range candidates {
-		want.Upstream = candidate.ID
-		if held, ok := s.ask(ctx, want, askTimeout); ok {
+		timeout := askTimeout
+		if i == 0 && wait > 0 {
+			want.Wait = wait
+			timeout = wait + homeSlack
+		}
+		if held, ok := s.ask(ctx, want, timeout); ok {
 			return held, true
 		}
 	}
--- a/router/exchange/call.go
+++ b/router/exchange/call.go
@@ -46,11 +46,13 @@
 	// MaxAttempts is the largest number of upstreams to which one request is
 	// sent or meant to be sent.
 	MaxAttempts = 4
-	// immediateTries is the number of upstreams that are asked for a permit
-	// at once before the request waits at the first.
+	// immediateTries is the number of upstreams that are asked for a permit in
+	// one round.
 	immediateTries = 3
 	// askTimeout is how long a keeper may take to answer an ask at once.
 	askTimeout = 100 * time.Millisecond
+	// waitSlice is the longest wait at one upstream before others are asked.
+	waitSlice = 250 * time.Millisecond
 	// homeSlack is the time for a grant to come from another data centre at
 	// the end of a wait.
 	homeSlack = 10 * time.Millisecond
--- a/router/wire/control_bench_test.go
+++ b/router/wire/control_bench_test.go
@@ -35,7 +35,6 @@
 			b.ReportAllocs()
 			b.ResetTimer()
 			for range b.N {
-				now = now.Add(time.Second)
 				for _, o := range n.Tick(now).Out {
 					data, err := Encode(o.Message)
 					if err != nil {
@@ -145,3 +144,26 @@
 		})
 	}
 }
+
+// BenchmarkReceive measures the taking in of one heartbeat and of one ask, by
+// the size of the fleet.
+func BenchmarkReceive(b *testing.B) {
+	for _, s := range []size{{4, 1, 4, 0}, {11, 36, 70, 215}} {
+		n, now := s.router(b)
+		in := core.Incarnation(now.UnixMilli())
+		h := node.Hello{Router: core.RouterID(fmt.Sprintf("router-%d-0", s.centres-1)), DataCentre: core.DataCentre(fmt.Sprintf("centre%d", s.centres-1)), Seat: 1, Incarnation: in}
+		beat := fixtures(b)["beat.json"]
+		beat.Beat.Revision, beat.Beat.Speak, beat.Beat.Leaving = 1, false, false
+		b.Run(fmt.Sprintf("beat/routers=%d", s.centres*s.routers), func(b *testing.B) {
+			for range b.N {
+				n.Receive(now, h, beat)
+			}
+		})
+		b.Run(fmt.Sprintf("ask/routers=%d", s.centres*s.routers), func(b *testing.B) {
+			for i := range b.N {
+				n.Receive(now, h, node.Message{Ask: &node.Ask{ID: uint64(i), Stamp: 5, Upstream: "runner-0-1", Account: "a", Weight: 1}})
+				n.Receive(now, h, node.Message{Release: &node.Release{Upstream: "runner-0-1", Seq: uint64(i + 1)}})
+			}
+		})
+	}
+}
