--- a/ctl/burn.go
+++ b/ctl/burn.go
@@ -36,19 +36,9 @@
 
 // collect adds up the counts of several routers.
 func collect(routers []string) ([]burn.Row, error) {
-	var sets [][]burn.Row
-	var failed error
-	for _, address := range routers {
-		rows, err := get[[]burn.Row](address, "/burn")
-		if err != nil {
-			failed = err
-			fmt.Fprintln(os.Stderr, err)
-			continue
-		}
-		sets = append(sets, rows)
-	}
-	if len(sets) == 0 {
-		return nil, wrap.Err(failed, "no router answered")
+	sets, err := gather[[]burn.Row](routers, "/burn")
+	if err != nil {
+		return nil, err
 	}
 	return burn.Merge(sets...), nil
 }
--- a/ctl/publish.go
+++ b/ctl/publish.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/urfave/cli/v3"
 
 	"camphorpulley.org/base/platform"
 	"camphorpulley.org/base/record"
@@ -53,8 +54,10 @@
 	proposal config.Proposal
 }
 
-func newPublisher(log string) *publisher {
-	return &publisher{client: platform.Client{Log: log}, next: 1, results: map[core.Offset]error{}}
+// openLog returns a publisher that has read what the log of the command has.
+func openLog(c *cli.Command) (*publisher, error) {
+	p := &publisher{client: platform.Client{Log: c.String("log")}, next: 1, results: map[core.Offset]error{}}
+	return p, p.read()
 }
 
 // read folds what the log has.
--- a/ctl/sheet.go
+++ b/ctl/sheet.go
@@ -69,8 +69,8 @@
 			if err != nil {
 				return err
 			}
-			p := newPublisher(c.String("log"))
-			if err := p.read(); err != nil {
+			p, err := openLog(c)
+			if err != nil {
 				return err
 			}
 			base := p.reader.InForce().Number
@@ -98,8 +98,8 @@
 			if err != nil {
 				return err
 			}
-			p := newPublisher(c.String("log"))
-			if err := p.read(); err != nil {
+			p, err := openLog(c)
+			if err != nil {
 				return err
 			}
 			r := p.reader.InForce()
@@ -126,8 +126,8 @@
 			if err != nil {
 				return err
 			}
-			p := newPublisher(c.String("log"))
-			if err := p.read(); err != nil {
+			p, err := openLog(c)
+			if err != nil {
 				return err
 			}
 			r := p.reader.InForce()
--- a/ctl/show.go
+++ b/ctl/show.go
@@ -33,6 +33,26 @@
 	return result, wrap.Err(json.Unmarshal(body, &result), address)
 }
 
+// gather reads JSON from all routers. It says which did not answer, and fails
+// if none did.
+func gather[T any](routers []string, path string) ([]T, error) {
+	var all []T
+	var failed error
+	for _, address := range routers {
+		one, err := get[T](address, path)
+		if err != nil {
+			failed = err
+			fmt.Fprintln(os.Stderr, err)
+			continue
+		}
+		all = append(all, one)
+	}
+	if len(all) == 0 {
+		return nil, wrap.Err(failed, "no router answered")
+	}
+	return all, nil
+}
+
 func showCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "show",
@@ -49,23 +69,14 @@
 }
 
 func show(c *cli.Command) error {
-	var all []operator.Status
-	var failed error
-	for _, address := range c.StringSlice("router") {
-		s, err := get[operator.Status](address, "/status")
-		if err != nil {
-			failed = err
-			fmt.Fprintln(os.Stderr, err)
-			continue
-		}
-		all = append(all, s)
-	}
-	if len(all) == 0 {
-		return wrap.Err(failed, "no router answered")
+	routers := c.StringSlice("router")
+	all, err := gather[operator.Status](routers, "/status")
+	if err != nil {
+		return err
 	}
 	if c.Bool("sheet") {
 		fmt.Print(all[0].Text)
-		return failed
+		return nil
 	}
 	if c.Bool("upstreams") {
 		return wrap.Err(upstreamTable(all), "show")
@@ -73,9 +84,15 @@
 	if err := routerTable(all); err != nil {
 		return wrap.Err(err, "show")
 	}
-	return failed
+	if len(all) < len(routers) {
+		return errPartial
+	}
+	return nil
 }
 
+// errPartial means that some routers did not answer.
+var errPartial = errors.New("not every router answered")
+
 func routerTable(all []operator.Status) error {
 	t := tablewriter.NewTable(os.Stdout)
 	t.Header("router", "data centre", "seat", "revision", "as of", "author", "running", "live peers", "fault")
--- a/lab/demo.sh
+++ b/lab/demo.sh
@@ -78,12 +78,7 @@
 
 say "figures"
 grep '^reuse\|quantile=0.95\|^failed' run/demo/figures
-violations=0
-for e in "${FLEET_ENGINES[@]}"; do
-  n=$(curl -s -m 2 "http://$e/_stats" | grep -o '"violations":[0-9]*' | cut -d: -f2)
-  violations=$((violations + ${n:-0}))
-done
-echo "violations value=$violations"
+echo "violations value=$(fleet_violations)"
 
 say "service-level burn"
 # shellcheck disable=SC2046
--- a/lab/e2e.sh
+++ b/lab/e2e.sh
@@ -38,23 +38,7 @@
 chat_body() { printf '{"model":"psalm-8b","messages":[{"role":"user","content":"%s"}],"prompt_cache_key":"%s"%s}' "$1" "$2" "${3:-}"; }
 
 # runs KEY: how often the applications have run an order.
-runs() {
-  local s total=0 n
-  for s in "${FLEET_SERVICES[@]}"; do
-    n=$(curl -s -m 2 "http://$s/_stats" | grep -o "\"$1\":[0-9]*" | cut -d: -f2)
-    total=$((total + ${n:-0}))
-  done
-  echo "$total"
-}
-
-violations() {
-  local e total=0 n
-  for e in "${FLEET_ENGINES[@]}" "${FLEET_SERVICES[@]}"; do
-    n=$(curl -s -m 2 "http://$e/_stats" | grep -o '"violations":[0-9]*' | cut -d: -f2)
-    total=$((total + ${n:-0}))
-  done
-  echo "$total"
-}
+runs() { fleet_sum "$1" "${FLEET_SERVICES[@]}"; }
 
 # want WHAT GOT WANT, and contains WHAT GOT WANT.
 want() { [ "$2" = "$3" ] || fail "$1: got $2, want $3"; }
@@ -67,19 +51,20 @@
 run_one() {
   NAME=$1
   FAILED=0
-  fleet_begin "run/e2e/$NAME" "$2"
+  fleet_begin "$DIR/$NAME" "$2"
   trap fleet_end EXIT
   # shellcheck disable=SC1090
   . "lab/e2e/$NAME.sh" || fail "the script stopped"
-  want "violations" "$(violations)" 0
+  want "violations" "$(fleet_violations)" 0
   [ "$FAILED" = 0 ] && echo "ok $NAME"
   return "$FAILED"
 }
 
 NAMES=("$@")
 [ $# -gt 0 ] || for f in lab/e2e/*.sh; do NAMES+=("$(basename "$f" .sh)"); done
-rm -rf run/e2e
-passed=0 failed=0 port=10000 pids=()
+DIR=${E2E_DIR:-run/e2e}
+rm -rf "$DIR"
+passed=0 failed=0 port=${E2E_PORT:-10000} pids=()
 for name in "${NAMES[@]}"; do
   (run_one "$name" "$port") &
   pids+=($!)
--- a/lab/e2e/answers.sh
+++ b/lab/e2e/answers.sh
@@ -23,7 +23,7 @@
 fault '{}'
 # engines_running: what the engines count. One that stalls notices late that
 # its caller has gone.
-engines_running() { for e in "${FLEET_ENGINES[@]}"; do curl -s "http://$e/_stats" | grep -o '"running":[0-9]*' | cut -d: -f2; done | paste -sd+ | bc; }
+engines_running() { fleet_sum running "${FLEET_ENGINES[@]}"; }
 idle() { [ "$(engines_running)" = 0 ]; }
 fleet_wait 15 idle || fail "the engines are still running stalled streams"
 timeout 0.5 curl -s -N "http://$(fleet_address r1)/v1/chat/completions" -H "Authorization: Bearer $TOKEN" \
@@ -32,7 +32,7 @@
 want "running after the caller left" "$(engines_running)" 0
 
 # boots: how many processes the engines have had.
-boots() { for e in "${FLEET_ENGINES[@]}"; do curl -s -m 2 "http://$e/_stats" | grep -o '"boots":[0-9]*' | cut -d: -f2; done | paste -sd+ | bc; }
+boots() { fleet_sum boots "${FLEET_ENGINES[@]}"; }
 before=$(boots)
 post r1 /v1/chat/completions "$(chat_body 'an innocent neighbour' neighbour ',"max_tokens":100')" >"$FLEET_DIR/neighbour" &
 neighbour=$!
--- a/lab/fleet.sh
+++ b/lab/fleet.sh
@@ -131,6 +131,19 @@
   done
 }
 
+# fleet_sum FIELD ADDRESS...: the sum of a number in the statistics of engines
+# and applications.
+fleet_sum() {
+  local field=$1 address
+  shift
+  for address in "$@"; do
+    curl -s -m 2 "http://$address/_stats" | grep -o "\"$field\":[0-9]*" | cut -d: -f2
+  done | awk '{ sum += $1 } END { print sum + 0 }'
+}
+
+# fleet_violations: requests beyond what engines and applications bear.
+fleet_violations() { fleet_sum violations "${FLEET_ENGINES[@]}" "${FLEET_SERVICES[@]}"; }
+
 fleet_operators() {
   local r
   for r in "${FLEET_ROUTERS[@]}"; do
--- a/lab/idle.sh
+++ b/lab/idle.sh
@@ -29,5 +29,5 @@
 for r in r1 r3 r5; do
   read -r bytes cpu <<<"$(spent $r)"
   b=bytes_$r c=cpu_$r
-  echo "idle router=$r engines=$engines bytes_per_s=$(((bytes - ${!b}) / seconds)) core_percent=$(echo "scale=2; ($cpu - ${!c}) / $seconds" | bc) memory_kb=$(awk '/VmRSS/ { print $2 }' "/proc/$(fleet_pid $r)/status")"
+  echo "idle router=$r engines=$engines bytes_per_s=$(((bytes - ${!b}) / seconds)) core_percent=$(awk -v spent=$((cpu - ${!c})) -v seconds=$seconds 'BEGIN { printf "%.2f", spent / seconds }') memory_kb=$(awk '/VmRSS/ { print $2 }' "/proc/$(fleet_pid $r)/status")"
 done
--- a/lab/measure.sh
+++ b/lab/measure.sh
@@ -36,14 +36,12 @@
   for e in press-floor sales-desk studio-amman studio-irbid printers perfumers; do printf -- '--token token-%s ' "$e"; done
 }
 
-# control PHASE: bytes that routers have sent and received, from their status.
+# control_bytes: bytes that routers have sent and received, from their status.
 control_bytes() {
-  local r total=0 n
+  local r
   for r in "${FLEET_ROUTERS[@]}"; do
-    n=$(curl -s -m 2 "http://127.0.0.1:$((${r##*:} + 3))/status" | grep -o '"bytes_[a-z]*":[0-9]*' | cut -d: -f2 | paste -sd+ | bc)
-    total=$((total + ${n:-0}))
-  done
-  echo "$total"
+    curl -s -m 2 "http://127.0.0.1:$((${r##*:} + 3))/status" | grep -o '"bytes_[a-z]*":[0-9]*' | cut -d: -f2
+  done | awk '{ sum += $1 } END { print sum + 0 }'
 }
 
 measure_policy() {
@@ -73,7 +71,7 @@
   grep -v 'phase=warm' "$dir/figures"
   leave_figure "$policy" "$dir/figures"
   [ "$policy" = fleet ] && echo "control policy=fleet phase=steady seed=$SEED routers=${#FLEET_ROUTERS[@]} engines=12 rate=$RATE value=$(((after - before) / 8 / 2 / ${#FLEET_ROUTERS[@]}))"
-  echo "violations policy=$policy phase=all seed=$SEED engines=12 value=$(violations)"
+  echo "violations policy=$policy phase=all seed=$SEED engines=12 value=$(fleet_violations)"
 }
 
 # leave_figure: the p95 to the first token during the change over the steady one.
@@ -85,15 +83,6 @@
   ' "$2"
 }
 
-violations() {
-  local e total=0 n
-  for e in "${FLEET_ENGINES[@]}"; do
-    n=$(curl -s -m 2 "http://$e/_stats" | grep -o '"violations":[0-9]*' | cut -d: -f2)
-    total=$((total + ${n:-0}))
-  done
-  echo "$total"
-}
-
 measure_overhead() {
   local dir=run/measure/overhead
   fleet_begin "$dir" 29000
--- a/proof/mutation_test.go
+++ b/proof/mutation_test.go
@@ -6,6 +6,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 
 	"golang.org/x/tools/txtar"
@@ -13,8 +14,8 @@
 
 // TestRulesAreNeeded reads the cases in testdata. Each has the parts file (the
 // source file, from the root), old and new (text that is replaced) and test
-// (the arguments of go test that must fail then). The comment says which rule
-// is taken away.
+// (what must fail then: the arguments of go test, or e2e and the name of an
+// end-to-end script). The comment says which rule is taken away.
 func TestRulesAreNeeded(t *testing.T) {
 	paths, err := filepath.Glob("testdata/*.txtar")
 	if err != nil || len(paths) == 0 {
@@ -42,6 +43,10 @@
 		t.Fatal(err)
 	}
 	overlay := writeOverlay(t, filepath.Join(root, parts["file"]), parts["old"], parts["new"])
+	if script, ok := strings.CutPrefix(parts["test"], "e2e "); ok {
+		runScript(t, root, overlay, script)
+		return
+	}
 	args := append([]string{"test", "-count=1", "-overlay=" + overlay}, strings.Fields(parts["test"])...)
 	cmd := exec.Command("go", args...)
 	cmd.Dir = root
@@ -54,6 +59,42 @@
 	}
 }
 
+// scripts lets one end-to-end script run at a time.
+var scripts sync.Mutex
+
+// runScript builds the router without the rule and runs an end-to-end script
+// with it. The other programs are those that make build has made.
+func runScript(t *testing.T, root, overlay, script string) {
+	bin := t.TempDir()
+	built, err := filepath.Glob(filepath.Join(root, "bin", "*"))
+	if err != nil || len(built) == 0 {
+		t.Fatalf("got %d programs in bin, error %v, want them built", len(built), err)
+	}
+	for _, program := range built {
+		if err := os.Symlink(program, filepath.Join(bin, filepath.Base(program))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	router := filepath.Join(bin, "camphorpulley")
+	if err := os.Remove(router); err != nil {
+		t.Fatal(err)
+	}
+	build := exec.Command("go", "build", "-overlay="+overlay, "-o", router, "./router")
+	build.Dir = root
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: got %v, want none:\n%s", err, out)
+	}
+	scripts.Lock()
+	defer scripts.Unlock()
+	cmd := exec.Command("bash", "lab/e2e.sh", script)
+	cmd.Dir = root
+	cmd.Env = append(os.Environ(), "BIN="+bin, "E2E_DIR=run/proof", "E2E_PORT=18000")
+	out, err := cmd.CombinedOutput()
+	if err == nil || !strings.Contains(string(out), "FAIL "+script) {
+		t.Errorf("e2e %s: got error %v and\n%s\nwant a failure without the rule", script, err, out)
+	}
+}
+
 // writeOverlay makes the overlay file that replaces a part of a source file.
 func writeOverlay(t *testing.T, file, old, instead string) string {
 	source, err := os.ReadFile(file)
--- a/router/front/front.go
+++ b/router/front/front.go
@@ -13,7 +13,9 @@
 	"go.uber.org/zap"
 
 	"camphorpulley.org/core"
+	"camphorpulley.org/core/account"
 	"camphorpulley.org/core/burn"
+	"camphorpulley.org/core/config"
 	"camphorpulley.org/core/node"
 	"camphorpulley.org/core/pool"
 	"camphorpulley.org/core/table"
@@ -104,13 +106,19 @@
 	return c.JSON(list)
 }
 
-func (f *Front) chat(c *fiber.Ctx) error {
+// admit returns the sheet in force and the account of a request that is sound
+// in its framing.
+func (f *Front) admit(c *fiber.Ctx) (config.Sheet, account.Account, *core.Refusal) {
 	sheet, _ := f.Node.Sheet()
-	refusal := checkMessage(c)
-	if refusal != nil {
-		return refuse(c, refusal)
+	if refusal := checkMessage(c); refusal != nil {
+		return sheet, account.Account{}, refusal
 	}
 	a, refusal := authenticate(c, sheet)
+	return sheet, a, refusal
+}
+
+func (f *Front) chat(c *fiber.Ctx) error {
+	sheet, a, refusal := f.admit(c)
 	if refusal != nil {
 		return refuse(c, refusal)
 	}
@@ -122,12 +130,7 @@
 }
 
 func (f *Front) service(c *fiber.Ctx) error {
-	sheet, _ := f.Node.Sheet()
-	refusal := checkMessage(c)
-	if refusal != nil {
-		return refuse(c, refusal)
-	}
-	a, refusal := authenticate(c, sheet)
+	sheet, a, refusal := f.admit(c)
 	if refusal != nil {
 		return refuse(c, refusal)
 	}
