Put every shared table of the router under the stated lock order

Links, clients, waiting asks, claims on their way and the baselines' state had locks of their own beside the order. They are cells with ranks now, and a test takes every pair of ranks one inside the other.

--- a/base/listener/listener.go
+++ b/base/listener/listener.go
@@ -3,16 +3,15 @@
 
 import (
 	"net"
-	"sync"
 
 	"camphorpulley.org/base/wrap"
+	"camphorpulley.org/core/table"
 )
 
 // Listener remembers its open connections.
 type Listener struct {
 	net.Listener
-	mu    sync.Mutex
-	conns map[net.Conn]struct{}
+	conns table.Cell[map[*trackedConn]struct{}]
 }
 
 // Listen opens a TCP listener.
@@ -21,7 +20,7 @@
 	if err != nil {
 		return nil, wrap.Err(err, "listen")
 	}
-	return &Listener{Listener: ln, conns: map[net.Conn]struct{}{}}, nil
+	return &Listener{Listener: ln}, nil
 }
 
 // Accept implements net.Listener.
@@ -31,25 +30,26 @@
 		return nil, err
 	}
 	tracked := &trackedConn{Conn: conn, listener: l}
-	l.mu.Lock()
-	l.conns[tracked] = struct{}{}
-	l.mu.Unlock()
+	l.conns.Do(table.Hold{}, func(_ table.Hold, conns *map[*trackedConn]struct{}) {
+		if *conns == nil {
+			*conns = map[*trackedConn]struct{}{}
+		}
+		(*conns)[tracked] = struct{}{}
+	})
 	return tracked, nil
 }
 
 // Cut closes all open connections.
 func (l *Listener) Cut() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for c := range l.conns {
-		if t, ok := c.(*trackedConn); ok {
-			if tcp, ok := t.Conn.(*net.TCPConn); ok {
+	l.conns.Do(table.Hold{}, func(_ table.Hold, conns *map[*trackedConn]struct{}) {
+		for c := range *conns {
+			if tcp, ok := c.Conn.(*net.TCPConn); ok {
 				// A reset is what a peer sees of a crashed process.
 				_ = tcp.SetLinger(0)
 			}
-			_ = t.Conn.Close()
+			_ = c.Conn.Close()
 		}
-	}
+	})
 }
 
 type trackedConn struct {
@@ -59,8 +59,6 @@
 
 // Close implements net.Conn.
 func (c *trackedConn) Close() error {
-	c.listener.mu.Lock()
-	delete(c.listener.conns, c)
-	c.listener.mu.Unlock()
+	c.listener.conns.Do(table.Hold{}, func(_ table.Hold, conns *map[*trackedConn]struct{}) { delete(*conns, c) })
 	return c.Conn.Close()
 }
--- a/base/settings/reader.go
+++ b/base/settings/reader.go
@@ -93,7 +93,7 @@
 			r.add(lines.line, "section [%s] takes no name", word)
 			return
 		}
-		r.fill(s, lines, field, field.Type().Name())
+		r.fill(s, lines, field)
 		r.values = append(r.values, filled{structField(target, word), lines})
 		return
 	}
@@ -105,12 +105,12 @@
 	if f, ok := fieldByTag(element, nameTag); ok {
 		f.SetString(strings.TrimSpace(name))
 	}
-	r.fill(s, lines, element, word)
+	r.fill(s, lines, element)
 	field.Set(reflect.Append(field, element))
 	r.values = append(r.values, filled{fmt.Sprintf("%s[%d]", structField(target, word), field.Len()-1), lines})
 }
 
-func (r *reader) fill(s *ini.Section, lines sectionLines, target reflect.Value, _ string) {
+func (r *reader) fill(s *ini.Section, lines sectionLines, target reflect.Value) {
 	for _, key := range s.Keys() {
 		line := lines.keys[key.Name()]
 		field, ok := fieldByTag(target, key.Name())
--- a/core/chat/policy.go
+++ b/core/chat/policy.go
@@ -5,10 +5,10 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"sync/atomic"
 
 	"camphorpulley.org/core"
+	"camphorpulley.org/core/table"
 )
 
 // Candidate is an upstream that may serve a request.
@@ -21,7 +21,7 @@
 }
 
 // Policy orders the candidates for a chat, the best first. It is a constraint
-// for type parameters; the registry holds the instances.
+// for type parameters.
 type Policy interface {
 	Order(key core.Digest, candidates []Candidate) []Candidate
 }
@@ -54,21 +54,20 @@
 
 // Random orders at random.
 type Random struct {
-	mu   sync.Mutex
-	rand *rand.Rand
+	rand *table.Cell[*rand.Rand]
 }
 
 // NewRandom returns a Random that draws from a source.
 func NewRandom(source rand.Source) *Random {
-	return &Random{rand: rand.New(source)}
+	return &Random{rand: table.New(table.RankPolicies, rand.New(source))}
 }
 
 // Order implements Policy.
 func (p *Random) Order(_ core.Digest, candidates []Candidate) []Candidate {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.rand.Shuffle(len(candidates), func(i, j int) {
-		candidates[i], candidates[j] = candidates[j], candidates[i]
+	p.rand.Do(table.Hold{}, func(_ table.Hold, r **rand.Rand) {
+		(*r).Shuffle(len(candidates), func(i, j int) {
+			candidates[i], candidates[j] = candidates[j], candidates[i]
+		})
 	})
 	return candidates
 }
@@ -125,29 +124,28 @@
 // sees every request, it is the best that can be known.
 type Sticky struct {
 	Multiple float64
-	mu       sync.Mutex
-	last     map[core.Digest]core.UpstreamID
+	last     table.Cell[map[core.Digest]core.UpstreamID]
 }
 
 // Order implements Policy.
 func (p *Sticky) Order(key core.Digest, candidates []Candidate) []Candidate {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	bound := boundOf(p.Multiple, candidates)
-	home := p.last[key]
-	slices.SortFunc(candidates, func(a, b Candidate) int {
-		return cmp.Or(
-			cmp.Compare(away(a, home, bound), away(b, home, bound)),
-			cmp.Compare(a.Running, b.Running),
-			cmp.Compare(a.ID, b.ID),
-		)
+	p.last.Do(table.Hold{}, func(_ table.Hold, last *map[core.Digest]core.UpstreamID) {
+		home := (*last)[key]
+		slices.SortFunc(candidates, func(a, b Candidate) int {
+			return cmp.Or(
+				cmp.Compare(away(a, home, bound), away(b, home, bound)),
+				cmp.Compare(a.Running, b.Running),
+				cmp.Compare(a.ID, b.ID),
+			)
+		})
+		if *last == nil {
+			*last = map[core.Digest]core.UpstreamID{}
+		}
+		if len(candidates) > 0 {
+			(*last)[key] = candidates[0].ID
+		}
 	})
-	if p.last == nil {
-		p.last = map[core.Digest]core.UpstreamID{}
-	}
-	if len(candidates) > 0 {
-		p.last[key] = candidates[0].ID
-	}
 	return candidates
 }
 
--- a/core/table/rank.go
+++ b/core/table/rank.go
@@ -19,6 +19,11 @@
 	RankSuspects
 	RankBudgets
 	RankBurn
+	RankPolicies
+	RankSnapshots
+	RankClaims
+	RankWaiters
+	RankClients
 	RankLinks
 )
 
--- a/lab/load/chats.go
+++ b/lab/load/chats.go
@@ -159,7 +159,7 @@
 	res := send(r.client, target, c.token, request{
 		Model: r.Model, Messages: c.history, Stream: true, MaxTokens: r.AnswerTokens, CacheKey: c.key,
 	})
-	stats.add(res, len(c.history) > 1)
+	stats.add(res)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c.busy = false
--- a/lab/load/stats.go
+++ b/lab/load/stats.go
@@ -46,7 +46,7 @@
 }
 
 // add counts a request.
-func (s *phaseStats) add(res result, _ bool) {
+func (s *phaseStats) add(res result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sent++
--- a/router/app/follow.go
+++ b/router/app/follow.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"camphorpulley.org/base/logs"
@@ -18,21 +16,11 @@
 	"camphorpulley.org/core/config"
 	"camphorpulley.org/core/instance"
 	"camphorpulley.org/core/node"
+	"camphorpulley.org/core/table"
 	"camphorpulley.org/core/upstream"
 	"camphorpulley.org/router/follow"
 )
 
-type flag struct {
-	set atomic.Bool
-}
-
-// snapshots remembers when a snapshot of the configuration was last seen in
-// the log.
-type snapshots struct {
-	mu   sync.Mutex
-	last time.Time
-}
-
 const (
 	// snapshotEvery is the longest time between two snapshots in the log.
 	snapshotEvery = time.Minute
@@ -62,9 +50,7 @@
 	case entry.Proposal != nil:
 		r.propose(p.Offset, *entry.Proposal)
 	case entry.Snapshot != nil:
-		r.snapshot.mu.Lock()
-		r.snapshot.last = time.Now()
-		r.snapshot.mu.Unlock()
+		r.snapshot.Do(table.Hold{}, func(_ table.Hold, last *time.Time) { *last = time.Now() })
 		r.carry(r.node.Adopt(time.Now(), *entry.Snapshot))
 		r.node.Skip(p.Offset)
 	default:
@@ -90,9 +76,7 @@
 // it. One router does: the first by name among the live ones.
 func (r *Router) copySnapshot(now time.Time) {
 	s, gap, _ := r.node.Configuration()
-	r.snapshot.mu.Lock()
-	due := now.Sub(r.snapshot.last) >= snapshotEvery
-	r.snapshot.mu.Unlock()
+	due := table.Read(r.snapshot, table.Hold{}, func(last *time.Time) bool { return now.Sub(*last) >= snapshotEvery })
 	if gap || s.Revision.Number == 0 || !due || !r.node.First(now) {
 		return
 	}
@@ -132,5 +116,5 @@
 		}, i.Role == platform.Upstream
 	})
 	r.node.Listed(routers, upstreams)
-	r.listed.set.Store(true)
+	r.listed.Store(true)
 }
--- a/router/app/operator.go
+++ b/router/app/operator.go
@@ -26,7 +26,7 @@
 	if _, number := r.node.Sheet(); number == 0 {
 		return errNoConfiguration
 	}
-	if !r.listed.set.Load() {
+	if !r.listed.Load() {
 		return errNoList
 	}
 	if r.exchange.Permits && !r.node.Settled() {
--- a/router/app/run.go
+++ b/router/app/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"camphorpulley.org/base/logs"
@@ -17,6 +18,7 @@
 	"camphorpulley.org/base/worker"
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/node"
+	"camphorpulley.org/core/table"
 	"camphorpulley.org/router/back"
 	"camphorpulley.org/router/exchange"
 	"camphorpulley.org/router/front"
@@ -39,8 +41,10 @@
 	clock    worker.Clock
 	probes   *worker.Pool[core.UpstreamID]
 	suspects *worker.Pool[node.Suspect]
-	snapshot snapshots
-	listed   flag
+	// snapshot is when a snapshot of the configuration was last seen in the log.
+	snapshot *table.Cell[time.Time]
+	// listed is set once the list of instances was read.
+	listed atomic.Bool
 }
 
 // Run runs the router until the process is told to stop.
@@ -58,6 +62,7 @@
 		desk:     do.MustInvoke[*orders.Desk](i),
 		exchange: do.MustInvoke[*exchange.Server](i),
 		front:    do.MustInvoke[*front.Front](i),
+		snapshot: table.New(table.RankSnapshots, time.Time{}),
 	}
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
--- a/router/back/back.go
+++ b/router/back/back.go
@@ -5,7 +5,6 @@
 	"bufio"
 	"encoding/json"
 	"net"
-	"sync"
 	"time"
 
 	"camphorpulley.org/base/wrap"
@@ -15,6 +14,7 @@
 
 	"camphorpulley.org/base/platform"
 	"camphorpulley.org/core"
+	"camphorpulley.org/core/table"
 )
 
 const (
@@ -48,14 +48,13 @@
 	boots Boots
 	// Stall bounds each wait for bytes of an answer.
 	stall   time.Duration
-	mu      sync.Mutex
-	clients map[Target]*fasthttp.HostClient
+	clients *table.Cell[map[Target]*fasthttp.HostClient]
 }
 
 // New returns a client without connections. Stall is the longest silence in
 // an answer that has begun.
 func New(boots Boots, stall time.Duration) *Client {
-	return &Client{boots: boots, stall: stall, clients: map[Target]*fasthttp.HostClient{}}
+	return &Client{boots: boots, stall: stall, clients: table.New(table.RankClients, map[Target]*fasthttp.HostClient{})}
 }
 
 // Do sends a request. The error is a *DialError or *BootError if nothing was
@@ -77,13 +76,20 @@
 	return &BrokenError{Upstream: t.ID, Cause: err}
 }
 
+// client returns the connections to one upstream.
 func (c *Client) client(t Target) *fasthttp.HostClient {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if known := c.clients[t]; known != nil {
-		return known
-	}
-	h := &fasthttp.HostClient{
+	return table.Read(c.clients, table.Hold{}, func(clients *map[Target]*fasthttp.HostClient) *fasthttp.HostClient {
+		h := (*clients)[t]
+		if h == nil {
+			h = c.newClient(t)
+			(*clients)[t] = h
+		}
+		return h
+	})
+}
+
+func (c *Client) newClient(t Target) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
 		Addr:                          t.Address,
 		Dial:                          func(address string) (net.Conn, error) { return c.dial(t, address) },
 		StreamResponseBody:            true,
@@ -96,8 +102,6 @@
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}
-	c.clients[t] = h
-	return h
 }
 
 // dial opens a connection. On one to an upstream that reports, the process
--- a/router/exchange/acquire.go
+++ b/router/exchange/acquire.go
@@ -74,8 +74,8 @@
 	if answer.Outcome != permit.Queued {
 		return answer.Held, answer.Outcome == permit.Granted
 	}
-	reply := s.waiters.get(answer.Ask)
-	defer s.waiters.drop(answer.Ask)
+	reply := s.waiter(answer.Ask)
+	defer s.forget(answer.Ask)
 	if r, ok := s.await(ctx, answer.Ask, reply, timeout); ok {
 		return r.Held, r.Granted
 	}
--- a/router/exchange/open.go
+++ b/router/exchange/open.go
@@ -114,7 +114,7 @@
 // to a connection.
 func (t *try) attempt(held permit.Held) (answered, sent bool) {
 	s := t.server
-	target, ok := s.target(held.Upstream)
+	target, ok := s.Target(held.Upstream)
 	t.id = t.exchange.Start(held.Upstream)
 	if !ok {
 		s.finish(held, node.Unused, "")
--- a/router/exchange/server.go
+++ b/router/exchange/server.go
@@ -12,6 +12,7 @@
 	"camphorpulley.org/core/chat"
 	"camphorpulley.org/core/node"
 	"camphorpulley.org/core/permit"
+	"camphorpulley.org/core/pool"
 	"camphorpulley.org/core/retry"
 	"camphorpulley.org/core/route"
 	"camphorpulley.org/core/table"
@@ -41,18 +42,21 @@
 	Metrics *metrics.Metrics
 	Burn    *table.Cell[burn.Table]
 	budget  *table.Cell[retry.Budget]
-	waiters waiters
+	waiters *table.Cell[waiters]
 	running sync.WaitGroup
 	open    atomic.Int64
 }
 
 // New returns a server; the caller sets its exported fields.
 func New() *Server {
-	return &Server{budget: table.New(table.RankBudgets, retry.Budget{})}
+	return &Server{
+		budget:  table.New(table.RankBudgets, retry.Budget{}),
+		waiters: table.New(table.RankWaiters, waiters{}),
+	}
 }
 
 // Replied hands the answer of an ask to the request that waits for it.
-func (s *Server) Replied(r node.Reply) { s.waiters.get(r.Ask) <- r }
+func (s *Server) Replied(r node.Reply) { s.waiter(r.Ask) <- r }
 
 // Wait returns when no request is running.
 func (s *Server) Wait() { s.running.Wait() }
@@ -76,44 +80,35 @@
 	time.AfterFunc(linger, func() { s.finish(h, o, "") })
 }
 
-func (s *Server) target(id core.UpstreamID) (back.Target, bool) {
+// Target returns an upstream as the client needs it.
+func (s *Server) Target(id core.UpstreamID) (back.Target, bool) {
 	u, ok := s.Node.Upstream(id)
 	if !ok {
 		return back.Target{}, false
 	}
 	sheet, _ := s.Node.Sheet()
 	p, _ := sheet.Pool(u.Pool)
-	return back.Target{ID: u.ID, Address: u.Address, Reports: p.Kind == "model"}, true
+	return back.Target{ID: u.ID, Address: u.Address, Reports: p.Kind == pool.Model}, true
 }
 
-// Target returns an upstream as the client needs it.
-func (s *Server) Target(id core.UpstreamID) (back.Target, bool) { return s.target(id) }
-
 // waiters hold a channel for each ask that waits.
-type waiters struct {
-	mu   sync.Mutex
-	byID map[uint64]chan node.Reply
-}
-
-// get returns the channel of an ask, which holds one reply.
-func (w *waiters) get(ask uint64) chan node.Reply {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.byID == nil {
-		w.byID = map[uint64]chan node.Reply{}
-	}
-	c := w.byID[ask]
-	if c == nil {
-		c = make(chan node.Reply, 1)
-		w.byID[ask] = c
-	}
-	return c
+type waiters map[uint64]chan node.Reply
+
+// waiter returns the channel of an ask, which holds one reply.
+func (s *Server) waiter(ask uint64) chan node.Reply {
+	return table.Read(s.waiters, table.Hold{}, func(w *waiters) chan node.Reply {
+		c := (*w)[ask]
+		if c == nil {
+			c = make(chan node.Reply, 1)
+			(*w)[ask] = c
+		}
+		return c
+	})
 }
 
-func (w *waiters) drop(ask uint64) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	delete(w.byID, ask)
+// forget drops the channel of an ask that was answered or given up.
+func (s *Server) forget(ask uint64) {
+	s.waiters.Do(table.Hold{}, func(_ table.Hold, w *waiters) { delete(*w, ask) })
 }
 
 // Begin counts a request in, for shutdown.
--- a/router/orders/commit.go
+++ b/router/orders/commit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"camphorpulley.org/base/logs"
+	"camphorpulley.org/core/table"
 
 	"go.uber.org/zap"
 
@@ -61,14 +62,14 @@
 // live drops the claims that were given up or read meanwhile, so that they are
 // not appended again.
 func (d *Desk) live(batch record.Orders) record.Orders {
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	kept := batch.Claims[:0:0]
-	for _, c := range batch.Claims {
-		if _, waits := d.claims[c.Serial]; waits {
-			kept = append(kept, c)
+	d.open.Do(table.Hold{}, func(_ table.Hold, o *open) {
+		for _, c := range batch.Claims {
+			if o.waits(c.Serial) {
+				kept = append(kept, c)
+			}
 		}
-	}
+	})
 	batch.Claims = kept
 	return batch
 }
--- a/router/orders/desk.go
+++ b/router/orders/desk.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"camphorpulley.org/base/logs"
@@ -49,14 +48,7 @@
 	appender    Appender
 	book        *table.Cell[order.Book]
 	entries     chan record.Orders
-
-	mu     sync.Mutex
-	serial uint64
-	claims map[uint64]chan struct{}
-	// given holds the claims that were given up, and when. Each copy of one
-	// that is read in the log is voided there.
-	given   map[uint64]time.Time
-	results map[order.Key][]chan struct{}
+	open        *table.Cell[open]
 }
 
 // New returns a desk that has read nothing.
@@ -65,9 +57,7 @@
 		self: self, incarnation: in, log: log, appender: appender,
 		book:    table.New(table.RankOrders, order.Book{}),
 		entries: make(chan record.Orders, queueLength),
-		claims:  map[uint64]chan struct{}{},
-		given:   map[uint64]time.Time{},
-		results: map[order.Key][]chan struct{}{},
+		open:    table.New(table.RankClaims, newOpen()),
 	}
 }
 
@@ -79,7 +69,7 @@
 func (d *Desk) Claim(ctx context.Context, key order.Key, body core.Digest) (order.Claim, order.Decision) {
 	c := order.Claim{Key: key, Body: body, Router: d.self, Incarnation: d.incarnation}
 	for range claimTries {
-		c.Serial = d.nextSerial()
+		c.Serial = table.Read(d.open, table.Hold{}, (*open).next)
 		decision := d.try(ctx, c)
 		if decision.Step != order.Append {
 			return c, decision
@@ -88,13 +78,6 @@
 	return c, unclaimed()
 }
 
-func (d *Desk) nextSerial() uint64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.serial++
-	return d.serial
-}
-
 func (d *Desk) try(ctx context.Context, c order.Claim) order.Decision {
 	decision := d.decide(c)
 	if decision.Step == order.Append {
@@ -120,10 +103,7 @@
 
 // append writes a claim to the log and waits until it has been read there.
 func (d *Desk) append(ctx context.Context, c order.Claim) order.Decision {
-	read := make(chan struct{})
-	d.mu.Lock()
-	d.claims[c.Serial] = read
-	d.mu.Unlock()
+	read := table.Read(d.open, table.Hold{}, func(o *open) chan struct{} { return o.wait(c.Serial) })
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	select {
@@ -142,14 +122,7 @@
 // abandon gives up a claim that was not read in time. Should it still stand in
 // the log one day, it is voided there.
 func (d *Desk) abandon(c order.Claim) order.Decision {
-	d.mu.Lock()
-	_, waits := d.claims[c.Serial]
-	if waits {
-		delete(d.claims, c.Serial)
-		d.given[c.Serial] = time.Now()
-	}
-	d.mu.Unlock()
-	if !waits {
+	if !table.Read(d.open, table.Hold{}, func(o *open) bool { return o.abandon(time.Now(), c.Serial) }) {
 		return d.decide(c)
 	}
 	return unclaimed()
@@ -157,10 +130,7 @@
 
 // await waits for the result of the request that holds the key.
 func (d *Desk) await(ctx context.Context, c order.Claim, last order.Decision) order.Decision {
-	done := make(chan struct{})
-	d.mu.Lock()
-	d.results[c.Key] = append(d.results[c.Key], done)
-	d.mu.Unlock()
+	done := table.Read(d.open, table.Hold{}, func(o *open) chan struct{} { return o.await(c.Key) })
 	ctx, cancel := context.WithTimeout(ctx, resultTimeout)
 	defer cancel()
 	if now := d.decide(c); now.Step == order.Replay {
@@ -176,9 +146,7 @@
 
 // Void gives up a claim whose request was not and never will be sent.
 func (d *Desk) Void(c order.Claim) {
-	d.mu.Lock()
-	d.given[c.Serial] = time.Now()
-	d.mu.Unlock()
+	d.open.Do(table.Hold{}, func(_ table.Hold, o *open) { o.given[c.Serial] = time.Now() })
 	d.put(record.Orders{Voids: []order.Claim{c}})
 }
 
@@ -235,32 +203,13 @@
 	if c.Router != d.self || c.Incarnation != d.incarnation {
 		return
 	}
-	d.mu.Lock()
-	read := d.claims[c.Serial]
-	delete(d.claims, c.Serial)
-	_, gone := d.given[c.Serial]
-	for serial, at := range d.given {
-		if time.Since(at) > givenMemory {
-			delete(d.given, serial)
-		}
-	}
-	d.mu.Unlock()
-	if read != nil {
-		close(read)
-	}
-	if gone {
+	if table.Read(d.open, table.Hold{}, func(o *open) bool { return o.found(time.Now(), c.Serial) }) {
 		d.put(record.Orders{Voids: []order.Claim{c}})
 	}
 }
 
 func (d *Desk) wake(key order.Key) {
-	d.mu.Lock()
-	waiting := d.results[key]
-	delete(d.results, key)
-	d.mu.Unlock()
-	for _, done := range waiting {
-		close(done)
-	}
+	d.open.Do(table.Hold{}, func(_ table.Hold, o *open) { o.wake(key) })
 }
 
 // Len returns the number of keys that are remembered.
--- a/router/peer/peer.go
+++ b/router/peer/peer.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +19,7 @@
 	"camphorpulley.org/base/worker"
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/node"
+	"camphorpulley.org/core/table"
 	"camphorpulley.org/router/wire"
 )
 
@@ -55,8 +55,7 @@
 	lanes   *worker.Lanes[received]
 	ctx     context.Context
 
-	mu    sync.Mutex
-	links map[core.RouterID]*link
+	links *table.Cell[map[core.RouterID]*link]
 	// Bytes counts what was sent and received as payload.
 	sent, got atomic.Int64
 }
@@ -68,7 +67,7 @@
 
 // New returns a network that ends with ctx.
 func New(ctx context.Context, self node.Hello, log *zap.Logger, h Handler) *Network {
-	n := &Network{self: self, handler: h, log: log, ctx: ctx, links: map[core.RouterID]*link{}}
+	n := &Network{self: self, handler: h, log: log, ctx: ctx, links: table.New(table.RankLinks, map[core.RouterID]*link{})}
 	n.lanes = worker.NewLanes(laneCount, queueLength, n.handle)
 	return n
 }
@@ -149,13 +148,13 @@
 }
 
 func (n *Network) link(to core.RouterID) *link {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	l := n.links[to]
-	if l == nil {
-		l = &link{network: n, to: to, queue: make(chan []byte, queueLength)}
-		n.links[to] = l
-		go l.run()
-	}
-	return l
+	return table.Read(n.links, table.Hold{}, func(links *map[core.RouterID]*link) *link {
+		l := (*links)[to]
+		if l == nil {
+			l = &link{network: n, to: to, queue: make(chan []byte, queueLength)}
+			(*links)[to] = l
+			go l.run()
+		}
+		return l
+	})
 }
