Exit with 2 for unknown commands and flags of camphorctl

Cause: the library's own errors came out as 1, against the documented codes. The operators' end-to-end script checks both, and 1 where no router answers.

--- a/ctl/main.go
+++ b/ctl/main.go
@@ -29,6 +29,11 @@
 			burnCommand(),
 		},
 	}
+	for _, c := range app.Commands {
+		c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+			return &usageError{Text: err.Error()}
+		}
+	}
 	if err := app.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitCode(err))
@@ -46,7 +51,9 @@
 func exitCode(err error) int {
 	var usage *usageError
 	var file *settings.Error
-	if errors.As(err, &usage) || errors.As(err, &file) {
+	// The command line library's own errors are about unknown commands.
+	var library cli.ExitCoder
+	if errors.As(err, &usage) || errors.As(err, &file) || errors.As(err, &library) {
 		return daemon.ExitSettings
 	}
 	return daemon.ExitFailed
--- a/lab/e2e/operators.sh
+++ b/lab/e2e/operators.sh
@@ -28,6 +28,12 @@
 contains "revision taken from peers" "$(curl -s "http://127.0.0.1:$((${port#*:} + 2))/status")" '"revision":2'
 contains "a chat at that router" "$(post r1 /v1/chat/completions "$(chat_body hello a)")" cached_tokens
 printf '[sheet]\nnaem = x\n\n[pool p]\nkind = modle\nbear = many\n' >"$FLEET_DIR/bad.ini"
+"$BIN/camphorctl" nosuch >/dev/null 2>&1
+want "exit code of an unknown command" $? 2
+"$BIN/camphorctl" publish --nosuch x >/dev/null 2>&1
+want "exit code of an unknown flag" $? 2
+"$BIN/camphorctl" show --router 127.0.0.1:1 >/dev/null 2>&1
+want "exit code without a router" $? 1
 got=$("$BIN/camphorctl" check "$FLEET_DIR/bad.ini" 2>&1)
 want "exit code of a bad sheet" $? 2
 contains "unknown key" "$got" 'bad.ini:2: unknown key "naem"'
