Let one function wait for a time or the end of a context

The followers and the orders' desk had the same function under two names; both call worker.Sleep now. A function and a method of the exchange were both called unserved; the one that refuses for want of a permit is noPermit. Two targets that the Makefile named but did not have are gone. Behaviour is unchanged: vet, linter and the end-to-end scripts orders and shutdown pass.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 GOLANGCI_VERSION := v2.15.0
 SPIN_VERSION := 6.5.2
 
-.PHONY: build test lint format vet model demo measure bench e2e fuzz tools clean
+.PHONY: build test lint format vet model demo measure bench tools clean
 
 build:
 	go build -o bin/camphorpulley ./router
--- /dev/null
+++ b/base/worker/sleep.go
@@ -0,0 +1,16 @@
+package worker
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for a time or until ctx is done.
+func Sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/router/exchange/acquire.go
+++ b/router/exchange/acquire.go
@@ -22,7 +22,7 @@
 			Account: c.Account.Name, Pool: c.Pool.Name, Key: c.Key, Avoid: t.avoid, Only: t.only,
 		})
 		if len(candidates) == 0 {
-			return permit.Held{}, unserved("no_upstream", 503, "no upstream that may serve the request is in service")
+			return permit.Held{}, noPermit("no_upstream", 503, "no upstream that may serve the request is in service")
 		}
 		if !s.Permits {
 			return s.Node.HoldUnbounded(candidates[0].ID), nil
@@ -32,7 +32,7 @@
 		}
 		left := time.Until(over)
 		if left <= 0 || ctx.Err() != nil {
-			return permit.Held{}, unserved("no_capacity", 429, "no upstream could take the request in time")
+			return permit.Held{}, noPermit("no_capacity", 429, "no upstream could take the request in time")
 		}
 		// An upstream that fails meanwhile must not hold the request up for
 		// the whole wait.
@@ -40,8 +40,8 @@
 	}
 }
 
-// unserved refuses a request for which there is no permit.
-func unserved(code string, status int, message string) *core.Refusal {
+// noPermit refuses a request for which there is no permit.
+func noPermit(code string, status int, message string) *core.Refusal {
 	return &core.Refusal{
 		Status: status, Certainty: core.NotRun, Code: code, Message: message, RetryAfter: retryAfter,
 	}
--- a/router/follow/follow.go
+++ b/router/follow/follow.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"camphorpulley.org/base/platform"
+	"camphorpulley.org/base/worker"
 	"camphorpulley.org/core"
 )
 
@@ -48,7 +49,7 @@
 	page, err := t.Client.Read(t.Stream, t.next, longPoll)
 	if err != nil {
 		t.report(true, err)
-		pause(ctx, retryPause)
+		worker.Sleep(ctx, retryPause)
 		return
 	}
 	t.report(false, nil)
@@ -76,12 +77,3 @@
 	}
 	t.Log.Info("stream_back", zap.String("stream", t.Stream))
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/router/orders/commit.go
+++ b/router/orders/commit.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"camphorpulley.org/base/logs"
 	"camphorpulley.org/core/table"
@@ -11,6 +10,7 @@
 
 	"camphorpulley.org/base/platform"
 	"camphorpulley.org/base/record"
+	"camphorpulley.org/base/worker"
 )
 
 // Commit appends the entries that wait, many in one append. It returns after
@@ -31,7 +31,7 @@
 	}
 	for ctx.Err() == nil {
 		if _, err = d.appender.Append(platform.OrderStream, data); err == nil {
-			sleep(ctx, appendPause)
+			worker.Sleep(ctx, appendPause)
 			return
 		}
 		// The append may have taken effect: a second copy changes nothing,
@@ -41,7 +41,7 @@
 		if data, err = record.Encode(batch); err != nil || empty(batch) {
 			return
 		}
-		sleep(ctx, failurePause)
+		worker.Sleep(ctx, failurePause)
 	}
 }
 
@@ -77,12 +77,3 @@
 func empty(batch record.Orders) bool {
 	return len(batch.Claims)+len(batch.Voids)+len(batch.Results) == 0
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
