--- a/base/daemon/daemon.go
+++ b/base/daemon/daemon.go
@@ -123,6 +123,9 @@
 	log := logs.New(level)
 	defer func() { _ = log.Sync() }()
 	ctx, again := signals(ctx)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	go p.reload(reload, path, log)
 	err = p.Run(Process{Context: ctx, Again: again, Log: log}, s)
 	if err != nil && !errors.Is(err, context.Canceled) {
 		log.Error("failed", zap.String("program", p.Name), logs.Err(err))
@@ -131,6 +134,18 @@
 	return 0
 }
 
+// reload checks the settings file at each SIGHUP and says what it found. A
+// running program keeps the settings that it was started with.
+func (p Program[T]) reload(signals <-chan os.Signal, path string, log *zap.Logger) {
+	for range signals {
+		if _, err := p.load(path); err != nil {
+			log.Warn("settings_bad", zap.String("file", path), logs.Err(err))
+			continue
+		}
+		log.Info("settings_checked", zap.String("file", path), zap.String("in_force", "at the next start"))
+	}
+}
+
 // signals returns a context that the first signal ends and a channel that the
 // second one closes.
 func signals(parent context.Context) (context.Context, <-chan struct{}) {
--- a/base/platform/client.go
+++ b/base/logservice/client.go
@@ -1,4 +1,4 @@
-package platform
+package logservice
 
 import (
 	"encoding/json"
--- a/base/platform/types.go
+++ b/base/logservice/types.go
@@ -1,6 +1,6 @@
-// Package platform holds the protocols of the platform: the log service and
-// the list of instances, both JSON over HTTP.
-package platform
+// Package logservice is the client of the project's own log service and list of
+// instances, both JSON over HTTP.
+package logservice
 
 import "camphorpulley.org/core"
 
--- /dev/null
+++ b/core/fleet/admit.go
@@ -0,0 +1,147 @@
+package fleet
+
+import (
+	"net/http"
+	"time"
+
+	"camphorpulley.org/core"
+	"camphorpulley.org/core/catalog"
+	"camphorpulley.org/core/chat"
+	"camphorpulley.org/core/prefix"
+	"camphorpulley.org/core/retry"
+	"camphorpulley.org/core/table"
+)
+
+// Ask is a caller's request as a front end has read it.
+type Ask struct {
+	ID         string
+	Host, Path string
+	// Key is the API key; empty if none was given.
+	Key string
+	// Parts are the parts of the prompt in order. The last one is the request's
+	// own.
+	Parts []prefix.Part
+	// Wait is how long the caller waits; zero if it doesn't say.
+	Wait time.Duration
+	// Content is the digest of method, path and body.
+	Content core.Digest
+}
+
+// Request is a request that may be served.
+type Request struct {
+	ID      string
+	Route   *catalog.Route
+	Pool    catalog.Pool
+	Account catalog.Account
+	// Shared are the parts of the prompt that other requests may share.
+	Shared []prefix.Part
+	// Key orders the upstreams for the request.
+	Key     core.Digest
+	Content core.Digest
+	// Until is when the caller or the operators' time-out gives up.
+	Until time.Time
+	// Version is that of the catalog that decided.
+	Version uint64
+}
+
+// defaultTimeout bounds requests of routes that have no time-out.
+const defaultTimeout = time.Minute
+
+// Refusal codes of Admit.
+const (
+	codeUnconfigured = "unconfigured"
+	codeNoRoute      = "no_route"
+	codeBadKey       = "bad_key"
+	codeCrashes      = "crashes_upstreams"
+	codeNoUpstream   = "no_upstream"
+)
+
+// Admit decides whether a request may be served, and by which pool.
+func (f *Fleet) Admit(now time.Time, a Ask) (Request, *core.Refusal) {
+	c := f.Current()
+	if c == nil {
+		return Request{}, notRun(http.StatusServiceUnavailable, codeUnconfigured, "the router has no configuration yet")
+	}
+	route, ok := c.Match(a.Host, a.Path)
+	if !ok {
+		return Request{}, notRun(http.StatusNotFound, codeNoRoute, "no route has this host and path")
+	}
+	r := Request{ID: a.ID, Route: route, Content: a.Content, Version: c.Version}
+	if c.Keys != nil && !route.Public {
+		if r.Account, ok = c.Keys[a.Key]; !ok {
+			return r, notRun(http.StatusUnauthorized, codeBadKey, "the API key is not known")
+		}
+	}
+	if len(a.Parts) > 1 {
+		r.Shared = a.Parts[:len(a.Parts)-1]
+	}
+	r.Key = key(a, r.Shared)
+	r.Pool = c.Pools[route.Pick(chat.Key("", route.Name, nil)^r.Key)]
+	r.Until = now.Add(deadline(a.Wait, route.Timeout))
+	if f.refused(now, a.Content) {
+		return r, notRun(http.StatusServiceUnavailable, codeCrashes, "this request crashed the upstreams that ran it")
+	}
+	f.budget(r.Pool.Name, func(b *retry.Shared) { b.Request(now, f.settings.Retry) })
+	return r, nil
+}
+
+// key returns what orders the upstreams for a request: the deepest part that
+// it shares with others, or the request itself.
+func key(a Ask, shared []prefix.Part) core.Digest {
+	if n := len(shared); n > 0 {
+		return shared[n-1].ID
+	}
+	return chat.Key("", a.ID, nil)
+}
+
+func deadline(wait, timeout time.Duration) time.Duration {
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	if wait <= 0 {
+		return timeout
+	}
+	return min(wait, timeout)
+}
+
+func notRun(status int, code, message string) *core.Refusal {
+	return &core.Refusal{Status: status, Certainty: core.NotRun, Code: code, Message: message}
+}
+
+func (f *Fleet) refused(now time.Time, d core.Digest) bool {
+	return table.Read(f.suspects, table.Hold{}, func(s *suspects) bool { return s.table.Refused(now, d) })
+}
+
+// Crashed takes in that an upstream crashed while it ran a request.
+func (f *Fleet) Crashed(now time.Time, r Request, t Target) {
+	c := Crash{Content: r.Content, Process: process(t)}
+	f.suspects.Do(table.Hold{}, func(_ table.Hold, s *suspects) {
+		s.table.Crash(now, c.Content, c.Process)
+		s.told = append(s.told, c)
+	})
+}
+
+// Cleared takes in that a request has run to its end.
+func (f *Fleet) Cleared(r Request) {
+	f.suspects.Do(table.Hold{}, func(_ table.Hold, s *suspects) { s.table.Clear(r.Content) })
+}
+
+// Retry reports whether one more attempt of a request may be made, and counts
+// it against the budget that all routers share.
+func (f *Fleet) Retry(now time.Time, r Request) bool {
+	routers := f.routers(now)
+	var may bool
+	f.budget(r.Pool.Name, func(b *retry.Shared) { may = b.Take(now, f.settings.Retry, routers) })
+	return may
+}
+
+func (f *Fleet) budget(p core.Pool, fn func(*retry.Shared)) {
+	f.budgets.Do(table.Hold{}, func(_ table.Hold, all *map[core.Pool]*retry.Shared) {
+		b := (*all)[p]
+		if b == nil {
+			b = &retry.Shared{}
+			(*all)[p] = b
+		}
+		fn(b)
+	})
+}
--- /dev/null
+++ b/core/fleet/beat.go
@@ -0,0 +1,215 @@
+package fleet
+
+import (
+	"time"
+
+	"camphorpulley.org/core"
+	"camphorpulley.org/core/prefix"
+	"camphorpulley.org/core/roster"
+	"camphorpulley.org/core/table"
+)
+
+// Message is what one router sends to another. One field is set.
+type Message struct {
+	Hello    *Member
+	Beat     *Beat
+	Want     *Want
+	Snapshot *Snapshot
+}
+
+// Beat tells what a router knows at the moment, and what it has learned since
+// its last beat.
+type Beat struct {
+	// Version is that of the catalog in force.
+	Version uint64
+	// Known is how many upstreams the router knows.
+	Known   int
+	Running []Running
+	Resting []Resting
+	Held    []prefix.Held
+	Crashes []Crash
+	Entries []EntryCopy
+}
+
+// Running is how many requests a router has at an upstream.
+type Running struct {
+	Upstream core.UpstreamID
+	Count    int
+}
+
+// Resting says that an upstream is left alone for some milliseconds.
+type Resting struct {
+	Upstream core.UpstreamID
+	ForMS    int64
+}
+
+// Crash says that an upstream's process crashed while it ran a request.
+type Crash struct {
+	Content core.Digest
+	Process string
+}
+
+// EntryCopy is an upstream's entry as it was read.
+type EntryCopy struct {
+	Upstream core.UpstreamID
+	Source   []byte
+}
+
+// Want asks for a snapshot.
+type Want struct {
+	// Version is that of the asker's catalog.
+	Version uint64
+}
+
+// Snapshot is what a router that can't read the store needs to serve.
+type Snapshot struct {
+	// Catalog is the source of the catalog; empty if the asker's is as new.
+	Catalog []byte
+	Entries []EntryCopy
+}
+
+// Beat returns the next beat.
+func (f *Fleet) Beat(now time.Time) Beat {
+	var b Beat
+	if c := f.Current(); c != nil {
+		b.Version = c.Version
+	}
+	f.roster.Do(table.Hold{}, func(_ table.Hold, u *upstreams) {
+		u.roster.Forget(now)
+		b.Entries, u.told = u.told, nil
+		for _, up := range u.roster.All() {
+			if u.roster.Open(now, up) {
+				b.Known++
+			}
+		}
+	})
+	f.loads.Do(table.Hold{}, func(_ table.Hold, l *loads) {
+		for id, s := range *l {
+			if s.load.Own > 0 {
+				b.Running = append(b.Running, Running{Upstream: id, Count: s.load.Own})
+			}
+			if s.rested && s.health.Resting(now) {
+				b.Resting = append(b.Resting, Resting{Upstream: id, ForMS: s.health.Until.Sub(now).Milliseconds()})
+			}
+		}
+	})
+	b.Held = table.Read(f.parts, table.Hold{}, (*prefix.Map).Take)
+	f.suspects.Do(table.Hold{}, func(_ table.Hold, s *suspects) { b.Crashes, s.told = s.told, nil })
+	return b
+}
+
+// Receive takes a message in and returns the answer to it; nil if it needs
+// none.
+func (f *Fleet) Receive(now time.Time, from Member, m Message) *Message {
+	f.Meet(now, from)
+	switch {
+	case m.Beat != nil:
+		return f.hear(now, from, *m.Beat)
+	case m.Want != nil:
+		return &Message{Snapshot: f.snapshot(now, *m.Want)}
+	case m.Snapshot != nil:
+		f.learn(now, *m.Snapshot)
+	}
+	return nil
+}
+
+// goodAge is how recent a good answer of the router's own must be to go before
+// what another router says of an upstream.
+const goodAge = 500 * time.Millisecond
+
+func (f *Fleet) hear(now time.Time, from Member, b Beat) *Message {
+	f.hearEntries(now, b.Entries)
+	f.loads.Do(table.Hold{}, func(_ table.Hold, l *loads) {
+		running := make(map[core.UpstreamID]int, len(b.Running))
+		for _, r := range b.Running {
+			running[r.Upstream] = r.Count
+			l.of(r.Upstream)
+		}
+		for id, s := range *l {
+			s.load.Hear(now, from.ID, running[id])
+		}
+		// A router that lost contact with most upstreams is cut off itself.
+		if 2*len(b.Resting) > len(*l) {
+			return
+		}
+		for _, r := range b.Resting {
+			if s := l.of(r.Upstream); now.Sub(s.good) > goodAge {
+				s.health.Hear(now, time.Duration(r.ForMS)*time.Millisecond)
+			}
+		}
+	})
+	f.parts.Do(table.Hold{}, func(_ table.Hold, m *prefix.Map) { m.Hear(now, b.Held, f.memory()) })
+	f.suspects.Do(table.Hold{}, func(_ table.Hold, s *suspects) {
+		for _, c := range b.Crashes {
+			s.table.Crash(now, c.Content, c.Process)
+		}
+	})
+	if own := f.version(); b.Version > own || (b.Known > 0 && !f.Ready(now)) {
+		return &Message{Want: &Want{Version: own}}
+	}
+	return nil
+}
+
+// version returns the version of the catalog in force; zero if there is none.
+func (f *Fleet) version() uint64 {
+	if c := f.Current(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// memory returns the largest KV cache of a pool's engines, in tokens.
+func (f *Fleet) memory() int {
+	tokens := 0
+	if c := f.Current(); c != nil {
+		for _, p := range c.Pools {
+			if p.Engine != nil {
+				tokens = max(tokens, p.Engine.MemoryTokens)
+			}
+		}
+	}
+	return tokens
+}
+
+func (f *Fleet) snapshot(now time.Time, w Want) *Snapshot {
+	s := &Snapshot{}
+	if c := f.Current(); c != nil && c.Version > w.Version {
+		s.Catalog = c.Source
+	}
+	f.roster.Do(table.Hold{}, func(_ table.Hold, u *upstreams) {
+		for _, up := range u.roster.All() {
+			if u.roster.Open(now, up) {
+				s.Entries = append(s.Entries, EntryCopy{Upstream: up.ID, Source: up.Source})
+			}
+		}
+	})
+	return s
+}
+
+func (f *Fleet) learn(now time.Time, s Snapshot) {
+	if len(s.Catalog) > 0 && f.settings.Catalog != nil {
+		if c, err := f.settings.Catalog(s.Catalog); err == nil {
+			f.Configure(c)
+		}
+	}
+	f.hearEntries(now, s.Entries)
+}
+
+// hearEntries takes in entries that another router has read.
+func (f *Fleet) hearEntries(now time.Time, copies []EntryCopy) {
+	for _, c := range copies {
+		if f.settings.Entry == nil {
+			return
+		}
+		e, err := f.settings.Entry(c.Upstream, c.Source)
+		if err != nil {
+			continue
+		}
+		f.put(func(r *roster.Roster) []roster.Change {
+			if change, ok := r.Put(now, e); ok {
+				return []roster.Change{change}
+			}
+			return nil
+		}, false)
+	}
+}
--- /dev/null
+++ b/core/fleet/choose.go
@@ -0,0 +1,223 @@
+package fleet
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"camphorpulley.org/core"
+	"camphorpulley.org/core/chat"
+	"camphorpulley.org/core/health"
+	"camphorpulley.org/core/load"
+	"camphorpulley.org/core/pace"
+	"camphorpulley.org/core/prefix"
+	"camphorpulley.org/core/roster"
+	"camphorpulley.org/core/table"
+)
+
+// Target is the upstream that is to get an attempt.
+type Target struct {
+	roster.Upstream
+	// Fetch is the address of another engine that has parts of the prompt which
+	// the target lacks; empty if there is none.
+	Fetch string
+	// Load is the estimate that decided, and Held the tokens of the prompt that
+	// the target was taken to have.
+	Load, Held int
+	// Candidates is how many upstreams could be chosen.
+	Candidates int
+}
+
+// process names an upstream's process.
+func process(t Target) string {
+	return string(t.ID) + "/" + strconv.FormatInt(t.Born, 10)
+}
+
+// Choose returns the upstream for the next attempt of a request, without those
+// that were tried. The attempt counts as running until Finish.
+func Choose[P Policy](now time.Time, f *Fleet, policy P, r Request, tried []core.UpstreamID) (Target, *core.Refusal) {
+	open := f.open(now, r, tried)
+	if len(open) == 0 {
+		return Target{}, noUpstream("no upstream of the pool is in service")
+	}
+	routers, rank, settled := f.place(now)
+	held := table.Read(f.parts, table.Hold{}, func(m *prefix.Map) []int { return tokens(now, m, open, r.Shared) })
+	var best Candidate
+	var all []Candidate
+	f.loads.Do(table.Hold{}, func(_ table.Hold, l *loads) {
+		all = f.candidates(now, *l, r, open, held)
+		best = choose(policy, usable(now, all, func(c Candidate) bool {
+			return f.mayWarm(now, c, r, routers, rank, settled)
+		}))
+		if best.state == nil {
+			return
+		}
+		best.state.load.Own++
+		if best.Upstream.Cold(now) {
+			best.state.cold.Add(now)
+		}
+	})
+	if best.state == nil {
+		return Target{}, noUpstream("the upstreams of the pool are warming up")
+	}
+	t := Target{Upstream: best.Upstream, Load: best.Load, Held: best.Held, Candidates: len(all)}
+	if r.Pool.Engine != nil {
+		t.Fetch = holder(all, best)
+		f.parts.Do(table.Hold{}, func(_ table.Hold, m *prefix.Map) {
+			m.Read(now, best.Upstream.ID, r.Shared, r.Pool.Engine.MemoryTokens)
+		})
+	}
+	return t, nil
+}
+
+func noUpstream(message string) *core.Refusal {
+	return notRun(http.StatusServiceUnavailable, codeNoUpstream, message)
+}
+
+// open returns the upstreams that the rules permit for a request.
+func (f *Fleet) open(now time.Time, r Request, tried []core.UpstreamID) []roster.Upstream {
+	return table.Read(f.roster, table.Hold{}, func(u *upstreams) []roster.Upstream {
+		var open []roster.Upstream
+		for _, up := range u.roster.All() {
+			if up.Pool == r.Pool.Name && u.roster.Open(now, up) && f.home(r, up) && !slices.Contains(tried, up.ID) {
+				open = append(open, up)
+			}
+		}
+		return open
+	})
+}
+
+// home reports whether a request may run in an upstream's region.
+func (f *Fleet) home(r Request, u roster.Upstream) bool {
+	region := f.settings.Regions[u.DataCentre]
+	for _, homes := range [][]string{r.Route.Regions, r.Account.Regions} {
+		if len(homes) > 0 && !slices.Contains(homes, region) {
+			return false
+		}
+	}
+	return true
+}
+
+func tokens(now time.Time, m *prefix.Map, open []roster.Upstream, parts []prefix.Part) []int {
+	held := make([]int, len(open))
+	for i, u := range open {
+		held[i] = m.Tokens(now, u.ID, parts)
+	}
+	return held
+}
+
+// candidates describes the open upstreams for a policy.
+func (f *Fleet) candidates(now time.Time, l loads, r Request, open []roster.Upstream, held []int) []Candidate {
+	all := make([]Candidate, len(open))
+	total := 0
+	for i, u := range open {
+		s := l.of(u.ID)
+		all[i] = Candidate{
+			Upstream: u, Load: s.load.Total(now), Held: held[i],
+			Failing: s.health.Failing(now), Near: u.DataCentre == f.settings.DataCentre,
+			Score: chat.Score(r.Key, string(u.ID)), state: s,
+		}
+		total += all[i].Load
+	}
+	bound := f.bound(total, len(open))
+	for i := range all {
+		all[i].Over = all[i].Load+1 > bound
+	}
+	return all
+}
+
+const (
+	// boundPart is the part of the permitted excess over the mean that is used:
+	// the loads of other routers are known with a delay.
+	boundPart = 0.5
+	// boundSlack lets small loads be uneven, in requests.
+	boundSlack = 2
+)
+
+// bound returns how many requests an upstream may hold.
+func (f *Fleet) bound(total, upstreams int) int {
+	mean := float64(total) / float64(max(upstreams, 1))
+	multiple := 1 + (max(f.settings.Multiple, 1)-1)*boundPart
+	return int(multiple*mean) + boundSlack
+}
+
+// usable returns the candidates that should get work now. Upstreams that are
+// left alone count only if there are no others.
+func usable(now time.Time, all []Candidate, mayWarm func(Candidate) bool) []Candidate {
+	var warm, resting []Candidate
+	for _, c := range all {
+		s := c.state
+		switch {
+		case c.Upstream.Cold(now):
+		case s.health.Resting(now), s.health.Doubtful(now) && s.load.Own > 0:
+			resting = append(resting, c)
+		default:
+			warm = append(warm, c)
+		}
+	}
+	if len(warm) > 0 {
+		return warm
+	}
+	var cold []Candidate
+	for _, c := range all {
+		if c.Upstream.Cold(now) && mayWarm(c) {
+			cold = append(cold, c)
+		}
+	}
+	if len(cold) > 0 {
+		return cold
+	}
+	return resting
+}
+
+// mayWarm reports whether the router's part of a cold upstream's rate has room
+// for one more request.
+func (f *Fleet) mayWarm(now time.Time, c Candidate, r Request, routers, rank int, settled bool) bool {
+	share := 1
+	if settled {
+		share = pace.Share(int(r.Pool.ColdRate), routers, rank)
+	}
+	return c.state.cold.Count(now, time.Second) < share
+}
+
+// holder returns the address of the engine that has the most of what the
+// chosen one lacks.
+func holder(all []Candidate, chosen Candidate) string {
+	best := Candidate{Held: chosen.Held}
+	for _, c := range all {
+		if c.Held > best.Held && c.state.health.Losses == 0 {
+			best = c
+		}
+	}
+	return best.Upstream.Address
+}
+
+// Finish takes in how an attempt ended. Report is nil if the upstream said
+// nothing of its load. It reports whether a rest has begun.
+func (f *Fleet) Finish(now time.Time, t Target, o health.Outcome, report *load.Report) bool {
+	var rest bool
+	f.loads.Do(table.Hold{}, func(_ table.Hold, l *loads) {
+		s := l.of(t.ID)
+		s.load.Own = max(s.load.Own-1, 0)
+		if report != nil {
+			s.load.Report(now, *report)
+		}
+		if o == health.Good {
+			s.good = now
+			s.rested = false
+		}
+		if rest = s.health.Note(now, o); rest {
+			s.rested = true
+		}
+	})
+	if o == health.Unreachable || o == health.Broken {
+		f.parts.Do(table.Hold{}, func(_ table.Hold, m *prefix.Map) { m.Forget(t.ID) })
+	}
+	return rest
+}
+
+// Loaded takes in what an upstream said of its load while it runs an attempt.
+func (f *Fleet) Loaded(now time.Time, t Target, report load.Report) {
+	f.loads.Do(table.Hold{}, func(_ table.Hold, l *loads) { l.of(t.ID).load.Report(now, report) })
+}
--- /dev/null
+++ b/core/fleet/fleet.go
@@ -0,0 +1,140 @@
+// Package fleet holds the tables of a router whose configuration and upstreams
+// come from a store, and the decisions that need several aggregates. A front
+// end passes in requests, outcomes, messages and the present time.
+//
+// Routers agree on nothing here. What must hold over all of them, the rate of
+// cold upstreams and the budget of retries, is split among the routers that
+// may exist; what only makes answers better, such as load, health and caches,
+// is told in beats and may be wrong.
+package fleet
+
+import (
+	"sync/atomic"
+	"time"
+
+	"camphorpulley.org/core"
+	"camphorpulley.org/core/catalog"
+	"camphorpulley.org/core/health"
+	"camphorpulley.org/core/load"
+	"camphorpulley.org/core/pace"
+	"camphorpulley.org/core/poison"
+	"camphorpulley.org/core/prefix"
+	"camphorpulley.org/core/retry"
+	"camphorpulley.org/core/roster"
+	"camphorpulley.org/core/table"
+)
+
+// Settings say who the router is and what bounds it.
+type Settings struct {
+	ID          core.RouterID
+	Address     string
+	DataCentre  core.DataCentre
+	Incarnation core.Incarnation
+	// Regions holds the region of each data centre.
+	Regions map[core.DataCentre]string
+	Retry   retry.Terms
+	// Multiple is how many times the mean load an upstream may carry.
+	Multiple float64
+	// Catalog reads the text of a configuration.
+	Catalog func(text []byte) (*catalog.Catalog, error)
+	// Entry reads the text of an upstream's entry.
+	Entry func(id core.UpstreamID, text []byte) (roster.Entry, error)
+}
+
+// Fleet is one router's tables. Its methods may be called by many workers.
+type Fleet struct {
+	settings Settings
+	started  time.Time
+	// current is the catalog in force; requests read it without a lock.
+	current  atomic.Pointer[catalog.Catalog]
+	catalog  *table.Cell[catalog.Shelf]
+	members  *table.Cell[members]
+	roster   *table.Cell[upstreams]
+	loads    *table.Cell[loads]
+	parts    *table.Cell[prefix.Map]
+	suspects *table.Cell[suspects]
+	budgets  *table.Cell[map[core.Pool]*retry.Shared]
+}
+
+type upstreams struct {
+	roster roster.Roster
+	// told holds changes that the next beat tells.
+	told []EntryCopy
+}
+
+// state is what the router knows of one upstream from requests.
+type state struct {
+	health health.Record
+	load   load.Book
+	// cold counts the requests that were sent while the upstream was cold.
+	cold pace.Window
+	// good is when the last good answer came.
+	good time.Time
+	// rested is set while the rest was begun by the router's own requests.
+	rested bool
+}
+
+type loads map[core.UpstreamID]*state
+
+func (l loads) of(id core.UpstreamID) *state {
+	s := l[id]
+	if s == nil {
+		s = &state{}
+		l[id] = s
+	}
+	return s
+}
+
+type suspects struct {
+	table poison.Suspects
+	// told holds crashes that the next beat tells.
+	told []Crash
+}
+
+// New returns the tables of a router that starts now.
+func New(now time.Time, s Settings) *Fleet {
+	return &Fleet{
+		settings: s,
+		started:  now,
+		catalog:  table.New(table.RankConfig, catalog.Shelf{}),
+		members:  table.New(table.RankInstances, members{byID: map[core.RouterID]member{}}),
+		roster:   table.New(table.RankUpstreams, upstreams{}),
+		loads:    table.New(table.RankLoads, loads{}),
+		parts:    table.New(table.RankParts, prefix.Map{}),
+		suspects: table.New(table.RankSuspects, suspects{}),
+		budgets:  table.New(table.RankBudgets, map[core.Pool]*retry.Shared{}),
+	}
+}
+
+// Self returns who the router is.
+func (f *Fleet) Self() Settings { return f.settings }
+
+// Current returns the catalog in force; nil if there is none yet.
+func (f *Fleet) Current() *catalog.Catalog { return f.current.Load() }
+
+// Configure takes a catalog in. It reports whether the catalog is newer than
+// the one in force.
+func (f *Fleet) Configure(c *catalog.Catalog) bool {
+	var newer bool
+	f.catalog.Do(table.Hold{}, func(_ table.Hold, s *catalog.Shelf) {
+		if newer = s.Offer(c); newer {
+			f.current.Store(c.Index())
+		}
+	})
+	return newer
+}
+
+// Ready reports whether the router can serve requests.
+func (f *Fleet) Ready(now time.Time) bool {
+	if f.Current() == nil {
+		return false
+	}
+	return table.Read(f.roster, table.Hold{}, func(u *upstreams) bool {
+		for _, up := range u.roster.All() {
+			if u.roster.Open(now, up) {
+				return true
+			}
+		}
+		return false
+	})
+}
--- /dev/null
+++ b/core/fleet/members.go
@@ -0,0 +1,96 @@
+package fleet
+
+import (
+	"time"
+
+	"camphorpulley.org/core"
+	"camphorpulley.org/core/table"
+)
+
+// Member is a router of the fleet.
+type Member struct {
+	ID         core.RouterID
+	Address    string
+	DataCentre core.DataCentre
+}
+
+type member struct {
+	Member
+	// seen is when the router was listed or heard.
+	seen time.Time
+}
+
+type members struct {
+	byID map[core.RouterID]member
+	// listed is set once the list of routers was read.
+	listed bool
+}
+
+const (
+	// memberAge is how long a router that isn't heard counts as one that may
+	// exist: longer than a cut or a restart, so that two sides of a cut don't
+	// each take the whole of what is shared.
+	memberAge = 60 * time.Second
+	// alone is how long after its start a router that hasn't read the list takes
+	// others to exist that it doesn't know.
+	alone = 10 * time.Second
+)
+
+// Meet takes in that a router exists.
+func (f *Fleet) Meet(now time.Time, m Member) {
+	if m.ID == f.settings.ID || m.ID == "" {
+		return
+	}
+	f.members.Do(table.Hold{}, func(_ table.Hold, p *members) { p.byID[m.ID] = member{Member: m, seen: now} })
+}
+
+// Listed takes in that the list of routers was read.
+func (f *Fleet) Listed() {
+	f.members.Do(table.Hold{}, func(_ table.Hold, p *members) { p.listed = true })
+}
+
+// Members returns the other routers that may exist.
+func (f *Fleet) Members(now time.Time) []Member {
+	return table.Read(f.members, table.Hold{}, func(p *members) []Member {
+		all := make([]Member, 0, len(p.byID))
+		for id, m := range p.byID {
+			if now.Sub(m.seen) > memberAge {
+				delete(p.byID, id)
+				continue
+			}
+			all = append(all, m.Member)
+		}
+		return all
+	})
+}
+
+// Member returns one other router.
+func (f *Fleet) Member(id core.RouterID) (Member, bool) {
+	m := table.Read(f.members, table.Hold{}, func(p *members) member { return p.byID[id] })
+	return m.Member, m.ID != ""
+}
+
+// routers returns how many routers may exist.
+func (f *Fleet) routers(now time.Time) int {
+	n, _, _ := f.place(now)
+	return n
+}
+
+// place returns how many routers may exist, the own place among them, and
+// whether the number can be relied on.
+func (f *Fleet) place(now time.Time) (n, rank int, settled bool) {
+	f.members.Do(table.Hold{}, func(_ table.Hold, p *members) {
+		settled = p.listed || now.Sub(f.started) > alone
+		n = 1
+		for id, m := range p.byID {
+			if now.Sub(m.seen) > memberAge {
+				continue
+			}
+			n++
+			if id < f.settings.ID {
+				rank++
+			}
+		}
+	})
+	return n, rank, settled
+}
--- /dev/null
+++ b/core/fleet/policy.go
@@ -0,0 +1,87 @@
+package fleet
+
+import "camphorpulley.org/core/roster"
+
+// Candidate is an upstream that may get a request.
+type Candidate struct {
+	Upstream roster.Upstream
+	// Load is the estimate of what the upstream holds; Over is set if one more
+	// request would exceed the bound on the mean.
+	Load int
+	Over bool
+	// Held is how many tokens of the prompt the upstream is taken to have.
+	Held int
+	// Failing is the recent failure rate.
+	Failing float64
+	// Near is set for the router's own data centre.
+	Near bool
+	// Score is the rendezvous weight for the request's key.
+	Score uint64
+	state *state
+}
+
+// Policy orders candidates.
+type Policy interface {
+	// Better reports whether a is to be preferred to b.
+	Better(a, b Candidate) bool
+}
+
+func choose[P Policy](policy P, all []Candidate) Candidate {
+	var best Candidate
+	for _, c := range all {
+		if best.state == nil || policy.Better(c, best) {
+			best = c
+		}
+	}
+	return best
+}
+
+// failingStep is the difference between failure rates below which they count
+// as equal: about two failures among the last eight outcomes.
+const failingStep = 0.25
+
+// failing compares failure rates; it reports no difference if both are alike.
+func failing(a, b Candidate) (better, differ bool) {
+	if d := a.Failing - b.Failing; d > failingStep || d < -failingStep {
+		return d < 0, true
+	}
+	return false, false
+}
+
+// Affinity prefers the engine that has the most of the prompt in its cache,
+// under the bound on the load.
+type Affinity struct{}
+
+// Better implements Policy.
+func (Affinity) Better(a, b Candidate) bool {
+	if better, differ := failing(a, b); differ {
+		return better
+	}
+	if a.Over != b.Over {
+		return b.Over
+	}
+	if a.Over && a.Load != b.Load {
+		return a.Load < b.Load
+	}
+	if a.Held != b.Held {
+		return a.Held > b.Held
+	}
+	return a.Score > b.Score
+}
+
+// Spread prefers the least loaded upstream, and a near one among equals.
+type Spread struct{}
+
+// Better implements Policy.
+func (Spread) Better(a, b Candidate) bool {
+	if better, differ := failing(a, b); differ {
+		return better
+	}
+	if a.Load != b.Load {
+		return a.Load < b.Load
+	}
+	if a.Near != b.Near {
+		return a.Near
+	}
+	return a.Score > b.Score
+}
--- /dev/null
+++ b/core/fleet/upstreams.go
@@ -0,0 +1,76 @@
+package fleet
+
+import (
+	"time"
+
+	"camphorpulley.org/core"
+	"camphorpulley.org/core/health"
+	"camphorpulley.org/core/load"
+	"camphorpulley.org/core/prefix"
+	"camphorpulley.org/core/roster"
+	"camphorpulley.org/core/table"
+)
+
+// Upstreams replaces what is known of upstreams by all entries of the store.
+func (f *Fleet) Upstreams(now time.Time, entries []roster.Entry) []roster.Change {
+	return f.put(func(r *roster.Roster) []roster.Change { return r.Replace(now, entries) }, true)
+}
+
+// Entered takes in an entry that an upstream has written.
+func (f *Fleet) Entered(now time.Time, e roster.Entry) []roster.Change {
+	return f.put(func(r *roster.Roster) []roster.Change {
+		if c, ok := r.Put(now, e); ok {
+			return []roster.Change{c}
+		}
+		return nil
+	}, true)
+}
+
+// Removed takes in that an upstream's entry was removed.
+func (f *Fleet) Removed(now time.Time, id core.UpstreamID) []roster.Change {
+	return f.put(func(r *roster.Roster) []roster.Change {
+		if c, ok := r.Remove(now, id); ok {
+			return []roster.Change{c}
+		}
+		return nil
+	}, true)
+}
+
+// Out takes data centres out of service; all others are in.
+func (f *Fleet) Out(centres map[core.DataCentre]bool) {
+	f.roster.Do(table.Hold{}, func(_ table.Hold, u *upstreams) { u.roster.Out(centres) })
+}
+
+// Unreliable takes in that the store doesn't answer, or answers again.
+func (f *Fleet) Unreliable(now time.Time) {
+	f.roster.Do(table.Hold{}, func(_ table.Hold, u *upstreams) { u.roster.Unreliable(now) })
+}
+
+// put changes the roster and forgets what was known of processes that are no
+// more. With tell, the next beat tells what has changed.
+func (f *Fleet) put(change func(*roster.Roster) []roster.Change, tell bool) []roster.Change {
+	var changes []roster.Change
+	f.roster.Do(table.Hold{}, func(held table.Hold, u *upstreams) {
+		changes = change(&u.roster)
+		for _, c := range changes {
+			if up, ok := u.roster.Get(c.ID); ok && tell && up.Gone.IsZero() {
+				u.told = append(u.told, EntryCopy{Upstream: c.ID, Source: up.Source})
+			}
+			if c.Restarted {
+				f.restart(held, c.ID)
+			}
+		}
+	})
+	return changes
+}
+
+// restart forgets what was known of an upstream's earlier process.
+func (f *Fleet) restart(held table.Hold, id core.UpstreamID) {
+	f.loads.Do(held, func(held table.Hold, l *loads) {
+		if s := (*l)[id]; s != nil {
+			s.health = health.Record{}
+			s.load = load.Book{Own: s.load.Own}
+		}
+		f.parts.Do(held, func(_ table.Hold, m *prefix.Map) { m.Forget(id) })
+	})
+}
--- /dev/null
+++ b/core/prefix/map.go
@@ -0,0 +1,132 @@
+// Package prefix holds what is known of which engine has which parts of
+// prompts in its cache.
+package prefix
+
+import (
+	"time"
+
+	"camphorpulley.org/core"
+)
+
+// Part is a part of a prompt that requests may share.
+type Part struct {
+	ID     core.Digest
+	Tokens int
+}
+
+// Held says that an engine has read a part.
+type Held struct {
+	Upstream core.UpstreamID
+	Part     Part
+}
+
+// Map is the table of parts by engine. The zero value is empty.
+type Map struct {
+	engines map[core.UpstreamID]*engine
+	// fresh holds what was learned since the last Take.
+	fresh []Held
+}
+
+type engine struct {
+	parts  map[core.Digest]*kept
+	tokens int
+}
+
+type kept struct {
+	tokens int
+	used   time.Time
+}
+
+const (
+	// usable is the part of an engine's memory in which parts are taken to be
+	// kept; the rest is for running requests.
+	usable = 0.7
+	// freshLimit bounds what is told to other routers at once.
+	freshLimit = 256
+	// stale is how long a part that isn't used is taken to be kept.
+	stale = 2 * time.Minute
+)
+
+// Read takes in that an engine reads parts for a request. Memory is the size
+// of the engine's cache in tokens.
+func (m *Map) Read(now time.Time, id core.UpstreamID, parts []Part, memory int) {
+	for _, p := range parts {
+		if m.keep(now, id, p, memory) && len(m.fresh) < freshLimit {
+			m.fresh = append(m.fresh, Held{Upstream: id, Part: p})
+		}
+	}
+}
+
+// Hear takes in what another router has learned.
+func (m *Map) Hear(now time.Time, held []Held, memory int) {
+	for _, h := range held {
+		m.keep(now, h.Upstream, h.Part, memory)
+	}
+}
+
+// Take returns what was learned since the last call.
+func (m *Map) Take() []Held {
+	fresh := m.fresh
+	m.fresh = nil
+	return fresh
+}
+
+// keep reports whether the part was not known at the engine.
+func (m *Map) keep(now time.Time, id core.UpstreamID, p Part, memory int) bool {
+	e := m.engine(id)
+	if k := e.parts[p.ID]; k != nil {
+		k.used = now
+		return false
+	}
+	e.parts[p.ID] = &kept{tokens: p.Tokens, used: now}
+	e.tokens += p.Tokens
+	for limit := int(usable * float64(memory)); memory > 0 && e.tokens > limit && len(e.parts) > 1; {
+		e.evict()
+	}
+	return true
+}
+
+func (m *Map) engine(id core.UpstreamID) *engine {
+	if m.engines == nil {
+		m.engines = map[core.UpstreamID]*engine{}
+	}
+	e := m.engines[id]
+	if e == nil {
+		e = &engine{parts: map[core.Digest]*kept{}}
+		m.engines[id] = e
+	}
+	return e
+}
+
+// evict drops the least recently used part.
+func (e *engine) evict() {
+	var oldest core.Digest
+	var at time.Time
+	for id, k := range e.parts {
+		if at.IsZero() || k.used.Before(at) {
+			oldest, at = id, k.used
+		}
+	}
+	e.tokens -= e.parts[oldest].tokens
+	delete(e.parts, oldest)
+}
+
+// Tokens returns how many tokens of a prompt's beginning an engine has.
+func (m *Map) Tokens(now time.Time, id core.UpstreamID, parts []Part) int {
+	e := m.engines[id]
+	if e == nil {
+		return 0
+	}
+	total := 0
+	for _, p := range parts {
+		k := e.parts[p.ID]
+		if k == nil || now.Sub(k.used) > stale {
+			break
+		}
+		total += p.Tokens
+	}
+	return total
+}
+
+// Forget drops all that is known of an engine.
+func (m *Map) Forget(id core.UpstreamID) { delete(m.engines, id) }
--- /dev/null
+++ b/core/roster/roster.go
@@ -0,0 +1,197 @@
+// Package roster holds the upstreams that discovery names, and decides which
+// of them may get work.
+package roster
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"camphorpulley.org/core"
+)
+
+// Entry is what an upstream says of itself through discovery.
+type Entry struct {
+	ID         core.UpstreamID
+	Pool       core.Pool
+	Address    string
+	DataCentre core.DataCentre
+	// Born names the process: its start in milliseconds since the Unix epoch;
+	// zero if the upstream doesn't tell.
+	Born int64
+	// Sequence counts what one process has written.
+	Sequence uint64
+	Slots    int
+	Draining bool
+	// ColdLeft is how much longer the upstream stays cold.
+	ColdLeft time.Duration
+	// Source is the text that the entry was read from.
+	Source []byte
+}
+
+// same reports whether two entries say the same but for the sequence.
+func (e Entry) same(o Entry) bool {
+	return e.Pool == o.Pool && e.Address == o.Address && e.Born == o.Born && e.Draining == o.Draining
+}
+
+// Upstream is an entry with what the roster knows of it.
+type Upstream struct {
+	Entry
+	// ColdUntil is when the upstream has warmed up.
+	ColdUntil time.Time
+	// Gone is when the entry was removed; zero while it stands.
+	Gone time.Time
+	// Lapsed is set if the entry was removed while the store was unreliable.
+	Lapsed bool
+}
+
+// Cold reports whether the upstream is still warming up.
+func (u Upstream) Cold(now time.Time) bool { return now.Before(u.ColdUntil) }
+
+// Roster is the table of upstreams. The zero value has none.
+type Roster struct {
+	byID map[core.UpstreamID]Upstream
+	out  map[core.DataCentre]bool
+	// list is replaced, never changed.
+	list []Upstream
+	// unreliable is when the store last failed or came back.
+	unreliable time.Time
+}
+
+const (
+	// LapseGrace is how long after a failure of the store a removed entry may
+	// come back: the platform's page says about two seconds after its return.
+	LapseGrace = 2 * time.Second
+	// forget is how long removed entries are remembered, so that a late copy of
+	// an entry doesn't bring its upstream back.
+	forget = time.Minute
+)
+
+// Change says what an entry has changed.
+type Change struct {
+	ID core.UpstreamID
+	// What is new, restarted, draining or removed.
+	What string
+	// Restarted is set if the upstream's process is another one, so that what
+	// was known of it no longer holds.
+	Restarted bool
+}
+
+// Put takes an entry in. It reports a change
+// that matters to requests. An older entry of the same process, or one of an
+// earlier process, changes nothing.
+func (r *Roster) Put(now time.Time, e Entry) (Change, bool) {
+	old, known := r.byID[e.ID]
+	if known && (e.Born < old.Born || (e.Born == old.Born && e.Sequence < old.Sequence)) {
+		return Change{}, false
+	}
+	if known && !old.Gone.IsZero() && e.Born == old.Born && e.Sequence == old.Sequence {
+		return Change{}, false
+	}
+	u := Upstream{Entry: e, ColdUntil: now.Add(e.ColdLeft)}
+	change, changed := Change{ID: e.ID}, true
+	switch {
+	case !known:
+		change.What, change.Restarted = "new", true
+	case e.Born != old.Born || e.Address != old.Address:
+		change.What, change.Restarted = "restarted", true
+	case !old.Gone.IsZero():
+		change.What = "returned"
+	case e.same(old.Entry):
+		changed = false
+	default:
+		change.What = "updated"
+	}
+	if e.Draining && changed {
+		change.What = "draining"
+	}
+	r.store(u)
+	return change, changed
+}
+
+// Remove takes in that an entry was removed.
+func (r *Roster) Remove(now time.Time, id core.UpstreamID) (Change, bool) {
+	u, ok := r.byID[id]
+	if !ok || !u.Gone.IsZero() {
+		return Change{}, false
+	}
+	u.Gone = now
+	u.Lapsed = !u.Draining && !r.unreliable.IsZero() && now.Sub(r.unreliable) < LapseGrace
+	r.store(u)
+	return Change{ID: id, What: "removed"}, true
+}
+
+// Replace takes in all entries that the store holds. What it doesn't hold is
+// removed.
+func (r *Roster) Replace(now time.Time, entries []Entry) []Change {
+	var changes []Change
+	held := make(map[core.UpstreamID]bool, len(entries))
+	for _, e := range entries {
+		held[e.ID] = true
+		if c, ok := r.Put(now, e); ok {
+			changes = append(changes, c)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(r.byID)) {
+		if held[id] {
+			continue
+		}
+		if c, ok := r.Remove(now, id); ok {
+			changes = append(changes, c)
+		}
+	}
+	return changes
+}
+
+// Unreliable takes in that the store doesn't answer, or answers again.
+func (r *Roster) Unreliable(now time.Time) { r.unreliable = now }
+
+// Forget drops entries that were removed long ago.
+func (r *Roster) Forget(now time.Time) {
+	for id, u := range r.byID {
+		if !u.Gone.IsZero() && now.Sub(u.Gone) > forget {
+			delete(r.byID, id)
+			r.list = nil
+		}
+	}
+}
+
+// Out takes data centres out of service; all others are in.
+func (r *Roster) Out(centres map[core.DataCentre]bool) { r.out = centres }
+
+// Open reports whether an upstream may get new work.
+func (r *Roster) Open(now time.Time, u Upstream) bool {
+	if u.Draining || r.out[u.DataCentre] {
+		return false
+	}
+	return u.Gone.IsZero() || (u.Lapsed && now.Sub(u.Gone) < LapseGrace)
+}
+
+// Get returns one upstream.
+func (r *Roster) Get(id core.UpstreamID) (Upstream, bool) {
+	u, ok := r.byID[id]
+	return u, ok
+}
+
+// All returns the upstreams in the order of their ids. The caller doesn't
+// change what it gets.
+func (r *Roster) All() []Upstream {
+	if r.list == nil {
+		r.list = slices.SortedFunc(maps.Values(r.byID), func(a, b Upstream) int {
+			return strings.Compare(string(a.ID), string(b.ID))
+		})
+	}
+	return r.list
+}
+
+// In reports whether a data centre is in service.
+func (r *Roster) In(dc core.DataCentre) bool { return !r.out[dc] }
+
+func (r *Roster) store(u Upstream) {
+	if r.byID == nil {
+		r.byID = map[core.UpstreamID]Upstream{}
+	}
+	r.byID[u.ID] = u
+	r.list = nil
+}
--- a/core/table/rank.go
+++ b/core/table/rank.go
@@ -15,6 +15,8 @@
 	RankUpstreams
 	RankPermits
 	RankHoldings
+	RankLoads
+	RankParts
 	RankOrders
 	RankSuspects
 	RankBudgets
--- a/ctl/publish.go
+++ b/ctl/publish.go
@@ -8,7 +8,7 @@
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 
-	"camphorpulley.org/base/platform"
+	"camphorpulley.org/base/logservice"
 	"camphorpulley.org/base/record"
 	"camphorpulley.org/base/wrap"
 	"camphorpulley.org/core"
@@ -41,7 +41,7 @@
 
 // publisher reads the configuration from the log and appends to it.
 type publisher struct {
-	client platform.Client
+	client logservice.Client
 	reader config.Reader
 	next   core.Offset
 	// results holds what was decided on each proposal that was read.
@@ -56,14 +56,14 @@
 
 // openLog returns a publisher that has read what the log of the command has.
 func openLog(c *cli.Command) (*publisher, error) {
-	p := &publisher{client: platform.Client{Log: c.String("log")}, next: 1, results: map[core.Offset]error{}}
+	p := &publisher{client: logservice.Client{Log: c.String("log")}, next: 1, results: map[core.Offset]error{}}
 	return p, p.read()
 }
 
 // read folds what the log has.
 func (p *publisher) read() error {
 	for {
-		page, err := p.client.Read(platform.ConfigStream, p.next, 0)
+		page, err := p.client.Read(logservice.ConfigStream, p.next, 0)
 		if err != nil {
 			return err
 		}
@@ -79,7 +79,7 @@
 	}
 }
 
-func (p *publisher) fold(r platform.Record) error {
+func (p *publisher) fold(r logservice.Record) error {
 	p.next = r.Offset + 1
 	entry, err := record.Decode[record.Config](r.Data)
 	if err != nil {
@@ -115,7 +115,7 @@
 		return 0, err
 	}
 	before := len(p.proposals)
-	offset, appendErr := p.client.Append(platform.ConfigStream, data)
+	offset, appendErr := p.client.Append(logservice.ConfigStream, data)
 	for range readBackTries {
 		err = p.read()
 		if err == nil && offset == 0 {
--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -12,7 +12,7 @@
 
 	"camphorpulley.org/base/daemon"
 	"camphorpulley.org/base/listener"
-	"camphorpulley.org/base/platform"
+	"camphorpulley.org/base/logservice"
 )
 
 // faults are the failures that are switched on at present.
@@ -162,10 +162,10 @@
 }
 
 // report returns the load as it was the lag ago.
-func (e *engine) report(now time.Time) platform.Load {
+func (e *engine) report(now time.Time) logservice.Load {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	load := platform.Load{Boot: e.stats.Boot, AgeMS: e.settings.Lag.Milliseconds()}
+	load := logservice.Load{Boot: e.stats.Boot, AgeMS: e.settings.Lag.Milliseconds()}
 	for _, s := range e.samples {
 		if now.Sub(s.at) < e.settings.Lag {
 			break
--- a/lab/list/server.go
+++ b/lab/list/server.go
@@ -8,7 +8,7 @@
 
 	"github.com/gofiber/fiber/v2"
 
-	"camphorpulley.org/base/platform"
+	"camphorpulley.org/base/logservice"
 	"camphorpulley.org/core"
 )
 
@@ -22,7 +22,7 @@
 
 type change struct {
 	at       time.Time
-	instance platform.Instance
+	instance logservice.Instance
 	removed  bool
 }
 
@@ -31,8 +31,8 @@
 	for _, row := range s.Instances {
 		list.changes = append(list.changes, change{
 			at: now.Add(-s.List.Lag),
-			instance: platform.Instance{
-				ID: row.ID, Role: platform.Role(row.Role), Pool: core.Pool(row.Pool),
+			instance: logservice.Instance{
+				ID: row.ID, Role: logservice.Role(row.Role), Pool: core.Pool(row.Pool),
 				DataCentre: core.DataCentre(row.DataCentre), Address: row.Address, Seat: core.Seat(row.Seat),
 			},
 		})
@@ -53,12 +53,12 @@
 	if s.away {
 		return fiber.NewError(fiber.StatusServiceUnavailable, "the list is away")
 	}
-	return c.JSON(platform.Listing{Instances: s.visible(time.Now())})
+	return c.JSON(logservice.Listing{Instances: s.visible(time.Now())})
 }
 
 // visible folds the changes that are older than the lag.
-func (s *server) visible(now time.Time) []platform.Instance {
-	byID := map[string]platform.Instance{}
+func (s *server) visible(now time.Time) []logservice.Instance {
+	byID := map[string]logservice.Instance{}
 	for _, ch := range s.changes {
 		if now.Sub(ch.at) < s.lag {
 			break
@@ -68,16 +68,16 @@
 			delete(byID, ch.instance.ID)
 		}
 	}
-	all := make([]platform.Instance, 0, len(byID))
+	all := make([]logservice.Instance, 0, len(byID))
 	for _, i := range byID {
 		all = append(all, i)
 	}
-	slices.SortFunc(all, func(a, b platform.Instance) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(all, func(a, b logservice.Instance) int { return cmp.Compare(a.ID, b.ID) })
 	return all
 }
 
 func (s *server) put(c *fiber.Ctx) error {
-	var i platform.Instance
+	var i logservice.Instance
 	if err := c.BodyParser(&i); err != nil {
 		return fiber.NewError(fiber.StatusBadRequest, err.Error())
 	}
@@ -87,7 +87,7 @@
 }
 
 func (s *server) remove(c *fiber.Ctx) error {
-	s.add(change{at: time.Now(), instance: platform.Instance{ID: c.Params("id")}, removed: true})
+	s.add(change{at: time.Now(), instance: logservice.Instance{ID: c.Params("id")}, removed: true})
 	return c.SendStatus(fiber.StatusNoContent)
 }
 
--- a/lab/log/server.go
+++ b/lab/log/server.go
@@ -8,7 +8,7 @@
 	"github.com/gofiber/fiber/v2"
 	"golang.org/x/time/rate"
 
-	"camphorpulley.org/base/platform"
+	"camphorpulley.org/base/logservice"
 	"camphorpulley.org/core"
 )
 
@@ -84,7 +84,7 @@
 	if s.current().LoseAnswers {
 		return fiber.NewError(fiber.StatusGatewayTimeout, "the answer was lost")
 	}
-	return c.JSON(platform.Appended{Offset: offset})
+	return c.JSON(logservice.Appended{Offset: offset})
 }
 
 func (s *server) read(c *fiber.Ctx) error {
@@ -92,7 +92,7 @@
 	if err != nil {
 		return fiber.NewError(fiber.StatusBadRequest, "from is not an offset")
 	}
-	most := c.QueryInt("max", platform.MaxPage)
+	most := c.QueryInt("max", logservice.MaxPage)
 	deadline := time.Now().Add(time.Duration(c.QueryInt("wait_ms", 0)) * time.Millisecond)
 	st := s.stream(c.Params("name"))
 	for {
--- a/lab/log/stream.go
+++ b/lab/log/stream.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"camphorpulley.org/base/platform"
+	"camphorpulley.org/base/logservice"
 	"camphorpulley.org/core"
 )
 
@@ -17,7 +17,7 @@
 }
 
 type kept struct {
-	record platform.Record
+	record logservice.Record
 	at     time.Time
 }
 
@@ -28,7 +28,7 @@
 	s.next = max(s.next, 1)
 	offset := s.next
 	s.next++
-	s.records = append(s.records, kept{platform.Record{Offset: offset, Data: data}, now})
+	s.records = append(s.records, kept{logservice.Record{Offset: offset, Data: data}, now})
 	if s.changed != nil {
 		close(s.changed)
 		s.changed = nil
@@ -49,14 +49,14 @@
 
 // page returns records from an offset on, and a channel that is closed at the
 // next append.
-func (s *stream) page(from core.Offset, most int) (platform.Page, <-chan struct{}) {
+func (s *stream) page(from core.Offset, most int) (logservice.Page, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.changed == nil {
 		s.changed = make(chan struct{})
 	}
 	next := max(s.next, 1)
-	p := platform.Page{Earliest: next, Next: next, Records: []platform.Record{}}
+	p := logservice.Page{Earliest: next, Next: next, Records: []logservice.Record{}}
 	if len(s.records) > 0 {
 		p.Earliest = s.records[0].record.Offset
 	}
--- a/router/app/follow.go
+++ b/router/app/follow.go
@@ -10,7 +10,7 @@
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 
-	"camphorpulley.org/base/platform"
+	"camphorpulley.org/base/logservice"
 	"camphorpulley.org/base/record"
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/config"
@@ -30,9 +30,9 @@
 
 // follow reads the platform's streams.
 func (r *Router) follow(ctx context.Context) {
-	r.tail(ctx, platform.ConfigStream, follow.Reader{Trimmed: r.node.Trimmed, Record: r.configRecord})
-	r.tail(ctx, platform.OrderStream, follow.Reader{Record: func(p platform.Record) { r.desk.Fold(time.Now(), p) }})
-	r.tail(ctx, platform.SuspectStream, follow.Reader{Record: r.suspectRecord})
+	r.tail(ctx, logservice.ConfigStream, follow.Reader{Trimmed: r.node.Trimmed, Record: r.configRecord})
+	r.tail(ctx, logservice.OrderStream, follow.Reader{Record: func(p logservice.Record) { r.desk.Fold(time.Now(), p) }})
+	r.tail(ctx, logservice.SuspectStream, follow.Reader{Record: r.suspectRecord})
 }
 
 func (r *Router) tail(ctx context.Context, stream string, reader follow.Reader) {
@@ -41,7 +41,7 @@
 }
 
 // configRecord folds a record of the configuration's stream.
-func (r *Router) configRecord(p platform.Record) {
+func (r *Router) configRecord(p logservice.Record) {
 	entry, err := record.Decode[record.Config](p.Data)
 	if err != nil {
 		r.log.Error("bad_config_record", zap.Uint64("offset", uint64(p.Offset)), logs.Err(err))
@@ -82,14 +82,14 @@
 	}
 	data, err := record.Encode(record.Config{Snapshot: &s})
 	if err == nil {
-		_, err = r.client.Append(platform.ConfigStream, data)
+		_, err = r.client.Append(logservice.ConfigStream, data)
 	}
 	if err != nil {
 		r.log.Warn("snapshot_not_appended", logs.Err(err))
 	}
 }
 
-func (r *Router) suspectRecord(p platform.Record) {
+func (r *Router) suspectRecord(p logservice.Record) {
 	s, err := record.Decode[record.Suspect](p.Data)
 	if err != nil {
 		r.log.Error("bad_suspect_record", zap.Uint64("offset", uint64(p.Offset)), logs.Err(err))
@@ -105,15 +105,15 @@
 		r.log.Debug("list_away", logs.Err(err))
 		return
 	}
-	routers := lo.FilterMap(instances, func(i platform.Instance, _ int) (instance.Router, bool) {
+	routers := lo.FilterMap(instances, func(i logservice.Instance, _ int) (instance.Router, bool) {
 		return instance.Router{
 			ID: core.RouterID(i.ID), DataCentre: i.DataCentre, Seat: i.Seat, Address: i.Address, Leaving: i.Leaving,
-		}, i.Role == platform.Entry && i.ID != r.file.Router.ID
+		}, i.Role == logservice.Entry && i.ID != r.file.Router.ID
 	})
-	upstreams := lo.FilterMap(instances, func(i platform.Instance, _ int) (upstream.Upstream, bool) {
+	upstreams := lo.FilterMap(instances, func(i logservice.Instance, _ int) (upstream.Upstream, bool) {
 		return upstream.Upstream{
 			ID: core.UpstreamID(i.ID), Pool: i.Pool, DataCentre: i.DataCentre, Address: i.Address, Leaving: i.Leaving,
-		}, i.Role == platform.Upstream
+		}, i.Role == logservice.Upstream
 	})
 	r.node.Listed(routers, upstreams)
 	r.listed.Store(true)
--- a/router/app/run.go
+++ b/router/app/run.go
@@ -13,7 +13,7 @@
 	"go.uber.org/zap"
 
 	"camphorpulley.org/base/daemon"
-	"camphorpulley.org/base/platform"
+	"camphorpulley.org/base/logservice"
 	"camphorpulley.org/base/record"
 	"camphorpulley.org/base/worker"
 	"camphorpulley.org/core"
@@ -26,6 +26,7 @@
 	"camphorpulley.org/router/orders"
 	"camphorpulley.org/router/peer"
 	"camphorpulley.org/router/setup"
+	"camphorpulley.org/router/wire"
 )
 
 // Router is the running router.
@@ -33,11 +34,11 @@
 	file     setup.File
 	log      *zap.Logger
 	node     *node.Node
-	client   *platform.Client
+	client   *logservice.Client
 	desk     *orders.Desk
 	exchange *exchange.Server
 	front    *front.Front
-	network  *peer.Network
+	network  *peer.Network[node.Hello, node.Message]
 	clock    worker.Clock
 	probes   *worker.Pool[core.UpstreamID]
 	suspects *worker.Pool[node.Suspect]
@@ -50,7 +51,7 @@
 // Run runs the router until the process is told to stop.
 func Run(p daemon.Process, f setup.File) error {
 	f = f.WithDefaults()
-	i := wire(time.Now(), f, p.Log)
+	i := register(time.Now(), f, p.Log)
 	if _, err := do.Invoke[*metrics.Metrics](i); err != nil {
 		return err
 	}
@@ -58,7 +59,7 @@
 		file:     f,
 		log:      p.Log,
 		node:     do.MustInvoke[*node.Node](i),
-		client:   do.MustInvoke[*platform.Client](i),
+		client:   do.MustInvoke[*logservice.Client](i),
 		desk:     do.MustInvoke[*orders.Desk](i),
 		exchange: do.MustInvoke[*exchange.Server](i),
 		front:    do.MustInvoke[*front.Front](i),
@@ -97,7 +98,7 @@
 		Router: self.ID, DataCentre: self.DataCentre, Seat: self.Seat,
 		Address: self.Address, Incarnation: self.Incarnation,
 	}
-	r.network = peer.New(ctx, hello, r.log, peer.Handler{
+	r.network = peer.New(ctx, hello, r.log, wire.Peers(), peer.Handler[node.Hello, node.Message]{
 		Receive: func(from node.Hello, m node.Message) { r.carry(r.node.Receive(time.Now(), from, m)) },
 		Lost:    func(id core.RouterID) { r.carry(r.node.Lost(id)) },
 		Address: r.addressOf,
@@ -173,7 +174,7 @@
 func (r *Router) appendSuspect(_ context.Context, s node.Suspect) {
 	data, err := record.Encode(record.Suspect(s))
 	if err == nil {
-		_, err = r.client.Append(platform.SuspectStream, data)
+		_, err = r.client.Append(logservice.SuspectStream, data)
 	}
 	if err != nil {
 		r.log.Warn("suspect_not_appended", logs.Err(err))
--- a/router/app/wire.go
+++ b/router/app/wire.go
@@ -8,7 +8,7 @@
 	"github.com/samber/do/v2"
 	"go.uber.org/zap"
 
-	"camphorpulley.org/base/platform"
+	"camphorpulley.org/base/logservice"
 	"camphorpulley.org/base/sheet"
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/burn"
@@ -26,8 +26,8 @@
 	"camphorpulley.org/router/setup"
 )
 
-// wire registers how the parts of the router are made.
-func wire(now time.Time, f setup.File, log *zap.Logger) do.Injector {
+// register says how the parts of the router are made.
+func register(now time.Time, f setup.File, log *zap.Logger) do.Injector {
 	i := do.New()
 	do.ProvideValue(i, f)
 	do.ProvideValue(i, log)
@@ -56,14 +56,14 @@
 	}
 }
 
-func provideClient(i do.Injector) (*platform.Client, error) {
+func provideClient(i do.Injector) (*logservice.Client, error) {
 	f := do.MustInvoke[setup.File](i)
-	return &platform.Client{Log: f.Platform.Log, List: f.Platform.List}, nil
+	return &logservice.Client{Log: f.Platform.Log, List: f.Platform.List}, nil
 }
 
 func provideDesk(i do.Injector) (*orders.Desk, error) {
 	self := do.MustInvoke[*node.Node](i).Self()
-	return orders.New(self.ID, self.Incarnation, do.MustInvoke[*platform.Client](i), do.MustInvoke[*zap.Logger](i)), nil
+	return orders.New(self.ID, self.Incarnation, do.MustInvoke[*logservice.Client](i), do.MustInvoke[*zap.Logger](i)), nil
 }
 
 func provideMetrics(i do.Injector) (*metrics.Metrics, error) {
--- a/router/back/back.go
+++ b/router/back/back.go
@@ -12,7 +12,7 @@
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 
-	"camphorpulley.org/base/platform"
+	"camphorpulley.org/base/logservice"
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/table"
 )
@@ -129,25 +129,25 @@
 
 // Report reads an upstream's load report on a connection of its own. For one
 // that gives none, it only connects.
-func Report(t Target) (platform.Load, error) {
+func Report(t Target) (logservice.Load, error) {
 	conn, err := net.DialTimeout("tcp4", t.Address, dialTimeout)
 	if err != nil {
-		return platform.Load{}, &DialError{Upstream: t.ID, Cause: err}
+		return logservice.Load{}, &DialError{Upstream: t.ID, Cause: err}
 	}
 	defer func() { _ = conn.Close() }()
 	if !t.Reports {
-		return platform.Load{}, nil
+		return logservice.Load{}, nil
 	}
 	load, err := readLoad(conn, t.Address)
 	if err != nil {
-		return platform.Load{}, &DialError{Upstream: t.ID, Cause: err}
+		return logservice.Load{}, &DialError{Upstream: t.ID, Cause: err}
 	}
 	return load, nil
 }
 
 // readLoad asks for a load report on an open connection.
-func readLoad(conn net.Conn, address string) (platform.Load, error) {
-	var load platform.Load
+func readLoad(conn net.Conn, address string) (logservice.Load, error) {
+	var load logservice.Load
 	if err := conn.SetDeadline(time.Now().Add(reportTimeout)); err != nil {
 		return load, err
 	}
--- /dev/null
+++ b/router/cluster/follow.go
@@ -0,0 +1,178 @@
+package cluster
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"camphorpulley.org/base/logs"
+	"camphorpulley.org/base/worker"
+	"camphorpulley.org/core"
+	"camphorpulley.org/core/fleet"
+	"camphorpulley.org/core/roster"
+)
+
+const (
+	// longPoll is how long one read of the operators' records waits for a new
+	// one. A connection that has gone silent is found after it.
+	longPoll = 4 * time.Second
+	// firstPause and lastPause bound the time between tries while the store is
+	// away: the first is a few round trips, the last leaves most of the second in
+	// which a router must be up to date again.
+	firstPause = 100 * time.Millisecond
+	lastPause  = 800 * time.Millisecond
+	// leastPoll is the shortest time between two reads of the upstreams' records,
+	// and pollPart what each router adds to it: routers tell each other what they
+	// read, so that the whole fleet reads as often as one router would.
+	leastPoll = 700 * time.Millisecond
+	pollPart  = 120 * time.Millisecond
+)
+
+// follower keeps one feed in step with the store.
+type follower struct {
+	feed  Feed
+	store Store
+	fleet *fleet.Fleet
+	log   *zap.Logger
+	// wait is how long a read waits, and pause returns the time between reads.
+	wait  time.Duration
+	pause func(now time.Time) time.Duration
+
+	next   uint64
+	synced bool
+	tries  int
+	out    map[core.DataCentre]bool
+}
+
+// step reads once and then pauses.
+func (f *follower) step(ctx context.Context) {
+	err := f.read(ctx)
+	if ctx.Err() != nil {
+		return
+	}
+	now := time.Now()
+	var gap *GapError
+	switch {
+	case errors.As(err, &gap):
+		f.synced = false
+		f.log.Warn("records_dropped", zap.String("feed", f.feed.String()), logs.Err(err))
+	case err != nil:
+		f.lost(now, err)
+		worker.Sleep(ctx, min(firstPause<<min(f.tries-1, 8), lastPause))
+	default:
+		f.regained(now)
+		worker.Sleep(ctx, f.pause(now))
+	}
+}
+
+func (f *follower) read(ctx context.Context) error {
+	if !f.synced {
+		page, err := f.store.Newest(ctx, f.feed)
+		if err != nil {
+			return err
+		}
+		f.replace(time.Now(), page.Events)
+		f.next, f.synced = page.Next, true
+		return nil
+	}
+	page, err := f.store.Since(ctx, f.feed, f.next, f.wait)
+	if err != nil {
+		return err
+	}
+	for _, e := range page.Events {
+		f.apply(time.Now(), e)
+	}
+	f.next = page.Next
+	return nil
+}
+
+func (f *follower) lost(now time.Time, err error) {
+	f.fleet.Unreliable(now)
+	if f.tries++; f.tries == 1 {
+		f.log.Warn("store_lost", zap.String("feed", f.feed.String()), zap.Uint64("next", f.next), logs.Err(err))
+	}
+}
+
+func (f *follower) regained(now time.Time) {
+	if f.tries == 0 {
+		return
+	}
+	f.fleet.Unreliable(now)
+	f.log.Info("store_regained", zap.String("feed", f.feed.String()), zap.Uint64("next", f.next), zap.Int("tries", f.tries))
+	f.tries = 0
+}
+
+// replace takes in all that the store holds.
+func (f *follower) replace(now time.Time, events []Event) {
+	var entries []roster.Entry
+	f.out = map[core.DataCentre]bool{}
+	for _, e := range events {
+		if e.Entry != nil {
+			entries = append(entries, *e.Entry)
+			continue
+		}
+		f.apply(now, e)
+	}
+	switch f.feed {
+	case Operators:
+		f.fleet.Out(f.out)
+	case Upstreams:
+		f.changed(f.fleet.Upstreams(now, entries))
+	case Routers:
+		f.fleet.Listed()
+	}
+	f.log.Info("feed_read", zap.String("feed", f.feed.String()), zap.Int("records", len(events)))
+}
+
+// apply takes in one record.
+func (f *follower) apply(now time.Time, e Event) {
+	switch {
+	case e.Fault != nil:
+		f.log.Warn("record_unreadable", zap.String("feed", f.feed.String()), logs.Err(e.Fault))
+		if e.Removed != "" {
+			f.changed(f.fleet.Removed(now, e.Removed))
+		}
+	case e.Catalog != nil:
+		if f.fleet.Configure(e.Catalog) {
+			f.log.Info("catalog_in_force", zap.Uint64("version", e.Catalog.Version), zap.Int("routes", len(e.Catalog.Routes)),
+				zap.Int("keys", len(e.Catalog.Keys)))
+		}
+	case e.Out != "":
+		f.out[e.Out] = true
+		f.centres(e.Out, "out")
+	case e.In != "":
+		delete(f.out, e.In)
+		f.centres(e.In, "in")
+	case e.Entry != nil:
+		f.changed(f.fleet.Entered(now, *e.Entry))
+	case e.Removed != "":
+		f.changed(f.fleet.Removed(now, e.Removed))
+	case e.Member != nil:
+		f.fleet.Meet(now, *e.Member)
+	}
+}
+
+func (f *follower) centres(dc core.DataCentre, what string) {
+	out := make(map[core.DataCentre]bool, len(f.out))
+	for name := range f.out {
+		out[name] = true
+	}
+	f.fleet.Out(out)
+	f.log.Info("datacentre", zap.String("datacentre", string(dc)), zap.String("service", what))
+}
+
+func (f *follower) changed(changes []roster.Change) {
+	for _, c := range changes {
+		f.log.Info("upstream", zap.String("upstream", string(c.ID)), zap.String("change", c.What), zap.Uint64("next", f.next))
+	}
+}
+
+// every returns a pause that grows with the fleet, up to a longest one.
+func every(f *fleet.Fleet, longest time.Duration) func(time.Time) time.Duration {
+	return func(now time.Time) time.Duration {
+		routers := time.Duration(len(f.Members(now)) + 1)
+		return min(max(leastPoll, pollPart*routers), longest)
+	}
+}
--- /dev/null
+++ b/router/cluster/run.go
@@ -0,0 +1,213 @@
+package cluster
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+
+	"camphorpulley.org/base/daemon"
+	"camphorpulley.org/base/logs"
+	"camphorpulley.org/base/worker"
+	"camphorpulley.org/base/wrap"
+	"camphorpulley.org/core"
+	"camphorpulley.org/core/fleet"
+	"camphorpulley.org/router/conn"
+	"camphorpulley.org/router/gateway"
+	"camphorpulley.org/router/metrics"
+	"camphorpulley.org/router/peer"
+	"camphorpulley.org/router/relay"
+	"camphorpulley.org/router/wire"
+)
+
+// Router is a running router of a fleet.
+type Router struct {
+	file    File
+	log     *zap.Logger
+	adapter Adapter
+	fleet   *fleet.Fleet
+	pool    *conn.Pool
+	gateway *gateway.Gateway
+	network *peer.Network[fleet.Member, fleet.Message]
+	clock   worker.Clock
+	leaving atomic.Bool
+}
+
+// Run runs the router until the process is told to stop.
+func Run(p daemon.Process, f File, a Adapter) error {
+	now := time.Now()
+	count, err := metrics.New()
+	if err != nil {
+		return err
+	}
+	r := &Router{file: f, log: p.Log, adapter: a, fleet: fleet.New(now, f.fleetSettings(now, a)), pool: &conn.Pool{}}
+	r.gateway = &gateway.Gateway{
+		Fleet: r.fleet, Dialect: a.Incoming, Log: p.Log, Count: count,
+		Relay: &relay.Server{Fleet: r.fleet, Dialect: a.Outgoing, Log: p.Log, Pool: r.pool, Count: count},
+	}
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	return r.run(p, background, stop)
+}
+
+const (
+	// headerTimeout bounds the reading of a request's head: far above any limit
+	// that operators set, so that no caller that keeps to theirs is cut off.
+	headerTimeout = 30 * time.Second
+	// idleTimeout is how long idle connections of callers are kept, for the same
+	// reason.
+	idleTimeout = 10 * time.Minute
+	// headerBytes bounds the head of a request.
+	headerBytes = 64 << 10
+)
+
+func (r *Router) run(p daemon.Process, background context.Context, stop func()) error {
+	callers := &http.Server{
+		Addr: r.file.Router.Listen, Handler: r.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: headerBytes, ErrorLog: zap.NewStdLog(r.log.Named("http")),
+	}
+	metricsMux := http.NewServeMux()
+	metricsMux.Handle("/metrics", promhttp.Handler())
+	failed := make(chan error, 4)
+	r.start(background)
+	go func() { failed <- r.network.Serve(r.file.Router.Peer) }()
+	go func() { failed <- listen(r.file.Router.Ready, http.HandlerFunc(r.ready)) }()
+	go func() { failed <- listen(r.file.Router.Metrics, metricsMux) }()
+	go func() { failed <- listenWith(callers) }()
+	r.log.Info("started", zap.String("router", r.file.Router.ID), zap.String("listen", r.file.Router.Listen),
+		zap.Uint64("incarnation", uint64(r.fleet.Self().Incarnation)))
+	select {
+	case err := <-failed:
+		return wrap.Err(err, "listen")
+	case <-p.Context.Done():
+	}
+	r.shutdown(callers)
+	stop()
+	return nil
+}
+
+// listen serves until the process ends.
+func listen(address string, h http.Handler) error {
+	return listenWith(&http.Server{Addr: address, Handler: h, ReadHeaderTimeout: headerTimeout})
+}
+
+func listenWith(s *http.Server) error {
+	ln, err := net.Listen("tcp4", s.Addr)
+	if err != nil {
+		return wrap.Err(err, s.Addr)
+	}
+	return s.Serve(ln)
+}
+
+// ready answers the balancer.
+func (r *Router) ready(w http.ResponseWriter, _ *http.Request) {
+	if r.leaving.Load() || !r.fleet.Ready(time.Now()) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+const (
+	// leastBeat is the shortest time between two beats, and beatPart what each
+	// router adds to it, so that the bytes of a router's beats don't grow with
+	// the fleet.
+	leastBeat = 200 * time.Millisecond
+	beatPart  = 30 * time.Millisecond
+	// sweepEvery is the time between two looks for old idle connections.
+	sweepEvery = time.Second
+)
+
+// start begins the work that goes on beside requests.
+func (r *Router) start(ctx context.Context) {
+	self := r.fleet.Self()
+	member := fleet.Member{ID: self.ID, Address: self.Address, DataCentre: self.DataCentre}
+	r.network = peer.New(ctx, member, r.log, wire.Fleet(), peer.Handler[fleet.Member, fleet.Message]{
+		Receive: func(from fleet.Member, m fleet.Message) {
+			if reply := r.fleet.Receive(time.Now(), from, m); reply != nil {
+				r.network.Send(from.ID, *reply)
+			}
+		},
+		Lost: func(id core.RouterID) { r.log.Info("peer_lost", zap.String("peer", string(id))) },
+		Address: func(id core.RouterID) string {
+			m, _ := r.fleet.Member(id)
+			return m.Address
+		},
+	})
+	r.follow(ctx)
+	r.clock.Loop(ctx, func(ctx context.Context) {
+		members := r.fleet.Members(time.Now())
+		worker.Sleep(ctx, max(leastBeat, beatPart*time.Duration(len(members))))
+		beat := r.fleet.Beat(time.Now())
+		for _, m := range members {
+			r.network.Send(m.ID, fleet.Message{Beat: &beat})
+		}
+	})
+	r.clock.Every(ctx, sweepEvery, func(context.Context) { r.pool.Sweep(time.Now()) })
+	r.clock.Loop(ctx, r.announce(member))
+}
+
+// follow keeps the tables in step with the store.
+func (r *Router) follow(ctx context.Context) {
+	drain := time.Duration(r.file.Bounds.Drain) * time.Millisecond
+	for _, f := range []*follower{
+		{feed: Operators, wait: longPoll, pause: func(time.Time) time.Duration { return 0 }},
+		{feed: Upstreams, pause: every(r.fleet, drain/2)},
+	} {
+		f.store, f.fleet, f.log = r.adapter.Store, r.fleet, r.log
+		r.clock.Loop(ctx, f.step)
+	}
+}
+
+// announce returns the steps that make the router known: it writes that it
+// exists and reads who else does. The others learn of it from its beats.
+func (r *Router) announce(self fleet.Member) func(context.Context) {
+	known := false
+	peers := &follower{
+		feed: Routers, store: r.adapter.Store, fleet: r.fleet, log: r.log,
+		pause: func(time.Time) time.Duration { return 0 },
+	}
+	return func(ctx context.Context) {
+		if !known {
+			if err := r.adapter.Store.Announce(ctx, self); err != nil {
+				peers.lost(time.Now(), err)
+				worker.Sleep(ctx, lastPause)
+				return
+			}
+			known = true
+		}
+		if !peers.synced {
+			peers.step(ctx)
+			return
+		}
+		<-ctx.Done()
+	}
+}
+
+const (
+	// notice is how long the balancer needs to see that the router is leaving:
+	// two misses of a check each second, and one second more.
+	notice = 3 * time.Second
+	// lastMargin is left of the grace for the process to end.
+	lastMargin = 400 * time.Millisecond
+)
+
+// shutdown finishes what is in hand. New connections are taken until the
+// balancer has seen that the router is leaving.
+func (r *Router) shutdown(callers *http.Server) {
+	begun := time.Now()
+	r.leaving.Store(true)
+	r.log.Info("leaving", zap.Int64("running", r.gateway.Running.Load()))
+	callers.SetKeepAlivesEnabled(false)
+	grace := time.Duration(r.file.Bounds.Grace*float64(time.Second)) - lastMargin
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(grace))
+	defer cancel()
+	if err := r.adapter.Store.Withdraw(ctx, r.fleet.Self().ID); err != nil {
+		r.log.Warn("withdraw_failed", logs.Err(err))
+	}
+	worker.Sleep(ctx, min(notice, grace/2)-time.Since(begun))
+	err := callers.Shutdown(ctx)
+	r.log.Info("left", zap.Int64("cut", r.gateway.Running.Load()), zap.Duration("took", time.Since(begun)), logs.Err(err))
+}
--- a/router/follow/follow.go
+++ b/router/follow/follow.go
@@ -10,7 +10,7 @@
 
 	"go.uber.org/zap"
 
-	"camphorpulley.org/base/platform"
+	"camphorpulley.org/base/logservice"
 	"camphorpulley.org/base/worker"
 	"camphorpulley.org/core"
 )
@@ -27,14 +27,14 @@
 	// Trimmed is called with the first offset that the log has, before the
 	// records of each page.
 	Trimmed func(earliest core.Offset)
-	Record  func(platform.Record)
+	Record  func(logservice.Record)
 	// Caught is called when everything that the log had was read.
 	Caught func()
 }
 
 // Tail follows one stream.
 type Tail struct {
-	Client *platform.Client
+	Client *logservice.Client
 	Stream string
 	Log    *zap.Logger
 	Reader Reader
--- a/router/metrics/metrics.go
+++ b/router/metrics/metrics.go
@@ -19,6 +19,7 @@
 type Metrics struct {
 	requests  metric.Int64Counter
 	attempts  metric.Int64Counter
+	outcomes  metric.Int64Counter
 	dropped   metric.Int64Counter
 	crashes   metric.Int64Counter
 	firstByte metric.Float64Histogram
@@ -45,6 +46,7 @@
 	}{
 		{&m.requests, "requests", "requests by pool and outcome"},
 		{&m.attempts, "attempts", "attempts at upstreams"},
+		{&m.outcomes, "attempt_outcomes", "attempts by pool and outcome"},
 		{&m.dropped, "dropped_parts", "late, doubled or crossed parts of answers"},
 		{&m.crashes, "crashes", "requests that were running when an upstream crashed"},
 	}
@@ -97,6 +99,14 @@
 // Attempt counts an attempt.
 func (m *Metrics) Attempt(pool core.Pool) { m.count(m.attempts, pool) }
 
+// Ended counts an attempt by its outcome.
+func (m *Metrics) Ended(pool core.Pool, outcome string) {
+	if m.outcomes != nil {
+		m.outcomes.Add(context.Background(), 1,
+			metric.WithAttributes(poolAttribute(pool), attribute.String("outcome", outcome)))
+	}
+}
+
 // Dropped counts a part of an answer that was not delivered.
 func (m *Metrics) Dropped(pool core.Pool) { m.count(m.dropped, pool) }
 
--- a/router/orders/commit.go
+++ b/router/orders/commit.go
@@ -8,7 +8,7 @@
 
 	"go.uber.org/zap"
 
-	"camphorpulley.org/base/platform"
+	"camphorpulley.org/base/logservice"
 	"camphorpulley.org/base/record"
 	"camphorpulley.org/base/worker"
 )
@@ -30,13 +30,13 @@
 		return
 	}
 	for ctx.Err() == nil {
-		if _, err = d.appender.Append(platform.OrderStream, data); err == nil {
+		if _, err = d.appender.Append(logservice.OrderStream, data); err == nil {
 			worker.Sleep(ctx, appendPause)
 			return
 		}
 		// The append may have taken effect: a second copy changes nothing,
 		// since the first claim on a key wins and a result counts once.
-		d.log.Warn("append_unanswered", zap.String("stream", platform.OrderStream), logs.Err(err))
+		d.log.Warn("append_unanswered", zap.String("stream", logservice.OrderStream), logs.Err(err))
 		batch = d.live(batch)
 		if data, err = record.Encode(batch); err != nil || empty(batch) {
 			return
--- a/router/orders/desk.go
+++ b/router/orders/desk.go
@@ -10,7 +10,7 @@
 
 	"go.uber.org/zap"
 
-	"camphorpulley.org/base/platform"
+	"camphorpulley.org/base/logservice"
 	"camphorpulley.org/base/record"
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/order"
@@ -166,7 +166,7 @@
 }
 
 // Fold takes in a record of the orders' stream.
-func (d *Desk) Fold(now time.Time, r platform.Record) {
+func (d *Desk) Fold(now time.Time, r logservice.Record) {
 	entry, err := record.Decode[record.Orders](r.Data)
 	if err != nil {
 		d.log.Error("bad_order_record", zap.Uint64("offset", uint64(r.Offset)), logs.Err(err))
--- a/router/peer/link.go
+++ b/router/peer/link.go
@@ -1,16 +1,17 @@
 package peer
 
 import (
+	"context"
+	"net"
 	"time"
 
+	"camphorpulley.org/base/dial"
 	"camphorpulley.org/base/logs"
 
 	"github.com/fasthttp/websocket"
 	"go.uber.org/zap"
 
 	"camphorpulley.org/core"
-	"camphorpulley.org/core/node"
-	"camphorpulley.org/router/wire"
 )
 
 // redialPause is the least time between two tries to reach a router. What is
@@ -18,8 +19,8 @@
 const redialPause = 200 * time.Millisecond
 
 // link is the sending half of the exchange with one router.
-type link struct {
-	network *Network
+type link[G, M any] struct {
+	network *Network[G, M]
 	to      core.RouterID
 	queue   chan []byte
 	conn    *websocket.Conn
@@ -27,7 +28,7 @@
 	failed  time.Time
 }
 
-func (l *link) run() {
+func (l *link[G, M]) run() {
 	for {
 		select {
 		case <-l.network.ctx.Done():
@@ -40,7 +41,7 @@
 }
 
 // write sends a message, over a new connection if there is none.
-func (l *link) write(data []byte) {
+func (l *link[G, M]) write(data []byte) {
 	address := l.network.handler.Address(l.to)
 	if l.conn != nil && address != l.address {
 		l.close()
@@ -54,7 +55,7 @@
 	}
 }
 
-func (l *link) send(data []byte) error {
+func (l *link[G, M]) send(data []byte) error {
 	if err := l.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
@@ -62,11 +63,16 @@
 	return l.conn.WriteMessage(websocket.BinaryMessage, data)
 }
 
-func (l *link) dial(address string) bool {
+func (l *link[G, M]) dial(address string) bool {
 	if address == "" || time.Since(l.failed) < redialPause {
 		return false
 	}
-	dialer := websocket.Dialer{HandshakeTimeout: dialTimeout}
+	dialer := websocket.Dialer{
+		HandshakeTimeout: dialTimeout, ReadBufferSize: bufferSize, WriteBufferSize: bufferSize,
+		NetDialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return dial.TCP(ctx, address, dialTimeout)
+		},
+	}
 	conn, _, err := dialer.DialContext(l.network.ctx, "ws://"+address+path, nil)
 	if err != nil {
 		l.failed = time.Now()
@@ -77,7 +83,7 @@
 	l.conn = conn
 	l.address = address
 	go l.watch(conn)
-	hello, err := wire.Encode(node.Message{Hello: &l.network.self})
+	hello, err := l.network.protocol.Encode(l.network.protocol.Greet(l.network.self))
 	if err == nil {
 		err = l.send(hello)
 	}
@@ -89,7 +95,7 @@
 }
 
 // watch reads from a dialled connection, on which nothing comes but its end.
-func (l *link) watch(conn *websocket.Conn) {
+func (l *link[G, M]) watch(conn *websocket.Conn) {
 	for {
 		if _, _, err := conn.NextReader(); err != nil {
 			l.network.handler.Lost(l.to)
@@ -99,7 +105,7 @@
 	}
 }
 
-func (l *link) close() {
+func (l *link[G, M]) close() {
 	if l.conn != nil {
 		_ = l.conn.Close()
 		l.conn = nil
--- a/router/peer/peer.go
+++ b/router/peer/peer.go
@@ -18,9 +18,7 @@
 
 	"camphorpulley.org/base/worker"
 	"camphorpulley.org/core"
-	"camphorpulley.org/core/node"
 	"camphorpulley.org/core/table"
-	"camphorpulley.org/router/wire"
 )
 
 const (
@@ -36,11 +34,26 @@
 	writeTimeout = 2 * time.Second
 	// laneCount is the number of workers for received messages.
 	laneCount = 4
+	// bufferSize is the size of a connection's buffers in bytes: most messages
+	// fit.
+	bufferSize = 2048
 )
 
+// Protocol is what routers say to each other: messages of type M, the first of
+// which on each connection is a greeting of type G.
+type Protocol[G, M any] struct {
+	Encode func(M) ([]byte, error)
+	Decode func([]byte) (M, error)
+	// Greet makes the message of a greeting, and Greeting reads it.
+	Greet    func(G) M
+	Greeting func(M) (G, bool)
+	// ID returns who greets.
+	ID func(G) core.RouterID
+}
+
 // Handler takes in what peers do.
-type Handler struct {
-	Receive func(from node.Hello, m node.Message)
+type Handler[G, M any] struct {
+	Receive func(from G, m M)
 	// Lost is called when a connection to or from a router breaks.
 	Lost func(core.RouterID)
 	// Address returns where a router listens; empty if that is not known.
@@ -48,45 +61,49 @@
 }
 
 // Network is the router's connections to all others.
-type Network struct {
-	self    node.Hello
-	handler Handler
-	log     *zap.Logger
-	lanes   *worker.Lanes[received]
-	ctx     context.Context
-
-	links *table.Cell[map[core.RouterID]*link]
+type Network[G, M any] struct {
+	self     G
+	protocol Protocol[G, M]
+	handler  Handler[G, M]
+	log      *zap.Logger
+	lanes    *worker.Lanes[received[G]]
+	ctx      context.Context
+
+	links *table.Cell[map[core.RouterID]*link[G, M]]
 	// Bytes counts what was sent and received as payload.
 	sent, got atomic.Int64
 }
 
-type received struct {
-	from node.Hello
+type received[G any] struct {
+	from G
 	data []byte
 }
 
 // New returns a network that ends with ctx.
-func New(ctx context.Context, self node.Hello, log *zap.Logger, h Handler) *Network {
-	n := &Network{self: self, handler: h, log: log, ctx: ctx, links: table.New(table.RankLinks, map[core.RouterID]*link{})}
+func New[G, M any](ctx context.Context, self G, log *zap.Logger, p Protocol[G, M], h Handler[G, M]) *Network[G, M] {
+	n := &Network[G, M]{
+		self: self, protocol: p, handler: h, log: log, ctx: ctx,
+		links: table.New(table.RankLinks, map[core.RouterID]*link[G, M]{}),
+	}
 	n.lanes = worker.NewLanes(laneCount, queueLength, n.handle)
 	return n
 }
 
 // Bytes returns how many bytes of messages were sent and received.
-func (n *Network) Bytes() (sent, received int64) { return n.sent.Load(), n.got.Load() }
+func (n *Network[G, M]) Bytes() (sent, received int64) { return n.sent.Load(), n.got.Load() }
 
-func (n *Network) handle(_ context.Context, r received) {
-	m, err := wire.Decode(r.data)
+func (n *Network[G, M]) handle(_ context.Context, r received[G]) {
+	m, err := n.protocol.Decode(r.data)
 	if err != nil {
-		n.log.Warn("bad_message", zap.String("peer", string(r.from.Router)), logs.Err(err))
+		n.log.Warn("bad_message", zap.String("peer", string(n.protocol.ID(r.from))), logs.Err(err))
 		return
 	}
 	n.handler.Receive(r.from, m)
 }
 
 // Serve accepts the connections of other routers until the network ends.
-func (n *Network) Serve(address string) error {
-	upgrader := websocket.FastHTTPUpgrader{}
+func (n *Network[G, M]) Serve(address string) error {
+	upgrader := websocket.FastHTTPUpgrader{ReadBufferSize: bufferSize, WriteBufferSize: bufferSize}
 	server := &fasthttp.Server{
 		NoDefaultServerHeader: true,
 		Handler: func(ctx *fasthttp.RequestCtx) {
@@ -103,8 +120,8 @@
 	return wrap.Err(server.ListenAndServe(address), "listen for peers")
 }
 
-// accept reads from one connection. The first message is a Hello.
-func (n *Network) accept(conn *websocket.Conn) {
+// accept reads from one connection. The first message is a greeting.
+func (n *Network[G, M]) accept(conn *websocket.Conn) {
 	stop := context.AfterFunc(n.ctx, func() { _ = conn.Close() })
 	defer stop()
 	defer func() { _ = conn.Close() }()
@@ -113,20 +130,21 @@
 	if err != nil {
 		return
 	}
-	m, err := wire.Decode(data)
-	if err != nil || m.Hello == nil {
-		n.log.Warn("peer_without_hello", logs.Err(err))
+	m, err := n.protocol.Decode(data)
+	from, ok := n.protocol.Greeting(m)
+	if err != nil || !ok {
+		n.log.Warn("peer_without_greeting", logs.Err(err))
 		return
 	}
-	from := *m.Hello
-	key := xxhash.Sum64String(string(from.Router))
+	id := n.protocol.ID(from)
+	key := xxhash.Sum64String(string(id))
 	for {
 		n.got.Add(int64(len(data)))
-		if n.lanes.Put(key, received{from, data}) != nil {
+		if n.lanes.Put(key, received[G]{from, data}) != nil {
 			return
 		}
 		if _, data, err = conn.ReadMessage(); err != nil {
-			n.handler.Lost(from.Router)
+			n.handler.Lost(id)
 			return
 		}
 	}
@@ -134,8 +152,8 @@
 
 // Send queues a message. One that finds the queue full is dropped, as if it
 // were lost on the way.
-func (n *Network) Send(to core.RouterID, m node.Message) {
-	data, err := wire.Encode(m)
+func (n *Network[G, M]) Send(to core.RouterID, m M) {
+	data, err := n.protocol.Encode(m)
 	if err != nil {
 		n.log.Error("encode_failed", logs.Err(err))
 		return
@@ -147,11 +165,11 @@
 	}
 }
 
-func (n *Network) link(to core.RouterID) *link {
-	return table.Read(n.links, table.Hold{}, func(links *map[core.RouterID]*link) *link {
+func (n *Network[G, M]) link(to core.RouterID) *link[G, M] {
+	return table.Read(n.links, table.Hold{}, func(links *map[core.RouterID]*link[G, M]) *link[G, M] {
 		l := (*links)[to]
 		if l == nil {
-			l = &link{network: n, to: to, queue: make(chan []byte, queueLength)}
+			l = &link[G, M]{network: n, to: to, queue: make(chan []byte, queueLength)}
 			(*links)[to] = l
 			go l.run()
 		}
--- /dev/null
+++ b/router/wire/fleet.go
@@ -0,0 +1,124 @@
+package wire
+
+import (
+	"github.com/samber/lo"
+
+	"camphorpulley.org/base/record"
+	"camphorpulley.org/core"
+	"camphorpulley.org/core/fleet"
+	"camphorpulley.org/core/prefix"
+)
+
+// The types of this file have the fields of their namesakes in package fleet.
+
+type fleetMessage struct {
+	Hello    *fleetMember   `cbor:"1,keyasint,omitempty"`
+	Beat     *fleetBeat     `cbor:"2,keyasint,omitempty"`
+	Want     *fleetWant     `cbor:"3,keyasint,omitempty"`
+	Snapshot *fleetSnapshot `cbor:"4,keyasint,omitempty"`
+}
+
+type fleetMember struct {
+	ID         core.RouterID   `cbor:"1,keyasint"`
+	Address    string          `cbor:"2,keyasint"`
+	DataCentre core.DataCentre `cbor:"3,keyasint"`
+}
+
+type fleetBeat struct {
+	Version uint64         `cbor:"1,keyasint,omitempty"`
+	Known   int            `cbor:"2,keyasint,omitempty"`
+	Running []fleetRunning `cbor:"3,keyasint,omitempty"`
+	Resting []fleetResting `cbor:"4,keyasint,omitempty"`
+	Held    []fleetHeld    `cbor:"5,keyasint,omitempty"`
+	Crashes []fleetCrash   `cbor:"6,keyasint,omitempty"`
+	Entries []fleetEntry   `cbor:"7,keyasint,omitempty"`
+}
+
+type fleetRunning struct {
+	Upstream core.UpstreamID `cbor:"1,keyasint"`
+	Count    int             `cbor:"2,keyasint"`
+}
+
+type fleetResting struct {
+	Upstream core.UpstreamID `cbor:"1,keyasint"`
+	ForMS    int64           `cbor:"2,keyasint"`
+}
+
+type fleetHeld struct {
+	Upstream core.UpstreamID `cbor:"1,keyasint"`
+	Part     core.Digest     `cbor:"2,keyasint"`
+	Tokens   int             `cbor:"3,keyasint"`
+}
+
+type fleetCrash struct {
+	Content core.Digest `cbor:"1,keyasint"`
+	Process string      `cbor:"2,keyasint"`
+}
+
+type fleetEntry struct {
+	Upstream core.UpstreamID `cbor:"1,keyasint"`
+	Source   []byte          `cbor:"2,keyasint"`
+}
+
+type fleetWant struct {
+	Version uint64 `cbor:"1,keyasint"`
+}
+
+type fleetSnapshot struct {
+	Catalog []byte       `cbor:"1,keyasint,omitempty"`
+	Entries []fleetEntry `cbor:"2,keyasint,omitempty"`
+}
+
+// EncodeFleet returns the bytes of a message.
+func EncodeFleet(m fleet.Message) ([]byte, error) {
+	w := fleetMessage{Hello: (*fleetMember)(m.Hello), Want: (*fleetWant)(m.Want)}
+	if b := m.Beat; b != nil {
+		w.Beat = &fleetBeat{
+			Version: b.Version, Known: b.Known,
+			Running: lo.Map(b.Running, func(r fleet.Running, _ int) fleetRunning { return fleetRunning(r) }),
+			Resting: lo.Map(b.Resting, func(r fleet.Resting, _ int) fleetResting { return fleetResting(r) }),
+			Held: lo.Map(b.Held, func(h prefix.Held, _ int) fleetHeld {
+				return fleetHeld{Upstream: h.Upstream, Part: h.Part.ID, Tokens: h.Part.Tokens}
+			}),
+			Crashes: lo.Map(b.Crashes, func(c fleet.Crash, _ int) fleetCrash { return fleetCrash(c) }),
+			Entries: encodeEntries(b.Entries),
+		}
+	}
+	if s := m.Snapshot; s != nil {
+		w.Snapshot = &fleetSnapshot{Catalog: s.Catalog, Entries: encodeEntries(s.Entries)}
+	}
+	return record.Encode(w)
+}
+
+// DecodeFleet returns the message in some bytes.
+func DecodeFleet(data []byte) (fleet.Message, error) {
+	w, err := record.Decode[fleetMessage](data)
+	if err != nil {
+		return fleet.Message{}, err
+	}
+	m := fleet.Message{Hello: (*fleet.Member)(w.Hello), Want: (*fleet.Want)(w.Want)}
+	if b := w.Beat; b != nil {
+		m.Beat = &fleet.Beat{
+			Version: b.Version, Known: b.Known,
+			Running: lo.Map(b.Running, func(r fleetRunning, _ int) fleet.Running { return fleet.Running(r) }),
+			Resting: lo.Map(b.Resting, func(r fleetResting, _ int) fleet.Resting { return fleet.Resting(r) }),
+			Held: lo.Map(b.Held, func(h fleetHeld, _ int) prefix.Held {
+				return prefix.Held{Upstream: h.Upstream, Part: prefix.Part{ID: h.Part, Tokens: h.Tokens}}
+			}),
+			Crashes: lo.Map(b.Crashes, func(c fleetCrash, _ int) fleet.Crash { return fleet.Crash(c) }),
+			Entries: decodeEntries(b.Entries),
+		}
+	}
+	if s := w.Snapshot; s != nil {
+		m.Snapshot = &fleet.Snapshot{Catalog: s.Catalog, Entries: decodeEntries(s.Entries)}
+	}
+	return m, nil
+}
+
+func encodeEntries(all []fleet.EntryCopy) []fleetEntry {
+	return lo.Map(all, func(e fleet.EntryCopy, _ int) fleetEntry { return fleetEntry(e) })
+}
+
+func decodeEntries(all []fleetEntry) []fleet.EntryCopy {
+	return lo.Map(all, func(e fleetEntry, _ int) fleet.EntryCopy { return fleet.EntryCopy(e) })
+}
