Fetch prompt parts from the engine that comes first when no holder is known

A broken connection also emptied what was known of an engine's cache, though only a restart does that. Change: the fetch falls back to the first engine by rendezvous; a break forgets nothing.

--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -25,6 +25,8 @@
 	// Load is the estimate that decided, and Held the tokens of the prompt that
 	// the target was taken to have.
 	Load, Held int
+	// Prompt is how many tokens of the prompt others may share.
+	Prompt int
 	// Candidates is how many upstreams could be chosen.
 	Candidates int
 }
@@ -61,9 +63,9 @@
 	if best.state == nil {
 		return Target{}, noUpstream("the upstreams of the pool are warming up")
 	}
-	t := Target{Upstream: best.Upstream, Load: best.Load, Held: best.Held, Candidates: len(all)}
+	t := Target{Upstream: best.Upstream, Load: best.Load, Held: best.Held, Prompt: prefix.Sum(r.Shared), Candidates: len(all)}
 	if r.Pool.Engine != nil {
-		t.Fetch = holder(all, best)
+		t.Fetch = holder(all, best, t.Prompt)
 		f.parts.Do(table.Hold{}, func(_ table.Hold, m *prefix.Map) {
 			m.Read(now, best.Upstream.ID, r.Shared, r.Pool.Engine.MemoryTokens)
 		})
@@ -182,11 +184,18 @@
 }
 
 // holder returns the address of the engine that has the most of what the
-// chosen one lacks.
-func holder(all []Candidate, chosen Candidate) string {
+// chosen one lacks. If none is known to, it is the engine that comes first for
+// the prompt: it has what was read before the router started.
+func holder(all []Candidate, chosen Candidate, prompt int) string {
+	if chosen.Held >= prompt {
+		return ""
+	}
 	best := Candidate{Held: chosen.Held}
 	for _, c := range all {
-		if c.Held > best.Held && c.state.health.Losses == 0 {
+		if c.Upstream.ID == chosen.Upstream.ID || c.state.health.Losses > 0 {
+			continue
+		}
+		if c.Held > best.Held || (c.Held == best.Held && c.Score > best.Score) {
 			best = c
 		}
 	}
@@ -211,9 +220,6 @@
 			s.rested = true
 		}
 	})
-	if o == health.Unreachable || o == health.Broken {
-		f.parts.Do(table.Hold{}, func(_ table.Hold, m *prefix.Map) { m.Forget(t.ID) })
-	}
 	return rest
 }
 
--- a/core/prefix/map.go
+++ b/core/prefix/map.go
@@ -14,6 +14,15 @@
 	Tokens int
 }
 
+// Sum returns the tokens of some parts.
+func Sum(parts []Part) int {
+	total := 0
+	for _, p := range parts {
+		total += p.Tokens
+	}
+	return total
+}
+
 // Held says that an engine has read a part.
 type Held struct {
 	Upstream core.UpstreamID
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -137,7 +137,7 @@
 	}
 	s.Log.Info("attempt", zap.String("request", t.ID), zap.Int("attempt", id), zap.String("upstream", string(target.ID)),
 		zap.String("outcome", r.outcome.String()), zap.Int("status", r.status), zap.Bool("sent", r.sent),
-		zap.Duration("took", now.Sub(started)), zap.Int("load", target.Load), zap.Int("held", target.Held),
+		zap.Duration("took", now.Sub(started)), zap.Int("load", target.Load), zap.Int("held", target.Held), zap.Int("prompt", target.Prompt),
 		zap.String("fetch", target.Fetch), zap.Int("candidates", target.Candidates), zap.Bool("rests", rest), logs.Err(err))
 	return r.sent, err
 }
