Ask two routers what engines have in their caches after a start

Cause: a restarted router knows no holder, and during a rolling restart read parts again that another engine had.

--- a/core/fleet/beat.go
+++ b/core/fleet/beat.go
@@ -59,6 +59,8 @@
 type Want struct {
 	// Version is that of the asker's catalog.
 	Version uint64
+	// Held asks for what is known of the engines' caches.
+	Held bool
 }
 
 // Snapshot is what a router that can't read the store needs to serve.
@@ -66,6 +68,7 @@
 	// Catalog is the source of the catalog; empty if the asker's is as new.
 	Catalog []byte
 	Entries []EntryCopy
+	Held    []prefix.Held
 }
 
 // Beat returns the next beat.
@@ -144,8 +147,9 @@
 			s.table.Crash(now, c.Content, c.Process)
 		}
 	})
-	if own := f.version(); b.Version > own || (b.Known > 0 && !f.Ready(now)) {
-		return &Message{Want: &Want{Version: own}}
+	teach := f.mayTeach(from.ID)
+	if own := f.version(); teach || b.Version > own || (b.Known > 0 && !f.Ready(now)) {
+		return &Message{Want: &Want{Version: own, Held: teach}}
 	}
 	return nil
 }
@@ -183,6 +187,9 @@
 			}
 		}
 	})
+	if w.Held {
+		s.Held = table.Read(f.parts, table.Hold{}, func(m *prefix.Map) []prefix.Held { return m.All(now) })
+	}
 	return s
 }
 
@@ -193,6 +200,7 @@
 		}
 	}
 	f.hearEntries(now, s.Entries)
+	f.parts.Do(table.Hold{}, func(_ table.Hold, m *prefix.Map) { m.Hear(now, s.Held, f.memory()) })
 }
 
 // hearEntries takes in entries that another router has read.
--- a/core/fleet/members.go
+++ b/core/fleet/members.go
@@ -12,18 +12,24 @@
 	ID         core.RouterID
 	Address    string
 	DataCentre core.DataCentre
+	// Incarnation names the router's process; zero if it isn't known.
+	Incarnation core.Incarnation
 }
 
 type member struct {
 	Member
 	// seen is when the router was listed or heard.
 	seen time.Time
+	// asked is set once the router was asked what it knows.
+	asked bool
 }
 
 type members struct {
 	byID map[core.RouterID]member
 	// listed is set once the list of routers was read.
 	listed bool
+	// teachers is how many routers were asked what they know.
+	teachers int
 }
 
 const (
@@ -41,7 +47,28 @@
 	if m.ID == f.settings.ID || m.ID == "" {
 		return
 	}
-	f.members.Do(table.Hold{}, func(_ table.Hold, p *members) { p.byID[m.ID] = member{Member: m, seen: now} })
+	f.members.Do(table.Hold{}, func(_ table.Hold, p *members) {
+		p.byID[m.ID] = member{Member: m, seen: now, asked: p.byID[m.ID].asked}
+	})
+}
+
+// teachers is how many routers a router that has started asks what they know:
+// one may have started as late itself.
+const teachers = 2
+
+// mayTeach reports whether a router is to be asked what it knows, and counts
+// that it is.
+func (f *Fleet) mayTeach(id core.RouterID) bool {
+	return table.Read(f.members, table.Hold{}, func(p *members) bool {
+		m, ok := p.byID[id]
+		if !ok || m.asked || p.teachers >= teachers {
+			return false
+		}
+		m.asked = true
+		p.byID[id] = m
+		p.teachers++
+		return true
+	})
 }
 
 // Listed takes in that the list of routers was read.
--- a/core/prefix/map.go
+++ b/core/prefix/map.go
@@ -137,5 +137,18 @@
 	return total
 }
 
+// All returns the parts that engines have, as far as they were used lately.
+func (m *Map) All(now time.Time) []Held {
+	var all []Held
+	for id, e := range m.engines {
+		for part, k := range e.parts {
+			if now.Sub(k.used) < stale {
+				all = append(all, Held{Upstream: id, Part: Part{ID: part, Tokens: k.tokens}})
+			}
+		}
+	}
+	return all
+}
+
 // Forget drops all that is known of an engine.
 func (m *Map) Forget(id core.UpstreamID) { delete(m.engines, id) }
--- a/router/cluster/run.go
+++ b/router/cluster/run.go
@@ -123,7 +123,7 @@
 // start begins the work that goes on beside requests.
 func (r *Router) start(ctx context.Context) {
 	self := r.fleet.Self()
-	member := fleet.Member{ID: self.ID, Address: self.Address, DataCentre: self.DataCentre}
+	member := fleet.Member{ID: self.ID, Address: self.Address, DataCentre: self.DataCentre, Incarnation: self.Incarnation}
 	r.network = peer.New(ctx, member, r.log, wire.Fleet(), peer.Handler[fleet.Member, fleet.Message]{
 		Receive: func(from fleet.Member, m fleet.Message) {
 			if reply := r.fleet.Receive(time.Now(), from, m); reply != nil {
--- a/router/wire/fleet.go
+++ b/router/wire/fleet.go
@@ -22,6 +22,8 @@
 	ID         core.RouterID   `cbor:"1,keyasint"`
 	Address    string          `cbor:"2,keyasint"`
 	DataCentre core.DataCentre `cbor:"3,keyasint"`
+
+	Incarnation core.Incarnation `cbor:"4,keyasint,omitempty"`
 }
 
 type fleetBeat struct {
@@ -62,11 +64,13 @@
 
 type fleetWant struct {
 	Version uint64 `cbor:"1,keyasint"`
+	Held    bool   `cbor:"2,keyasint,omitempty"`
 }
 
 type fleetSnapshot struct {
 	Catalog []byte       `cbor:"1,keyasint,omitempty"`
 	Entries []fleetEntry `cbor:"2,keyasint,omitempty"`
+	Held    []fleetHeld  `cbor:"3,keyasint,omitempty"`
 }
 
 // EncodeFleet returns the bytes of a message.
@@ -77,15 +81,13 @@
 			Version: b.Version, Known: b.Known,
 			Running: lo.Map(b.Running, func(r fleet.Running, _ int) fleetRunning { return fleetRunning(r) }),
 			Resting: lo.Map(b.Resting, func(r fleet.Resting, _ int) fleetResting { return fleetResting(r) }),
-			Held: lo.Map(b.Held, func(h prefix.Held, _ int) fleetHeld {
-				return fleetHeld{Upstream: h.Upstream, Part: h.Part.ID, Tokens: h.Part.Tokens}
-			}),
+			Held:    encodeHeld(b.Held),
 			Crashes: lo.Map(b.Crashes, func(c fleet.Crash, _ int) fleetCrash { return fleetCrash(c) }),
 			Entries: encodeEntries(b.Entries),
 		}
 	}
 	if s := m.Snapshot; s != nil {
-		w.Snapshot = &fleetSnapshot{Catalog: s.Catalog, Entries: encodeEntries(s.Entries)}
+		w.Snapshot = &fleetSnapshot{Catalog: s.Catalog, Entries: encodeEntries(s.Entries), Held: encodeHeld(s.Held)}
 	}
 	return record.Encode(w)
 }
@@ -102,15 +104,13 @@
 			Version: b.Version, Known: b.Known,
 			Running: lo.Map(b.Running, func(r fleetRunning, _ int) fleet.Running { return fleet.Running(r) }),
 			Resting: lo.Map(b.Resting, func(r fleetResting, _ int) fleet.Resting { return fleet.Resting(r) }),
-			Held: lo.Map(b.Held, func(h fleetHeld, _ int) prefix.Held {
-				return prefix.Held{Upstream: h.Upstream, Part: prefix.Part{ID: h.Part, Tokens: h.Tokens}}
-			}),
+			Held:    decodeHeld(b.Held),
 			Crashes: lo.Map(b.Crashes, func(c fleetCrash, _ int) fleet.Crash { return fleet.Crash(c) }),
 			Entries: decodeEntries(b.Entries),
 		}
 	}
 	if s := w.Snapshot; s != nil {
-		m.Snapshot = &fleet.Snapshot{Catalog: s.Catalog, Entries: decodeEntries(s.Entries)}
+		m.Snapshot = &fleet.Snapshot{Catalog: s.Catalog, Entries: decodeEntries(s.Entries), Held: decodeHeld(s.Held)}
 	}
 	return m, nil
 }
@@ -122,3 +122,15 @@
 func decodeEntries(all []fleetEntry) []fleet.EntryCopy {
 	return lo.Map(all, func(e fleetEntry, _ int) fleet.EntryCopy { return fleet.EntryCopy(e) })
 }
+
+func encodeHeld(all []prefix.Held) []fleetHeld {
+	return lo.Map(all, func(h prefix.Held, _ int) fleetHeld {
+		return fleetHeld{Upstream: h.Upstream, Part: h.Part.ID, Tokens: h.Part.Tokens}
+	})
+}
+
+func decodeHeld(all []fleetHeld) []prefix.Held {
+	return lo.Map(all, func(h fleetHeld, _ int) prefix.Held {
+		return prefix.Held{Upstream: h.Upstream, Part: prefix.Part{ID: h.Part, Tokens: h.Tokens}}
+	})
+}
