--- a/core/fleet/policy.go
+++ b/core/fleet/policy.go
@@ -48,6 +48,19 @@
 	return false, false
 }
 
+// farCost is how many requests a near upstream may hold more than a far one
+// and still be preferred: a cut between data centres breaks what is far, and a
+// request waits only once all places are taken.
+const farCost = 2
+
+// weigh returns the load for comparison with upstreams that are near or far.
+func (c Candidate) weigh() int {
+	if c.Near {
+		return c.Load
+	}
+	return c.Load + farCost
+}
+
 // Affinity prefers the engine that has the most of the prompt in its cache,
 // under the bound on the load.
 type Affinity struct{}
@@ -69,6 +82,21 @@
 	return a.Score > b.Score
 }
 
+// Local prefers near engines, and is Affinity among them. It is for requests
+// that can't go on elsewhere: a cut between data centres doesn't break them.
+type Local struct{}
+
+// Better implements Policy.
+func (Local) Better(a, b Candidate) bool {
+	if a.Near != b.Near && !a.Over && !b.Over {
+		if better, differ := failing(a, b); differ {
+			return better
+		}
+		return a.Near
+	}
+	return Affinity{}.Better(a, b)
+}
+
 // Spread prefers the least loaded upstream, and a near one among equals.
 type Spread struct{}
 
@@ -77,11 +105,8 @@
 	if better, differ := failing(a, b); differ {
 		return better
 	}
-	if a.Load != b.Load {
-		return a.Load < b.Load
-	}
-	if a.Near != b.Near {
-		return a.Near
+	if la, lb := a.weigh(), b.weigh(); la != lb {
+		return la < lb
 	}
 	return a.Score > b.Score
 }
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -96,10 +96,14 @@
 // choose returns the next target. Once all upstreams were tried, those of
 // which the attempts left nothing behind may be tried again.
 func (t *task) choose(now time.Time) (fleet.Target, *core.Refusal) {
-	if t.Pool.Engine != nil {
+	switch {
+	case t.Pool.Engine == nil:
+		return fleet.Choose(now, t.server.Fleet, fleet.Spread{}, t.Request, t.tried)
+	case t.Route.Repeatable():
 		return fleet.Choose(now, t.server.Fleet, fleet.Affinity{}, t.Request, t.tried)
+	default:
+		return fleet.Choose(now, t.server.Fleet, fleet.Local{}, t.Request, t.tried)
 	}
-	return fleet.Choose(now, t.server.Fleet, fleet.Spread{}, t.Request, t.tried)
 }
 
 // giveUp ends a request that was not served.
