--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -66,13 +66,20 @@
 	t := Target{Upstream: best.Upstream, Load: best.Load, Held: best.Held, Prompt: prefix.Sum(r.Shared), Candidates: len(all)}
 	if r.Pool.Engine != nil {
 		t.Fetch = holder(all, best, t.Prompt)
-		f.parts.Do(table.Hold{}, func(_ table.Hold, m *prefix.Map) {
-			m.Read(now, best.Upstream.ID, r.Shared, r.Pool.Engine.MemoryTokens)
-		})
 	}
 	return t, nil
 }
 
+// Began takes in that an engine has read the prompt of a request.
+func (f *Fleet) Began(now time.Time, r Request, t Target) {
+	if r.Pool.Engine == nil {
+		return
+	}
+	f.parts.Do(table.Hold{}, func(_ table.Hold, m *prefix.Map) {
+		m.Read(now, t.ID, r.Shared, r.Pool.Engine.MemoryTokens)
+	})
+}
+
 func noUpstream(message string) *core.Refusal {
 	return notRun(http.StatusServiceUnavailable, codeNoUpstream, message)
 }
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -317,11 +317,14 @@
 		return errUnsigned
 	}
 	events := newEvents(a)
-	for {
+	for first := true; ; first = false {
 		e, err := events.next()
 		if errors.Is(err, io.EOF) {
 			break
 		}
+		if first {
+			r.server.Fleet.Began(time.Now(), r.Request, r.target)
+		}
 		if err == nil {
 			err = r.deliver(a, e)
 		}
