--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -64,8 +64,8 @@
 		return Target{}, noUpstream("the upstreams of the pool are warming up")
 	}
 	t := Target{Upstream: best.Upstream, Load: best.Load, Held: best.Held, Prompt: prefix.Sum(r.Shared), Candidates: len(all)}
-	if r.Pool.Engine != nil {
-		t.Fetch = holder(all, best, t.Prompt)
+	if r.Pool.Engine != nil && t.Held < t.Prompt {
+		t.Fetch = f.source(now, r, all, best)
 	}
 	return t, nil
 }
@@ -190,16 +190,14 @@
 	return c.state.cold.Count(now, time.Second) < share
 }
 
-// holder returns the address of the engine that has the most of what the
-// chosen one lacks. If none is known to, it is the engine that comes first for
-// the prompt: it has what was read before the router started.
-func holder(all []Candidate, chosen Candidate, prompt int) string {
-	if chosen.Held >= prompt {
-		return ""
-	}
+// source returns the address of the engine that has the most of what the
+// chosen one lacks. One that is leaving still gives what it has. If none is
+// known to have anything, it is the engine that comes first for the prompt: it
+// has what was read before the router started.
+func (f *Fleet) source(now time.Time, r Request, all []Candidate, chosen Candidate) string {
 	best := Candidate{Held: chosen.Held}
-	for _, c := range all {
-		if c.Upstream.ID == chosen.Upstream.ID || c.state.health.Losses > 0 {
+	for _, c := range append(f.leaving(now, r), all...) {
+		if c.Upstream.ID == chosen.Upstream.ID || (c.state != nil && c.state.health.Losses > 0) {
 			continue
 		}
 		if c.Held > best.Held || (c.Held == best.Held && c.Score > best.Score) {
@@ -209,6 +207,24 @@
 	return best.Upstream.Address
 }
 
+// leaving returns the pool's engines that are leaving but still serve.
+func (f *Fleet) leaving(now time.Time, r Request) []Candidate {
+	return table.Read(f.roster, table.Hold{}, func(u *upstreams) []Candidate {
+		var all []Candidate
+		for _, up := range u.roster.All() {
+			if up.Pool == r.Pool.Name && up.Draining && up.Gone.IsZero() && u.roster.In(up.DataCentre) {
+				all = append(all, Candidate{Upstream: up})
+			}
+		}
+		f.parts.Do(table.Hold{Rank: table.RankUpstreams}, func(_ table.Hold, m *prefix.Map) {
+			for i := range all {
+				all[i].Held = m.Tokens(now, all[i].Upstream.ID, r.Shared)
+			}
+		})
+		return all
+	})
+}
+
 // Finish takes in how an attempt ended. Report is nil if the upstream said
 // nothing of its load. It reports whether a rest has begun.
 func (f *Fleet) Finish(now time.Time, t Target, o health.Outcome, report *load.Report) bool {
