--- a/core/fleet/members.go
+++ b/core/fleet/members.go
@@ -22,6 +22,8 @@
 	seen time.Time
 	// asked is set once the router was asked what it knows.
 	asked bool
+	// heard is set once a message of the router has come.
+	heard bool
 }
 
 type members struct {
@@ -30,6 +32,8 @@
 	listed bool
 	// teachers is how many routers were asked what they know.
 	teachers int
+	// taught is set once one of them knew of any engine's cache.
+	taught bool
 }
 
 const (
@@ -48,7 +52,19 @@
 		return
 	}
 	f.members.Do(table.Hold{}, func(_ table.Hold, p *members) {
-		p.byID[m.ID] = member{Member: m, seen: now, asked: p.byID[m.ID].asked}
+		old := p.byID[m.ID]
+		p.byID[m.ID] = member{Member: m, seen: now, asked: old.asked, heard: old.heard}
+	})
+}
+
+// heard takes in that a message of a router has come.
+func (f *Fleet) heard(now time.Time, from Member) {
+	f.Meet(now, from)
+	f.members.Do(table.Hold{}, func(_ table.Hold, p *members) {
+		if m, ok := p.byID[from.ID]; ok {
+			m.heard = true
+			p.byID[from.ID] = m
+		}
 	})
 }
 
--- a/core/prefix/map.go
+++ b/core/prefix/map.go
@@ -51,7 +51,7 @@
 	// kept; the rest is for running requests.
 	usable = 0.7
 	// freshLimit bounds what is told to other routers at once.
-	freshLimit = 256
+	freshLimit = 1024
 	// stale is how long a part that isn't used is taken to be kept.
 	stale = 2 * time.Minute
 )
--- a/router/cluster/run.go
+++ b/router/cluster/run.go
@@ -147,6 +147,9 @@
 	})
 	r.clock.Every(ctx, sweepEvery, func(context.Context) { r.pool.Sweep(time.Now()) })
 	r.clock.Loop(ctx, r.announce(member))
+	if !r.file.Router.First {
+		go r.survey(ctx)
+	}
 }
 
 // follow keeps the tables in step with the store.
--- a/router/cluster/settings.go
+++ b/router/cluster/settings.go
@@ -29,6 +29,9 @@
 	Ready      string `ini:"ready" validate:"required,hostname_port"`
 	Peer       string `ini:"peer" validate:"required,hostname_port"`
 	Metrics    string `ini:"metrics" validate:"required,hostname_port"`
+	// First is set if the whole system starts for the first time, so that no
+	// engine can have anything in its cache.
+	First bool `ini:"first"`
 }
 
 // StoreSection says where the store is.
--- a/router/cluster/store.go
+++ b/router/cluster/store.go
@@ -8,6 +8,7 @@
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/catalog"
 	"camphorpulley.org/core/fleet"
+	"camphorpulley.org/core/prefix"
 	"camphorpulley.org/core/roster"
 	"camphorpulley.org/router/gateway"
 	"camphorpulley.org/router/relay"
@@ -82,4 +83,6 @@
 	// entry.
 	Catalog func(text []byte) (*catalog.Catalog, error)
 	Entry   func(id core.UpstreamID, text []byte) (roster.Entry, error)
+	// Cache asks an engine which parts of prompts it has.
+	Cache func(ctx context.Context, address string) ([]prefix.Part, error)
 }
