Keep lapsed entries until two seconds after the store was seen to return

Cause: the grace ran from the removal, so a router that was cut off while entries lapsed dropped upstreams that it could still reach.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -60,8 +60,9 @@
 }
 
 const (
-	// LapseGrace is how long after a failure of the store a removed entry may
-	// come back: the platform's page says about two seconds after its return.
+	// LapseGrace is how long after the store has failed last an entry that was
+	// removed meanwhile may come back: the platform's page says about two seconds
+	// after its return.
 	LapseGrace = 2 * time.Second
 	// forget is how long removed entries are remembered, so that a late copy of
 	// an entry doesn't bring its upstream back.
@@ -165,7 +166,7 @@
 	if u.Draining || r.out[u.DataCentre] {
 		return false
 	}
-	return u.Gone.IsZero() || (u.Lapsed && now.Sub(u.Gone) < LapseGrace)
+	return u.Gone.IsZero() || (u.Lapsed && now.Sub(r.unreliable) < LapseGrace)
 }
 
 // Get returns one upstream.
