Say not ready while cut off from the other data centres

Routers of other data centres that are silent while most upstreams there are lost tell a cut from routers that are down; the balancer then uses the nearest data centres.

--- a/core/fleet/beat.go
+++ b/core/fleet/beat.go
@@ -148,7 +148,7 @@
 		}
 	})
 	teach := f.mayTeach(from.ID)
-	if own := f.version(); teach || b.Version > own || (b.Known > 0 && !f.Ready(now)) {
+	if own := f.version(); teach || b.Version > own || (b.Known > 0 && len(f.inService(now)) == 0) {
 		return &Message{Want: &Want{Version: own, Held: teach}}
 	}
 	return nil
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -123,18 +123,3 @@
 	})
 	return newer
 }
-
-// Ready reports whether the router can serve requests.
-func (f *Fleet) Ready(now time.Time) bool {
-	if f.Current() == nil {
-		return false
-	}
-	return table.Read(f.roster, table.Hold{}, func(u *upstreams) bool {
-		for _, up := range u.roster.All() {
-			if u.roster.Open(now, up) {
-				return true
-			}
-		}
-		return false
-	})
-}
--- a/core/fleet/members.go
+++ b/core/fleet/members.go
@@ -22,8 +22,8 @@
 	seen time.Time
 	// asked is set once the router was asked what it knows.
 	asked bool
-	// heard is set once a message of the router has come.
-	heard bool
+	// heard is when its last message came; zero if none has.
+	heard time.Time
 }
 
 type members struct {
@@ -62,7 +62,7 @@
 	f.Meet(now, from)
 	f.members.Do(table.Hold{}, func(_ table.Hold, p *members) {
 		if m, ok := p.byID[from.ID]; ok {
-			m.heard = true
+			m.heard = now
 			p.byID[from.ID] = m
 		}
 	})
--- a/core/fleet/survey.go
+++ b/core/fleet/survey.go
@@ -25,7 +25,7 @@
 		}
 		ids := []core.RouterID{f.settings.ID}
 		for id, m := range p.byID {
-			if m.heard {
+			if !m.heard.IsZero() {
 				ids = append(ids, id)
 			}
 		}
--- a/router/cluster/run.go
+++ b/router/cluster/run.go
@@ -35,6 +35,8 @@
 	network *peer.Network[fleet.Member, fleet.Message]
 	clock   worker.Clock
 	leaving atomic.Bool
+	// readiness is what the balancer was told last.
+	readiness atomic.Value
 }
 
 // Run runs the router until the process is told to stop.
@@ -105,7 +107,11 @@
 
 // ready answers the balancer.
 func (r *Router) ready(w http.ResponseWriter, _ *http.Request) {
-	if r.leaving.Load() || !r.fleet.Ready(time.Now()) {
+	state := r.fleet.Ready(time.Now())
+	if old := r.readiness.Swap(state); old != state {
+		r.log.Info("readiness", zap.Any("was", old), zap.String("is", string(state)))
+	}
+	if r.leaving.Load() || state != fleet.Serving {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/router/cluster/survey.go
+++ b/router/cluster/survey.go
@@ -8,6 +8,7 @@
 
 	"camphorpulley.org/base/logs"
 	"camphorpulley.org/base/worker"
+	"camphorpulley.org/core/fleet"
 )
 
 const (
@@ -21,7 +22,7 @@
 // survey asks engines what they have in their caches, if nobody knows.
 func (r *Router) survey(ctx context.Context) {
 	worker.Sleep(ctx, surveyDelay)
-	for ctx.Err() == nil && !r.fleet.Ready(time.Now()) {
+	for ctx.Err() == nil && r.fleet.Ready(time.Now()) != fleet.Serving {
 		worker.Sleep(ctx, surveyDelay)
 	}
 	for _, u := range r.fleet.Survey(time.Now()) {
