--- a/router/cluster/run.go
+++ b/router/cluster/run.go
@@ -51,6 +51,7 @@
 		Fleet: r.fleet, Dialect: a.Incoming, Log: p.Log, Count: count,
 		Relay: &relay.Server{Fleet: r.fleet, Dialect: a.Outgoing, Log: p.Log, Pool: r.pool, Count: count},
 	}
+	r.gateway.Away = func() bool { return r.readiness.Load() == fleet.Isolated }
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	return r.run(p, background, stop)
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -53,6 +53,9 @@
 	Dialect Dialect
 	Log     *zap.Logger
 	Count   Counter
+	// Away reports whether callers should open new connections, which the
+	// balancer then leads elsewhere; nil never does.
+	Away func() bool
 	// Running is the number of requests in hand.
 	Running atomic.Int64
 }
@@ -65,6 +68,9 @@
 	g.Running.Add(1)
 	defer g.Running.Add(-1)
 	arrived := time.Now()
+	if g.Away != nil && g.Away() {
+		w.Header().Set("Connection", "close")
+	}
 	said := g.Dialect.Incoming(r)
 	said.Host, said.Path = host(r.Host), path(r.RequestURI)
 	body, refusal := g.read(w, r)
