Leave a silent upstream sooner, and tell silence from slowness

Cause: requests that may run elsewhere waited 1.5 objectives for a dark engine and were late for certain; a dial took up to 250 ms. The wait is now half of the objective and the time to read what the engine lacks; an upstream from which anything came meanwhile is slow, not lost; near ones are tried first after one that can't be reached.

--- a/core/fleet/admit.go
+++ b/core/fleet/admit.go
@@ -35,6 +35,8 @@
 	Account catalog.Account
 	// Shared are the parts of the prompt that other requests may share.
 	Shared []prefix.Part
+	// Own is how many tokens of the prompt are the request's own.
+	Own int
 	// Key orders the upstreams for the request.
 	Key     core.Digest
 	Content core.Digest
@@ -72,8 +74,8 @@
 			return r, notRun(http.StatusUnauthorized, codeBadKey, "the API key is not known")
 		}
 	}
-	if len(a.Parts) > 1 {
-		r.Shared = a.Parts[:len(a.Parts)-1]
+	if n := len(a.Parts); n > 0 {
+		r.Shared, r.Own = a.Parts[:n-1], a.Parts[n-1].Tokens
 	}
 	r.Key = key(a, r.Shared)
 	r.Pool = c.Pools[route.Pick(chat.Key("", route.Name, nil)^r.Key)]
--- a/core/fleet/again.go
+++ b/core/fleet/again.go
@@ -36,12 +36,15 @@
 )
 
 const (
-	// silence is how many times the objective an upstream may take to begin its
-	// answer if the request may run elsewhere. Beyond the objective itself the
-	// answer is late, and a half more is left for a slow but living upstream.
-	silence = 1.5
-	// leastSilence is the shortest such wait.
-	leastSilence = 250 * time.Millisecond
+	// patience is the part of the objective that an upstream may take to begin
+	// its answer if the request may run elsewhere: the rest is for the next one.
+	patience = 0.5
+	// leastPatience is the shortest such wait: several times what a warm engine
+	// or service needs.
+	leastPatience = 120 * time.Millisecond
+	// prefillRate is how many tokens of a prompt an engine reads in a millisecond
+	// at the least, beside what it has to do already.
+	prefillRate = 40
 	// pauses is how many times the permitted pause the events of a stream may
 	// stay away if it may go on elsewhere.
 	pauses = 3
@@ -54,13 +57,15 @@
 	return r.Route.Repeatable() && runs < r.Route.Attempts
 }
 
-// BeginBy returns until when the upstream of the given run must begin its
-// answer.
-func (r Request) BeginBy(now time.Time, run int) time.Time {
+// BeginBy returns until when the target of the given run must begin its answer.
+// An engine that lacks parts of the prompt gets the time to read them.
+func (r Request) BeginBy(now time.Time, t Target, run int) time.Time {
 	if !r.spare(run) || r.Route.Objective <= 0 {
 		return r.Until
 	}
-	wait := max(time.Duration(silence*float64(r.Route.Objective)), leastSilence)
+	wait := max(time.Duration(patience*float64(r.Route.Objective)), leastPatience)
+	missing := t.Prompt - t.Held + r.Own
+	wait += time.Duration(missing/prefillRate) * time.Millisecond
 	return earlier(now.Add(wait), r.Until)
 }
 
@@ -76,7 +81,7 @@
 func (r Request) ConnectBy(now time.Time) time.Duration {
 	wait := longestConnect
 	if r.Route.Objective > 0 {
-		wait = min(wait, max(r.Route.Objective/2, leastConnect))
+		wait = min(wait, max(r.Route.Objective/4, leastConnect))
 	}
 	return max(min(wait, r.Until.Sub(now)), time.Millisecond)
 }
@@ -85,8 +90,8 @@
 	// longestConnect and leastConnect bound the wait for a connection: several
 	// round trips between data centres of a region, and less than the second
 	// after which a lost opening packet is sent again.
-	longestConnect = 250 * time.Millisecond
-	leastConnect   = 75 * time.Millisecond
+	longestConnect = 150 * time.Millisecond
+	leastConnect   = 50 * time.Millisecond
 )
 
 func earlier(a, b time.Time) time.Time {
--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -27,6 +27,8 @@
 	Load, Held int
 	// Prompt is how many tokens of the prompt others may share.
 	Prompt int
+	// Chosen is when the target was chosen.
+	Chosen time.Time
 	// Candidates is how many upstreams could be chosen.
 	Candidates int
 }
@@ -63,7 +65,7 @@
 	if best.state == nil {
 		return Target{}, noUpstream("the upstreams of the pool are warming up")
 	}
-	t := Target{Upstream: best.Upstream, Load: best.Load, Held: best.Held, Prompt: prefix.Sum(r.Shared), Candidates: len(all)}
+	t := Target{Upstream: best.Upstream, Load: best.Load, Held: best.Held, Prompt: prefix.Sum(r.Shared), Chosen: now, Candidates: len(all)}
 	if r.Pool.Engine != nil && t.Held < t.Prompt {
 		t.Fetch = f.source(now, r, all, best)
 	}
@@ -231,12 +233,15 @@
 	var rest bool
 	f.loads.Do(table.Hold{}, func(_ table.Hold, l *loads) {
 		s := l.of(t.ID)
+		if o == health.Silent && s.alive.After(t.Chosen) {
+			o = health.Slow
+		}
 		s.load.Own = max(s.load.Own-1, 0)
 		if report != nil {
 			s.load.Report(now, *report)
 		}
 		if o == health.Good {
-			s.good = now
+			s.good, s.alive = now, now
 			s.rested = false
 		}
 		if rest = s.health.Note(now, o); rest {
@@ -246,6 +251,11 @@
 	return rest
 }
 
+// Alive takes in that something has come from an upstream.
+func (f *Fleet) Alive(now time.Time, t Target) {
+	f.loads.Do(table.Hold{}, func(_ table.Hold, l *loads) { l.of(t.ID).alive = now })
+}
+
 // Loaded takes in what an upstream said of its load while it runs an attempt.
 func (f *Fleet) Loaded(now time.Time, t Target, report load.Report) {
 	f.loads.Do(table.Hold{}, func(_ table.Hold, l *loads) { l.of(t.ID).load.Report(now, report) })
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -68,8 +68,8 @@
 	load   load.Book
 	// cold counts the requests that were sent while the upstream was cold.
 	cold pace.Window
-	// good is when the last good answer came.
-	good time.Time
+	// good is when the last good answer came, alive when anything came.
+	good, alive time.Time
 	// rested is set while the rest was begun by the router's own requests.
 	rested bool
 }
--- a/core/health/record.go
+++ b/core/health/record.go
@@ -15,6 +15,8 @@
 	Broken
 	// Silent means that nothing came in the time that it should have.
 	Silent
+	// Slow means that nothing came in time while the upstream answered others.
+	Slow
 	// Failed is a failure that the upstream answered.
 	Failed
 	// Shed means that the upstream said that it didn't run the request.
@@ -25,7 +27,7 @@
 
 // String returns the word for logs.
 func (o Outcome) String() string {
-	return [...]string{"good", "unreachable", "broken", "silent", "failed", "shed", "unknown"}[o]
+	return [...]string{"good", "unreachable", "broken", "silent", "slow", "failed", "shed", "unknown"}[o]
 }
 
 const (
@@ -63,15 +65,15 @@
 		return false
 	case Good:
 		r.Losses, r.Until = 0, time.Time{}
-	case Shed:
-		// A full upstream is busy, not broken.
+	case Shed, Slow:
+		// A busy upstream isn't broken.
 		bad = 0.5
 	default:
 		bad = 1
 	}
 	r.Rate = r.Failing(now)*(1-weight) + bad*weight
 	r.At = now
-	if o == Failed || o == Shed {
+	if o == Failed || o == Shed || o == Slow {
 		r.Losses = 0
 		return false
 	}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -58,6 +58,8 @@
 	runs int
 	// begun is set once the caller has the head of the answer.
 	begun bool
+	// near is set once an upstream couldn't be reached: a cut is then likely.
+	near bool
 	// failure is the upstream's own failure that is passed on if no further
 	// attempt is made.
 	failure *failure
@@ -99,7 +101,7 @@
 	switch {
 	case t.Pool.Engine == nil:
 		return fleet.Choose(now, t.server.Fleet, fleet.Spread{}, t.Request, t.tried)
-	case t.Route.Repeatable():
+	case t.Route.Repeatable() && !t.near:
 		return fleet.Choose(now, t.server.Fleet, fleet.Affinity{}, t.Request, t.tried)
 	default:
 		return fleet.Choose(now, t.server.Fleet, fleet.Local{}, t.Request, t.tried)
@@ -163,12 +165,13 @@
 	c, err := r.server.Pool.Get(r.ctx, now, r.target.Address, conn.Terms{Timeout: r.ConnectBy(now), Idle: r.idle()})
 	if err != nil {
 		r.outcome = r.unless(health.Unreachable)
+		r.near = true
 		return err
 	}
 	r.sent = true
 	r.runs++
 	r.exchange.Mark(r.id, answer.Handed)
-	until := r.BeginBy(now, r.runs)
+	until := r.BeginBy(now, r.target, r.runs)
 	a, err := c.Do(r.ctx, r.request(now), until, r.match)
 	if err != nil {
 		r.outcome = r.lost(err)
@@ -305,6 +308,10 @@
 	}, status)
 }
 
+// noteEvery is the shortest time between two notes that a stream's upstream is
+// alive.
+const noteEvery = 50 * time.Millisecond
+
 // errGap means that events of a stream are missing.
 var errGap = errors.New("events of the stream are missing")
 
@@ -317,12 +324,17 @@
 		return errUnsigned
 	}
 	events := newEvents(a)
+	var noted time.Time
 	for first := true; ; first = false {
 		e, err := events.next()
 		if errors.Is(err, io.EOF) {
 			break
 		}
-		if first {
+		if now := time.Now(); err == nil && now.Sub(noted) > noteEvery {
+			noted = now
+			r.server.Fleet.Alive(now, r.target)
+		}
+		if first && err == nil {
 			r.server.Fleet.Began(time.Now(), r.Request, r.target)
 		}
 		if err == nil {
