Read without waiting after a failed read of the store

Ruled out: one time-out for all calls of 4 s and more; cancelling long reads when another feed returns, which misses outages between two reads.

--- a/router/cluster/follow.go
+++ b/router/cluster/follow.go
@@ -16,8 +16,9 @@
 
 const (
 	// longPoll is how long one read of the operators' records waits for a new
-	// one. A connection that has gone silent is found after it.
-	longPoll = 4 * time.Second
+	// one. With the time-out of the call, a connection that has gone silent is
+	// found within the 3 s after which a router must be up to date again.
+	longPoll = 2 * time.Second
 	// firstPause and lastPause bound the time between tries while the store is
 	// away: the first is a few round trips, the last leaves most of the second in
 	// which a router must be up to date again.
@@ -77,7 +78,12 @@
 		f.next, f.synced = page.Next, true
 		return nil
 	}
-	page, err := f.store.Since(ctx, f.feed, f.next, f.wait)
+	wait := f.wait
+	if f.tries > 0 {
+		// The first read after a failure shows when the store is back.
+		wait = 0
+	}
+	page, err := f.store.Since(ctx, f.feed, f.next, wait)
 	if err != nil {
 		return err
 	}
