--- a/core/fleet/beat.go
+++ b/core/fleet/beat.go
@@ -132,7 +132,7 @@
 			s.load.Hear(now, from.ID, running[id])
 		}
 		// A router that lost contact with most upstreams is cut off itself.
-		if 2*len(b.Resting) > len(*l) {
+		if 2*len(b.Resting) > b.Known {
 			return
 		}
 		for _, r := range b.Resting {
--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -41,7 +41,7 @@
 // Choose returns the upstream for the next attempt of a request, without those
 // that were tried. The attempt counts as running until Finish.
 func Choose[P Policy](now time.Time, f *Fleet, policy P, r Request, tried []core.UpstreamID) (Target, *core.Refusal) {
-	open := f.open(now, r, tried)
+	open, pool := f.open(now, r, tried)
 	if len(open) == 0 {
 		return Target{}, noUpstream("no upstream of the pool is in service")
 	}
@@ -51,6 +51,7 @@
 	var all []Candidate
 	f.loads.Do(table.Hold{}, func(_ table.Hold, l *loads) {
 		all = f.candidates(now, *l, r, open, held)
+		f.bound(now, *l, pool).mark(all)
 		best = choose(policy, usable(now, all, func(c Candidate) bool {
 			return f.mayWarm(now, c, r, routers, rank, settled)
 		}))
@@ -86,17 +87,23 @@
 	return notRun(http.StatusServiceUnavailable, codeNoUpstream, message)
 }
 
-// open returns the upstreams that the rules permit for a request.
-func (f *Fleet) open(now time.Time, r Request, tried []core.UpstreamID) []roster.Upstream {
-	return table.Read(f.roster, table.Hold{}, func(u *upstreams) []roster.Upstream {
-		var open []roster.Upstream
+// open returns the upstreams that the rules permit for a request, and all that
+// the pool has, also those that get no new work.
+func (f *Fleet) open(now time.Time, r Request, tried []core.UpstreamID) (open, pool []roster.Upstream) {
+	f.roster.Do(table.Hold{}, func(_ table.Hold, u *upstreams) {
 		for _, up := range u.roster.All() {
-			if up.Pool == r.Pool.Name && u.roster.Open(now, up) && f.home(r, up) && !slices.Contains(tried, up.ID) {
+			if up.Pool != r.Pool.Name {
+				continue
+			}
+			if up.Gone.IsZero() {
+				pool = append(pool, up)
+			}
+			if u.roster.Open(now, up) && f.home(r, up) && !slices.Contains(tried, up.ID) {
 				open = append(open, up)
 			}
 		}
-		return open
 	})
+	return open, pool
 }
 
 // home reports whether a request may run in an upstream's region.
@@ -121,7 +128,6 @@
 // candidates describes the open upstreams for a policy.
 func (f *Fleet) candidates(now time.Time, l loads, r Request, open []roster.Upstream, held []int) []Candidate {
 	all := make([]Candidate, len(open))
-	total := 0
 	for i, u := range open {
 		s := l.of(u.ID)
 		all[i] = Candidate{
@@ -129,11 +135,6 @@
 			Failing: s.health.Failing(now), Near: u.DataCentre == f.settings.DataCentre,
 			Score: chat.Score(r.Key, string(u.ID)), state: s,
 		}
-		total += all[i].Load
-	}
-	bound := f.bound(total, len(open))
-	for i := range all {
-		all[i].Over = all[i].Load+1 > bound
 	}
 	return all
 }
@@ -146,11 +147,26 @@
 	boundSlack = 2
 )
 
-// bound returns how many requests an upstream may hold.
-func (f *Fleet) bound(total, upstreams int) int {
-	mean := float64(total) / float64(max(upstreams, 1))
+// bound is how many requests an upstream may hold.
+type bound int
+
+// bound returns the bound for a pool. The mean is that of all its upstreams:
+// those that get no new work lower it.
+func (f *Fleet) bound(now time.Time, l loads, pool []roster.Upstream) bound {
+	total := 0
+	for _, u := range pool {
+		total += l.of(u.ID).load.Total(now)
+	}
+	mean := float64(total) / float64(max(len(pool), 1))
 	multiple := 1 + (max(f.settings.Multiple, 1)-1)*boundPart
-	return int(multiple*mean) + boundSlack
+	return bound(multiple*mean) + boundSlack
+}
+
+// mark marks the candidates that one more request would put over the bound.
+func (b bound) mark(all []Candidate) {
+	for i := range all {
+		all[i].Over = all[i].Load+1 > int(b)
+	}
 }
 
 // usable returns the candidates that should get work now. Upstreams that are
