--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -46,7 +46,7 @@
 		return Target{}, noUpstream("no upstream of the pool is in service")
 	}
 	routers, rank, settled := f.place(now)
-	held := table.Read(f.parts, table.Hold{}, func(m *prefix.Map) []int { return tokens(now, m, open, r.Shared) })
+	held := table.Read(f.parts, table.Hold{}, func(m *prefix.Map) []holding { return holdings(now, m, open, r.Shared) })
 	var best Candidate
 	var all []Candidate
 	f.loads.Do(table.Hold{}, func(_ table.Hold, l *loads) {
@@ -117,21 +117,29 @@
 	return true
 }
 
-func tokens(now time.Time, m *prefix.Map, open []roster.Upstream, parts []prefix.Part) []int {
-	held := make([]int, len(open))
+// holding is what an upstream is taken to have in its cache.
+type holding struct {
+	// prompt is how many tokens of a prompt it has, all of any prompts.
+	prompt, all int
+}
+
+func holdings(now time.Time, m *prefix.Map, open []roster.Upstream, parts []prefix.Part) []holding {
+	held := make([]holding, len(open))
 	for i, u := range open {
-		held[i] = m.Tokens(now, u.ID, parts)
+		held[i] = holding{prompt: m.Tokens(now, u.ID, parts), all: m.Stored(u.ID)}
 	}
 	return held
 }
 
 // candidates describes the open upstreams for a policy.
-func (f *Fleet) candidates(now time.Time, l loads, r Request, open []roster.Upstream, held []int) []Candidate {
+func (f *Fleet) candidates(now time.Time, l loads, r Request, open []roster.Upstream, held []holding) []Candidate {
 	all := make([]Candidate, len(open))
+	prompt := prefix.Sum(r.Shared)
 	for i, u := range open {
 		s := l.of(u.ID)
 		all[i] = Candidate{
-			Upstream: u, Load: s.load.Total(now), Held: held[i],
+			Upstream: u, Load: s.load.Total(now), Held: held[i].prompt,
+			Lacks: held[i].prompt < prompt, Stored: held[i].all,
 			Failing: s.health.Failing(now), Near: u.DataCentre == f.settings.DataCentre,
 			Score: chat.Score(r.Key, string(u.ID)), state: s,
 		}
--- a/core/fleet/policy.go
+++ b/core/fleet/policy.go
@@ -9,8 +9,12 @@
 	// request would exceed the bound on the mean.
 	Load int
 	Over bool
-	// Held is how many tokens of the prompt the upstream is taken to have.
-	Held int
+	// Held is how many tokens of the prompt the upstream is taken to have, and
+	// Lacks is set if that isn't all that requests share.
+	Held  int
+	Lacks bool
+	// Stored is how many tokens of all prompts the upstream is taken to have.
+	Stored int
 	// Failing is the recent failure rate.
 	Failing float64
 	// Near is set for the router's own data centre.
@@ -79,9 +83,16 @@
 	if a.Held != b.Held {
 		return a.Held > b.Held
 	}
+	if sa, sb := a.Stored/storedStep, b.Stored/storedStep; a.Lacks && sa != sb {
+		return sa < sb
+	}
 	return a.Score > b.Score
 }
 
+// storedStep is the difference between stored tokens below which engines count
+// as equally full: a few long prompts, which routers may not have told yet.
+const storedStep = 32 << 10
+
 // Local prefers near engines, and is Affinity among them. It is for requests
 // that can't go on elsewhere: a cut between data centres doesn't break them.
 type Local struct{}
--- a/core/prefix/map.go
+++ b/core/prefix/map.go
@@ -137,6 +137,14 @@
 	return total
 }
 
+// Stored returns how many tokens an engine is taken to have.
+func (m *Map) Stored(id core.UpstreamID) int {
+	if e := m.engines[id]; e != nil {
+		return e.tokens
+	}
+	return 0
+}
+
 // All returns the parts that engines have, as far as they were used lately.
 func (m *Map) All(now time.Time) []Held {
 	var all []Held
