--- a/core/fleet/beat.go
+++ b/core/fleet/beat.go
@@ -188,25 +188,11 @@
 		}
 	})
 	if w.Held {
-		s.Held = f.lore(now)
+		s.Held = table.Read(f.parts, table.Hold{}, func(m *prefix.Map) []prefix.Held { return m.All(now) })
 	}
 	return s
 }
 
-// loreAge is how long a router must have run for what it knows of caches to
-// stand for what was read before it started.
-const loreAge = 2 * time.Second
-
-// lore returns what the router knows of the engines' caches; nothing if it has
-// just started itself and nobody has told it.
-func (f *Fleet) lore(now time.Time) []prefix.Held {
-	taught := table.Read(f.members, table.Hold{}, func(p *members) bool { return p.taught })
-	if !taught && now.Sub(f.started) < loreAge {
-		return nil
-	}
-	return table.Read(f.parts, table.Hold{}, func(m *prefix.Map) []prefix.Held { return m.All(now) })
-}
-
 func (f *Fleet) learn(now time.Time, s Snapshot) {
 	if len(s.Catalog) > 0 && f.settings.Catalog != nil {
 		if c, err := f.settings.Catalog(s.Catalog); err == nil {
@@ -214,10 +200,6 @@
 		}
 	}
 	f.hearEntries(now, s.Entries)
-	if len(s.Held) == 0 {
-		return
-	}
-	f.members.Do(table.Hold{}, func(_ table.Hold, p *members) { p.taught = true })
 	f.parts.Do(table.Hold{}, func(_ table.Hold, m *prefix.Map) { m.Hear(now, s.Held, f.memory()) })
 }
 
--- a/core/fleet/members.go
+++ b/core/fleet/members.go
@@ -32,8 +32,6 @@
 	listed bool
 	// teachers is how many routers were asked what they know.
 	teachers int
-	// taught is set once one of them knew of any engine's cache.
-	taught bool
 }
 
 const (
--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -407,7 +407,8 @@
 func cmdSurvey(ts *testscript.TestScript, w *world, a []string) {
 	got := 0
 	for _, id := range a[1:] {
-		got += len(w.routers[id].Survey(w.now))
+		engines, _ := w.routers[id].Survey(w.now)
+		got += len(engines)
 	}
 	if want, err := strconv.Atoi(a[0]); err != nil || got != want {
 		ts.Fatalf("survey of %v: got %d engines, want %s", a[1:], got, a[0])
--- a/core/fleet/survey.go
+++ b/core/fleet/survey.go
@@ -12,33 +12,24 @@
 )
 
 // Survey returns the engines that the router should ask what they have in
-// their caches: none if a router that was running has told, else those for
-// which it comes first among the routers that it has heard.
-func (f *Fleet) Survey(now time.Time) []roster.Upstream {
+// their caches when it has started: those for which it comes first among the
+// routers. If all have started, each engine is asked once. It reports false
+// until the router knows the upstreams and the other routers.
+func (f *Fleet) Survey(now time.Time) ([]roster.Upstream, bool) {
 	c := f.Current()
-	if c == nil {
-		return nil
+	if _, _, settled := f.place(now); c == nil || !settled || len(f.inService(now)) == 0 {
+		return nil, false
 	}
-	routers := table.Read(f.members, table.Hold{}, func(p *members) []core.RouterID {
-		if p.taught {
-			return nil
-		}
-		ids := []core.RouterID{f.settings.ID}
-		for id, m := range p.byID {
-			if !m.heard.IsZero() {
-				ids = append(ids, id)
-			}
-		}
-		return ids
-	})
-	if len(routers) == 0 {
-		return nil
+	routers := []core.RouterID{f.settings.ID}
+	for _, m := range f.Members(now) {
+		routers = append(routers, m.ID)
 	}
-	return table.Read(f.roster, table.Hold{}, func(u *upstreams) []roster.Upstream {
+	engines := table.Read(f.roster, table.Hold{}, func(u *upstreams) []roster.Upstream {
 		return slices.DeleteFunc(slices.Clone(u.roster.All()), func(up roster.Upstream) bool {
 			return c.Pools[up.Pool].Engine == nil || !u.roster.Open(now, up) || first(up.ID, routers) != f.settings.ID
 		})
 	})
+	return engines, true
 }
 
 // first returns the router that comes first for an upstream.
@@ -54,5 +45,5 @@
 
 // Surveyed takes in what an engine has in its cache. The next beat tells.
 func (f *Fleet) Surveyed(now time.Time, id core.UpstreamID, parts []prefix.Part) {
-	f.parts.Do(table.Hold{}, func(_ table.Hold, m *prefix.Map) { m.Read(now, id, parts, f.memory()) })
+	f.parts.Do(table.Hold{}, func(_ table.Hold, m *prefix.Map) { m.List(now, id, parts) })
 }
--- a/core/prefix/map.go
+++ b/core/prefix/map.go
@@ -27,6 +27,9 @@
 type Held struct {
 	Upstream core.UpstreamID
 	Part     Part
+	// Listed is set if the engine itself has named the part. It may be one that
+	// no other request shares.
+	Listed bool
 }
 
 // Map is the table of parts by engine. The zero value is empty.
@@ -44,6 +47,9 @@
 type kept struct {
 	tokens int
 	used   time.Time
+	// listed is set until a request has used the part; it doesn't count towards
+	// the tokens that the engine has for requests to share.
+	listed bool
 }
 
 const (
@@ -51,7 +57,7 @@
 	// kept; the rest is for running requests.
 	usable = 0.7
 	// freshLimit bounds what is told to other routers at once.
-	freshLimit = 1024
+	freshLimit = 4096
 	// stale is how long a part that isn't used is taken to be kept.
 	stale = 2 * time.Minute
 )
@@ -60,16 +66,30 @@
 // of the engine's cache in tokens.
 func (m *Map) Read(now time.Time, id core.UpstreamID, parts []Part, memory int) {
 	for _, p := range parts {
-		if m.keep(now, id, p, memory) && len(m.fresh) < freshLimit {
-			m.fresh = append(m.fresh, Held{Upstream: id, Part: p})
-		}
+		m.tell(m.keep(now, Held{Upstream: id, Part: p}, memory), Held{Upstream: id, Part: p})
+	}
+}
+
+// List takes in what an engine says that it has. It is told to others each
+// time.
+func (m *Map) List(now time.Time, id core.UpstreamID, parts []Part) {
+	for _, p := range parts {
+		h := Held{Upstream: id, Part: p, Listed: true}
+		m.keep(now, h, 0)
+		m.tell(true, h)
+	}
+}
+
+func (m *Map) tell(isNew bool, h Held) {
+	if isNew && len(m.fresh) < freshLimit {
+		m.fresh = append(m.fresh, h)
 	}
 }
 
 // Hear takes in what another router has learned.
 func (m *Map) Hear(now time.Time, held []Held, memory int) {
 	for _, h := range held {
-		m.keep(now, h.Upstream, h.Part, memory)
+		m.keep(now, h, memory)
 	}
 }
 
@@ -81,18 +101,22 @@
 }
 
 // keep reports whether the part was not known at the engine.
-func (m *Map) keep(now time.Time, id core.UpstreamID, p Part, memory int) bool {
-	e := m.engine(id)
-	if k := e.parts[p.ID]; k != nil {
+func (m *Map) keep(now time.Time, h Held, memory int) bool {
+	e := m.engine(h.Upstream)
+	k := e.parts[h.Part.ID]
+	if k != nil && (h.Listed || !k.listed) {
 		k.used = now
 		return false
 	}
-	e.parts[p.ID] = &kept{tokens: p.Tokens, used: now}
-	e.tokens += p.Tokens
-	for limit := int(usable * float64(memory)); memory > 0 && e.tokens > limit && len(e.parts) > 1; {
+	e.parts[h.Part.ID] = &kept{tokens: h.Part.Tokens, used: now, listed: h.Listed}
+	if h.Listed {
+		return true
+	}
+	e.tokens += h.Part.Tokens
+	for limit := int(usable * float64(memory)); memory > 0 && e.tokens > limit; {
 		e.evict()
 	}
-	return true
+	return k == nil
 }
 
 func (m *Map) engine(id core.UpstreamID) *engine {
@@ -112,7 +136,7 @@
 	var oldest core.Digest
 	var at time.Time
 	for id, k := range e.parts {
-		if at.IsZero() || k.used.Before(at) {
+		if !k.listed && (at.IsZero() || k.used.Before(at)) {
 			oldest, at = id, k.used
 		}
 	}
@@ -151,7 +175,7 @@
 	for id, e := range m.engines {
 		for part, k := range e.parts {
 			if now.Sub(k.used) < stale {
-				all = append(all, Held{Upstream: id, Part: Part{ID: part, Tokens: k.tokens}})
+				all = append(all, Held{Upstream: id, Part: Part{ID: part, Tokens: k.tokens}, Listed: k.listed})
 			}
 		}
 	}
--- a/router/wire/fleet.go
+++ b/router/wire/fleet.go
@@ -50,6 +50,7 @@
 	Upstream core.UpstreamID `cbor:"1,keyasint"`
 	Part     core.Digest     `cbor:"2,keyasint"`
 	Tokens   int             `cbor:"3,keyasint"`
+	Listed   bool            `cbor:"4,keyasint,omitempty"`
 }
 
 type fleetCrash struct {
@@ -125,12 +126,12 @@
 
 func encodeHeld(all []prefix.Held) []fleetHeld {
 	return lo.Map(all, func(h prefix.Held, _ int) fleetHeld {
-		return fleetHeld{Upstream: h.Upstream, Part: h.Part.ID, Tokens: h.Part.Tokens}
+		return fleetHeld{Upstream: h.Upstream, Part: h.Part.ID, Tokens: h.Part.Tokens, Listed: h.Listed}
 	})
 }
 
 func decodeHeld(all []fleetHeld) []prefix.Held {
 	return lo.Map(all, func(h fleetHeld, _ int) prefix.Held {
-		return prefix.Held{Upstream: h.Upstream, Part: prefix.Part{ID: h.Part, Tokens: h.Tokens}}
+		return prefix.Held{Upstream: h.Upstream, Part: prefix.Part{ID: h.Part, Tokens: h.Tokens}, Listed: h.Listed}
 	})
 }
