--- a/router/cluster/follow.go
+++ b/router/cluster/follow.go
@@ -27,7 +27,7 @@
 	// leastPoll is the shortest time between two reads of the upstreams' records,
 	// and pollPart what each router adds to it: routers tell each other what they
 	// read, so that the whole fleet reads as often as one router would.
-	leastPoll = 700 * time.Millisecond
+	leastPoll = time.Second
 	pollPart  = 120 * time.Millisecond
 )
 
