--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -143,6 +143,9 @@
 			Failing: s.health.Failing(now), Near: u.DataCentre == f.settings.DataCentre,
 			Score: chat.Score(r.Key, string(u.ID)), state: s,
 		}
+		if 2*all[i].Held >= prompt {
+			all[i].useful = all[i].Held
+		}
 	}
 	return all
 }
@@ -170,10 +173,22 @@
 	return bound(multiple*mean) + boundSlack
 }
 
-// mark marks the candidates that one more request would put over the bound.
+// mark marks the candidates that one more request would put over the bound, and
+// those that come first among the others.
 func (b bound) mark(all []Candidate) {
+	scores := make([]uint64, 0, len(all))
+	for i := range all {
+		if all[i].Over = all[i].Load+1 > int(b); !all[i].Over {
+			scores = append(scores, all[i].Score)
+		}
+	}
+	if len(scores) == 0 {
+		return
+	}
+	slices.Sort(scores)
+	least := scores[max(len(scores)-firstChoices, 0)]
 	for i := range all {
-		all[i].Over = all[i].Load+1 > int(b)
+		all[i].First = all[i].Score >= least
 	}
 }
 
--- a/core/fleet/policy.go
+++ b/core/fleet/policy.go
@@ -13,6 +13,12 @@
 	// Lacks is set if that isn't all that requests share.
 	Held  int
 	Lacks bool
+	// useful is Held if that is most of the prompt, else zero: the part that all
+	// prompts begin with would draw them all to the same engines.
+	useful int
+	// First is set if the upstream is among the first by rendezvous of those that
+	// are under the bound.
+	First bool
 	// Stored is how many tokens of all prompts the upstream is taken to have.
 	Stored int
 	// Failing is the recent failure rate.
@@ -80,8 +86,11 @@
 	if a.Over && a.Load != b.Load {
 		return a.Load < b.Load
 	}
-	if a.Held != b.Held {
-		return a.Held > b.Held
+	if a.useful != b.useful {
+		return a.useful > b.useful
+	}
+	if a.Lacks && a.First != b.First {
+		return a.First
 	}
 	if sa, sb := a.Stored/storedStep, b.Stored/storedStep; a.Lacks && sa != sb {
 		return sa < sb
@@ -89,6 +98,11 @@
 	return a.Score > b.Score
 }
 
+// firstChoices is how many engines, by rendezvous, a prompt that no engine has
+// may go to. Routers that know the same would else all choose the one that has
+// the least, until they hear of each other.
+const firstChoices = 3
+
 // storedStep is the difference between stored tokens below which engines count
 // as equally full: a few long prompts, which routers may not have told yet.
 const storedStep = 32 << 10
--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -66,7 +66,7 @@
 		"remove": cmdRemove, "out": cmdOut, "store": cmdStore, "beats": cmdBeats, "cut": cmdCut, "heal": cmdHeal,
 		"after": cmdAfter, "send": cmdSend, "again": cmdAgain, "end": cmdEnd, "to": cmdTo, "fetch": cmdFetch,
 		"refused": cmdRefused, "running": cmdRunning, "ready": cmdReady, "version": cmdVersion, "crash": cmdCrash,
-		"retries": cmdRetries, "survey": cmdSurvey, "slack": cmdSlack,
+		"retries": cmdRetries, "survey": cmdSurvey, "slack": cmdSlack, "spread": cmdSpread,
 	}
 	wrapped := map[string]func(*testscript.TestScript, bool, []string){}
 	for name, run := range all {
@@ -421,3 +421,16 @@
 	ts.Check(err)
 	w.slack = n
 }
+
+// spread MAX NAME...: at most MAX of the requests went to the same upstream.
+func cmdSpread(ts *testscript.TestScript, w *world, a []string) {
+	most, err := strconv.Atoi(a[0])
+	ts.Check(err)
+	count := map[core.UpstreamID]int{}
+	for _, name := range a[1:] {
+		id := w.requests[name].target.ID
+		if count[id]++; count[id] > most {
+			ts.Fatalf("requests at %s: got more than %d", id, most)
+		}
+	}
+}
