Run the grace of lapsed entries from the store's return

Cause: each failure of any feed of the store extended the grace, and an upstream that had left got work 3.4 s later (DRAIN).

--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -208,9 +208,9 @@
 	w.each(nil, func(f *fleet.Fleet) { f.Out(centres) })
 }
 
-// store: the store fails, or answers for the first time after it failed.
-func cmdStore(_ *testscript.TestScript, w *world, _ []string) {
-	w.each(nil, func(f *fleet.Fleet) { f.Unreliable(w.now) })
+// store away|back: the store fails, or answers again.
+func cmdStore(_ *testscript.TestScript, w *world, a []string) {
+	w.each(nil, func(f *fleet.Fleet) { f.Store(w.now, a[0] == "back") })
 }
 
 // cut A B, heal: messages between two routers are lost, or none is.
--- a/core/fleet/upstreams.go
+++ b/core/fleet/upstreams.go
@@ -41,9 +41,9 @@
 	f.roster.Do(table.Hold{}, func(_ table.Hold, u *upstreams) { u.roster.Out(centres) })
 }
 
-// Unreliable takes in that the store doesn't answer, or answers again.
-func (f *Fleet) Unreliable(now time.Time) {
-	f.roster.Do(table.Hold{}, func(_ table.Hold, u *upstreams) { u.roster.Unreliable(now) })
+// Store takes in whether the store answers what upstreams there are.
+func (f *Fleet) Store(now time.Time, answers bool) {
+	f.roster.Do(table.Hold{}, func(_ table.Hold, u *upstreams) { u.roster.Store(now, answers) })
 }
 
 // put changes the roster and forgets what was known of processes that are no
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -55,14 +55,15 @@
 	out  map[core.DataCentre]bool
 	// list is replaced, never changed.
 	list []Upstream
-	// unreliable is when the store last failed or came back.
-	unreliable time.Time
+	// away is set while the store doesn't answer; back is when it last did so
+	// again.
+	away bool
+	back time.Time
 }
 
 const (
-	// LapseGrace is how long after the store has failed last an entry that was
-	// removed meanwhile may come back: the platform's page says about two seconds
-	// after its return.
+	// LapseGrace is how long after the store's return an entry that lapsed
+	// meanwhile may come back: the platform's page says about two seconds.
 	LapseGrace = 2 * time.Second
 	// forget is how long removed entries are remembered, so that a late copy of
 	// an entry doesn't bring its upstream back.
@@ -118,7 +119,7 @@
 		return Change{}, false
 	}
 	u.Gone = now
-	u.Lapsed = !u.Draining && !r.unreliable.IsZero() && now.Sub(r.unreliable) < LapseGrace
+	u.Lapsed = !u.Draining && r.lapsing(now)
 	r.store(u)
 	return Change{ID: id, What: "removed"}, true
 }
@@ -145,8 +146,18 @@
 	return changes
 }
 
-// Unreliable takes in that the store doesn't answer, or answers again.
-func (r *Roster) Unreliable(now time.Time) { r.unreliable = now }
+// Store takes in whether the store answers.
+func (r *Roster) Store(now time.Time, answers bool) {
+	if answers && r.away {
+		r.back = now
+	}
+	r.away = !answers
+}
+
+// lapsing reports whether entries may be missing only since the store was away.
+func (r *Roster) lapsing(now time.Time) bool {
+	return r.away || (!r.back.IsZero() && now.Sub(r.back) < LapseGrace)
+}
 
 // Forget drops entries that were removed long ago.
 func (r *Roster) Forget(now time.Time) {
@@ -166,7 +177,7 @@
 	if u.Draining || r.out[u.DataCentre] {
 		return false
 	}
-	return u.Gone.IsZero() || (u.Lapsed && now.Sub(r.unreliable) < LapseGrace)
+	return u.Gone.IsZero() || (u.Lapsed && r.lapsing(now))
 }
 
 // Get returns one upstream.
--- a/router/cluster/follow.go
+++ b/router/cluster/follow.go
@@ -74,6 +74,7 @@
 		if err != nil {
 			return err
 		}
+		f.answered(time.Now())
 		f.replace(time.Now(), page.Events)
 		f.next, f.synced = page.Next, true
 		return nil
@@ -87,6 +88,7 @@
 	if err != nil {
 		return err
 	}
+	f.answered(time.Now())
 	for _, e := range page.Events {
 		f.apply(time.Now(), e)
 	}
@@ -94,8 +96,17 @@
 	return nil
 }
 
+// answered takes in that the store answers, before what it says.
+func (f *follower) answered(now time.Time) {
+	if f.feed == Upstreams {
+		f.fleet.Store(now, true)
+	}
+}
+
 func (f *follower) lost(now time.Time, err error) {
-	f.fleet.Unreliable(now)
+	if f.feed == Upstreams {
+		f.fleet.Store(now, false)
+	}
 	if f.tries++; f.tries == 1 {
 		f.log.Warn("store_lost", zap.String("feed", f.feed.String()), zap.Uint64("next", f.next), logs.Err(err))
 	}
@@ -105,7 +116,6 @@
 	if f.tries == 0 {
 		return
 	}
-	f.fleet.Unreliable(now)
 	f.log.Info("store_regained", zap.String("feed", f.feed.String()), zap.Uint64("next", f.next), zap.Int("tries", f.tries))
 	f.tries = 0
 }
