--- a/router/conn/exchange.go
+++ b/router/conn/exchange.go
@@ -59,7 +59,7 @@
 // Do sends a request and waits for the head of its answer until a time. Match
 // reports whether an answer belongs to the request. When ctx ends, the
 // connection is closed. After an error the connection is closed as well.
-func (c *Conn) Do(ctx context.Context, r Request, until time.Time, match func(http.Header) error) (*Answer, error) {
+func (c *Conn) Do(ctx context.Context, r Request, until time.Time, match func(status int, h http.Header) error) (*Answer, error) {
 	a := &Answer{conn: c, sent: make(chan error, 1)}
 	a.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := c.SetDeadline(until); err != nil {
@@ -103,7 +103,7 @@
 	return nil
 }
 
-func (a *Answer) readHead(r Request, match func(http.Header) error) error {
+func (a *Answer) readHead(r Request, match func(status int, h http.Header) error) error {
 	like := &http.Request{Method: r.Method}
 	for range lateAnswers + 1 {
 		resp, err := http.ReadResponse(a.conn.Reader, like)
@@ -114,7 +114,7 @@
 			continue
 		}
 		a.Response = resp
-		if err = match(resp.Header); err == nil {
+		if err = match(resp.StatusCode, resp.Header); err == nil {
 			return nil
 		}
 		var crossed *CrossedError
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -210,8 +210,8 @@
 }
 
 // match takes in the head of an answer.
-func (r *run) match(h http.Header) error {
-	r.reply = r.server.Dialect.Reply(0, h)
+func (r *run) match(status int, h http.Header) error {
+	r.reply = r.server.Dialect.Reply(status, h)
 	if r.reply.ID != "" && r.reply.ID != r.ID {
 		return &conn.CrossedError{Want: r.ID, Got: r.reply.ID}
 	}
