--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Everything is built into bin/; run/ takes the settings and logs of the
 # processes that the scripts start.
-MODULES := core base router ctl lab/engine lab/list lab/load lab/log lab/service proof
+MODULES := core base router platform ctl lab/engine lab/list lab/load lab/log lab/service proof
 TOOLS := $(CURDIR)/bin/tools
 GOLANGCI_VERSION := v2.15.0
 SPIN_VERSION := 6.5.2
@@ -9,6 +9,7 @@
 
 build:
 	go build -o bin/camphorpulley ./router
+	go build -o bin/camphorpulley-platform ./platform
 	go build -o bin/camphorctl ./ctl
 	go build -o bin/lab-engine ./lab/engine
 	go build -o bin/lab-list ./lab/list
--- /dev/null
+++ b/core/prefix/map_test.go
@@ -0,0 +1,55 @@
+package prefix
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"camphorpulley.org/core"
+)
+
+// TestMemory: what an engine is taken to have for requests to share never
+// exceeds the usable part of its memory, and the tokens are those of the parts.
+func TestMemory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const memory = 1000
+		var m Map
+		now := time.Unix(0, 0)
+		for range 200 {
+			now = now.Add(time.Second)
+			part := Part{ID: core.Digest(rapid.IntRange(1, 30).Draw(t, "part")), Tokens: rapid.IntRange(1, 400).Draw(t, "tokens")}
+			switch rapid.IntRange(0, 2).Draw(t, "what") {
+			case 0:
+				m.List(now, "e", []Part{part})
+			case 1:
+				m.Hear(now, []Held{{Upstream: "e", Part: part}}, memory)
+			default:
+				m.Read(now, "e", []Part{part}, memory)
+			}
+			want := 0
+			for _, k := range m.engine("e").parts {
+				if !k.listed {
+					want += k.tokens
+				}
+			}
+			if got := m.Stored("e"); got != want || got > usable*memory {
+				t.Fatalf("stored: got %d, want %d and at most %g", got, want, usable*memory)
+			}
+		}
+	})
+}
+
+// TestBeginning: only parts whose predecessors are all there count.
+func TestBeginning(t *testing.T) {
+	var m Map
+	now := time.Unix(0, 0)
+	m.Read(now, "e", []Part{{ID: 1, Tokens: 10}, {ID: 3, Tokens: 30}}, 0)
+	prompt := []Part{{ID: 1, Tokens: 10}, {ID: 2, Tokens: 20}, {ID: 3, Tokens: 30}}
+	if got, want := m.Tokens(now, "e", prompt), 10; got != want {
+		t.Errorf("tokens: got %d, want %d", got, want)
+	}
+	if got, want := m.Tokens(now.Add(2*stale), "e", prompt), 0; got != want {
+		t.Errorf("tokens after a long time: got %d, want %d", got, want)
+	}
+}
--- /dev/null
+++ b/core/retry/shared_test.go
@@ -0,0 +1,51 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestSharedBudget: in no window do routers that know of each other make more
+// retries together than the terms permit for the requests of that window, the
+// one before or the one half before it.
+func TestSharedBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		terms := Terms{Ratio: 0.2, Slack: float64(rapid.IntRange(10, 200).Draw(t, "slack")), Window: 10 * time.Second}
+		routers := make([]Shared, rapid.IntRange(1, 30).Draw(t, "routers"))
+		const step = 100 * time.Millisecond
+		var requests, retries []int
+		for range 400 {
+			now := time.Unix(1000, 0).Add(step * time.Duration(len(requests)))
+			r := &routers[rapid.IntRange(0, len(routers)-1).Draw(t, "router")]
+			asked, again := rapid.IntRange(0, 5).Draw(t, "requests"), 0
+			for range asked {
+				r.Request(now, terms)
+			}
+			for range rapid.IntRange(0, 20).Draw(t, "tries") {
+				if r.Take(now, terms, len(routers)) {
+					again++
+				}
+			}
+			requests, retries = append(requests, asked), append(retries, again)
+		}
+		const window = 100
+		for from := 0; from+window <= len(retries); from++ {
+			most := total(requests, from, window)
+			most = max(most, total(requests, from-window/2, window), total(requests, from-window, window))
+			got, want := total(retries, from, window), int(terms.Ratio*float64(most)+terms.Slack)
+			if got > want {
+				t.Fatalf("retries in the window from step %d: got %d, want at most %d", from, got, want)
+			}
+		}
+	})
+}
+
+func total(counts []int, from, length int) int {
+	all := 0
+	for i := max(from, 0); i < min(from+length, len(counts)); i++ {
+		all += counts[i]
+	}
+	return all
+}
--- /dev/null
+++ b/router/wire/fleet_test.go
@@ -0,0 +1,56 @@
+package wire
+
+import (
+	"reflect"
+	"testing"
+
+	"camphorpulley.org/core/fleet"
+	"camphorpulley.org/core/prefix"
+)
+
+var fleetMessages = []fleet.Message{
+	{Hello: &fleet.Member{ID: "r1", Address: "10.0.0.1:7340", DataCentre: "a", Incarnation: 7}},
+	{Beat: &fleet.Beat{
+		Version: 3, Known: 2,
+		Running: []fleet.Running{{Upstream: "u", Count: 4}},
+		Resting: []fleet.Resting{{Upstream: "u", ForMS: 200}},
+		Held:    []prefix.Held{{Upstream: "u", Part: prefix.Part{ID: 9, Tokens: 10}, Listed: true}},
+		Crashes: []fleet.Crash{{Content: 5, Process: "u/1"}},
+		Entries: []fleet.EntryCopy{{Upstream: "u", Source: []byte("{}")}},
+	}},
+	{Want: &fleet.Want{Version: 2, Held: true}},
+	{Snapshot: &fleet.Snapshot{
+		Catalog: []byte("c"), Entries: []fleet.EntryCopy{{Upstream: "u", Source: []byte("{}")}},
+		Held: []prefix.Held{{Upstream: "u", Part: prefix.Part{ID: 9, Tokens: 10}}},
+	}},
+}
+
+// TestFleetMessages: a message that was encoded is read as it was.
+func TestFleetMessages(t *testing.T) {
+	for _, want := range fleetMessages {
+		data, err := EncodeFleet(want)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := DecodeFleet(data)
+		if err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("got %+v, error %v, want %+v", got, err, want)
+		}
+	}
+}
+
+// FuzzFleet: no bytes make the decoder panic.
+func FuzzFleet(f *testing.F) {
+	for _, m := range fleetMessages {
+		data, err := EncodeFleet(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		if _, err := DecodeFleet(data); err != nil {
+			return
+		}
+	})
+}
