--- a/router/conn/exchange.go
+++ b/router/conn/exchange.go
@@ -106,6 +106,7 @@
 func (a *Answer) readHead(r Request, match func(status int, h http.Header) error) error {
 	like := &http.Request{Method: r.Method}
 	for range lateAnswers + 1 {
+		//nolint:bodyclose // The body ends with the connection, in Done or Abort.
 		resp, err := http.ReadResponse(a.conn.Reader, like)
 		if err != nil {
 			return wrap.Err(err, "read answer")
