Tell other routers which upstreams fail requests

Cause: each router needed two or three failures of its own to avoid a failing upstream, so a fleet of 29 needed some eighty.

--- a/core/fleet/beat.go
+++ b/core/fleet/beat.go
@@ -26,6 +26,8 @@
 	Known   int
 	Running []Running
 	Resting []Resting
+	// Results holds the upstreams that failed requests since the last beat.
+	Results []Results
 	Held    []prefix.Held
 	Crashes []Crash
 	Entries []EntryCopy
@@ -43,6 +45,12 @@
 	ForMS    int64
 }
 
+// Results counts how attempts at an upstream ended.
+type Results struct {
+	Upstream  core.UpstreamID
+	Good, Bad int
+}
+
 // Crash says that an upstream's process crashed while it ran a request.
 type Crash struct {
 	Content core.Digest
@@ -91,6 +99,10 @@
 			if s.load.Own > 0 {
 				b.Running = append(b.Running, Running{Upstream: id, Count: s.load.Own})
 			}
+			if s.bad > 0 {
+				b.Results = append(b.Results, Results{Upstream: id, Good: s.fine, Bad: s.bad})
+			}
+			s.fine, s.bad = 0, 0
 			if s.rested && s.health.Resting(now) {
 				b.Resting = append(b.Resting, Resting{Upstream: id, ForMS: s.health.Until.Sub(now).Milliseconds()})
 			}
@@ -131,6 +143,9 @@
 		for id, s := range *l {
 			s.load.Hear(now, from.ID, running[id])
 		}
+		for _, r := range b.Results {
+			l.of(r.Upstream).health.Count(now, r.Good, r.Bad)
+		}
 		// A router that lost contact with most upstreams is cut off itself.
 		if 2*len(b.Resting) > b.Known {
 			return
--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -281,8 +281,12 @@
 		}
 		if o == health.Good {
 			s.good, s.alive = now, now
+			s.fine++
 			s.rested = false
 		}
+		if o == health.Failed {
+			s.bad++
+		}
 		if rest = s.health.Note(now, o); rest {
 			s.rested = true
 		}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -70,6 +70,8 @@
 	cold pace.Window
 	// good is when the last good answer came, alive when anything came.
 	good, alive time.Time
+	// fine and bad count the answers and failures since the last beat.
+	fine, bad int
 	// rested is set while the rest was begun by the router's own requests.
 	rested bool
 }
--- a/core/health/record.go
+++ b/core/health/record.go
@@ -85,6 +85,20 @@
 	return true
 }
 
+// mostCounted bounds how many outcomes of another router count at once: beyond
+// it the rate is theirs in any case.
+const mostCounted = 32
+
+// Count takes in how attempts of another router ended.
+func (r *Record) Count(now time.Time, good, bad int) {
+	share := float64(bad) / float64(max(good+bad, 1))
+	rate := r.Failing(now)
+	for range min(good+bad, mostCounted) {
+		rate = rate*(1-weight) + share*weight
+	}
+	r.Rate, r.At = rate, now
+}
+
 // Hear takes in that another router leaves the upstream alone.
 func (r *Record) Hear(now time.Time, rest time.Duration) {
 	if until := now.Add(min(rest, longestRest)); until.After(r.Until) {
--- a/router/wire/fleet.go
+++ b/router/wire/fleet.go
@@ -34,6 +34,13 @@
 	Held    []fleetHeld    `cbor:"5,keyasint,omitempty"`
 	Crashes []fleetCrash   `cbor:"6,keyasint,omitempty"`
 	Entries []fleetEntry   `cbor:"7,keyasint,omitempty"`
+	Results []fleetResults `cbor:"8,keyasint,omitempty"`
+}
+
+type fleetResults struct {
+	Upstream core.UpstreamID `cbor:"1,keyasint"`
+	Good     int             `cbor:"2,keyasint,omitempty"`
+	Bad      int             `cbor:"3,keyasint,omitempty"`
 }
 
 type fleetRunning struct {
@@ -85,6 +92,7 @@
 			Held:    encodeHeld(b.Held),
 			Crashes: lo.Map(b.Crashes, func(c fleet.Crash, _ int) fleetCrash { return fleetCrash(c) }),
 			Entries: encodeEntries(b.Entries),
+			Results: lo.Map(b.Results, func(r fleet.Results, _ int) fleetResults { return fleetResults(r) }),
 		}
 	}
 	if s := m.Snapshot; s != nil {
@@ -108,6 +116,7 @@
 			Held:    decodeHeld(b.Held),
 			Crashes: lo.Map(b.Crashes, func(c fleetCrash, _ int) fleet.Crash { return fleet.Crash(c) }),
 			Entries: decodeEntries(b.Entries),
+			Results: lo.Map(b.Results, func(r fleetResults, _ int) fleet.Results { return fleet.Results(r) }),
 		}
 	}
 	if s := w.Snapshot; s != nil {
--- a/router/wire/fleet_test.go
+++ b/router/wire/fleet_test.go
@@ -17,6 +17,7 @@
 		Held:    []prefix.Held{{Upstream: "u", Part: prefix.Part{ID: 9, Tokens: 10}, Listed: true}},
 		Crashes: []fleet.Crash{{Content: 5, Process: "u/1"}},
 		Entries: []fleet.EntryCopy{{Upstream: "u", Source: []byte("{}")}},
+		Results: []fleet.Results{{Upstream: "u", Good: 3, Bad: 1}},
 	}},
 	{Want: &fleet.Want{Version: 2, Held: true}},
 	{Snapshot: &fleet.Snapshot{
