Count a broken connection as a crash only if another process comes up

Cause: a cut between data centres reset connections, which counted as crashes, and requests that share their content (reads without a body) were refused at every router.

--- a/core/fleet/admit.go
+++ b/core/fleet/admit.go
@@ -9,6 +9,7 @@
 	"camphorpulley.org/core/chat"
 	"camphorpulley.org/core/prefix"
 	"camphorpulley.org/core/retry"
+	"camphorpulley.org/core/roster"
 	"camphorpulley.org/core/table"
 )
 
@@ -114,15 +115,42 @@
 	return table.Read(f.suspects, table.Hold{}, func(s *suspects) bool { return s.table.Refused(now, d) })
 }
 
-// Crashed takes in that an upstream crashed while it ran a request.
-func (f *Fleet) Crashed(now time.Time, r Request, t Target) {
-	c := Crash{Content: r.Content, Process: process(t)}
+// Broke takes in that an upstream's connection broke while it ran a request.
+// It is a crash if another process comes up at the address.
+func (f *Fleet) Broke(now time.Time, r Request, t Target) {
 	f.suspects.Do(table.Hold{}, func(_ table.Hold, s *suspects) {
-		s.table.Crash(now, c.Content, c.Process)
-		s.told = append(s.told, c)
+		s.broken[t.Address] = append(s.broken[t.Address], breakage{
+			crash: Crash{Content: r.Content, Process: process(t.Entry)}, at: now,
+		})
 	})
 }
 
+// crashed takes in that a process has come up. What ran at its address when
+// connections broke is then taken to have crashed the one before.
+func (s *suspects) crashed(now time.Time, e roster.Entry) {
+	for _, b := range s.broken[e.Address] {
+		if b.crash.Process == process(e) || now.Sub(b.at) > breakageAge {
+			continue
+		}
+		s.table.Crash(now, b.crash.Content, b.crash.Process)
+		s.told = append(s.told, b.crash)
+	}
+	delete(s.broken, e.Address)
+}
+
+// forget drops broken connections that no crash explains.
+func (s *suspects) forget(now time.Time) {
+	for address, all := range s.broken {
+		if now.Sub(all[len(all)-1].at) > breakageAge {
+			delete(s.broken, address)
+		}
+	}
+}
+
+// breakageAge is how long after a connection broke another process may come up:
+// an upstream is back after some seconds.
+const breakageAge = 20 * time.Second
+
 // Cleared takes in that a request has run to its end.
 func (f *Fleet) Cleared(r Request) {
 	f.suspects.Do(table.Hold{}, func(_ table.Hold, s *suspects) { s.table.Clear(r.Content) })
--- a/core/fleet/beat.go
+++ b/core/fleet/beat.go
@@ -109,7 +109,10 @@
 		}
 	})
 	b.Held = table.Read(f.parts, table.Hold{}, (*prefix.Map).Take)
-	f.suspects.Do(table.Hold{}, func(_ table.Hold, s *suspects) { b.Crashes, s.told = s.told, nil })
+	f.suspects.Do(table.Hold{}, func(_ table.Hold, s *suspects) {
+		s.forget(now)
+		b.Crashes, s.told = s.told, nil
+	})
 	return b
 }
 
@@ -228,7 +231,7 @@
 		if err != nil {
 			continue
 		}
-		f.put(func(r *roster.Roster) []roster.Change {
+		f.put(now, func(r *roster.Roster) []roster.Change {
 			if change, ok := r.Put(now, e); ok {
 				return []roster.Change{change}
 			}
--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -34,8 +34,8 @@
 }
 
 // process names an upstream's process.
-func process(t Target) string {
-	return string(t.ID) + "/" + strconv.FormatInt(t.Born, 10)
+func process(e roster.Entry) string {
+	return string(e.ID) + "/" + strconv.FormatInt(e.Born, 10)
 }
 
 // Choose returns the upstream for the next attempt of a request, without those
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -91,6 +91,14 @@
 	table poison.Suspects
 	// told holds crashes that the next beat tells.
 	told []Crash
+	// broken holds by address what ran when connections broke.
+	broken map[string][]breakage
+}
+
+// breakage is a request whose connection to an upstream broke.
+type breakage struct {
+	crash Crash
+	at    time.Time
 }
 
 // New returns the tables of a router that starts now.
@@ -103,7 +111,7 @@
 		roster:   table.New(table.RankUpstreams, upstreams{}),
 		loads:    table.New(table.RankLoads, loads{}),
 		parts:    table.New(table.RankParts, prefix.Map{}),
-		suspects: table.New(table.RankSuspects, suspects{}),
+		suspects: table.New(table.RankSuspects, suspects{broken: map[string][]breakage{}}),
 		budgets:  table.New(table.RankBudgets, map[core.Pool]*retry.Shared{}),
 	}
 }
--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -65,7 +65,7 @@
 		"router": cmdRouter, "pool": cmdPool, "route": cmdRoute, "apply": cmdApply, "upstream": cmdUpstream,
 		"remove": cmdRemove, "out": cmdOut, "store": cmdStore, "beats": cmdBeats, "cut": cmdCut, "heal": cmdHeal,
 		"after": cmdAfter, "send": cmdSend, "again": cmdAgain, "end": cmdEnd, "to": cmdTo, "fetch": cmdFetch,
-		"refused": cmdRefused, "running": cmdRunning, "ready": cmdReady, "version": cmdVersion, "crash": cmdCrash,
+		"refused": cmdRefused, "running": cmdRunning, "ready": cmdReady, "version": cmdVersion, "break": cmdBreak,
 		"retries": cmdRetries, "survey": cmdSurvey, "slack": cmdSlack, "spread": cmdSpread,
 	}
 	wrapped := map[string]func(*testscript.TestScript, bool, []string){}
@@ -379,11 +379,11 @@
 	}
 }
 
-// crash NAME: the upstream crashed while it ran the request.
-func cmdCrash(_ *testscript.TestScript, w *world, a []string) {
+// break NAME: the connection broke while the upstream ran the request.
+func cmdBreak(_ *testscript.TestScript, w *world, a []string) {
 	s := w.requests[a[0]]
 	s.router.Finish(w.now, s.target, health.Broken, nil)
-	s.router.Crashed(w.now, s.request, s.target)
+	s.router.Broke(w.now, s.request, s.target)
 	s.done = true
 }
 
--- a/core/fleet/upstreams.go
+++ b/core/fleet/upstreams.go
@@ -13,12 +13,12 @@
 
 // Upstreams replaces what is known of upstreams by all entries of the store.
 func (f *Fleet) Upstreams(now time.Time, entries []roster.Entry) []roster.Change {
-	return f.put(func(r *roster.Roster) []roster.Change { return r.Replace(now, entries) }, true)
+	return f.put(now, func(r *roster.Roster) []roster.Change { return r.Replace(now, entries) }, true)
 }
 
 // Entered takes in an entry that an upstream has written.
 func (f *Fleet) Entered(now time.Time, e roster.Entry) []roster.Change {
-	return f.put(func(r *roster.Roster) []roster.Change {
+	return f.put(now, func(r *roster.Roster) []roster.Change {
 		if c, ok := r.Put(now, e); ok {
 			return []roster.Change{c}
 		}
@@ -28,7 +28,7 @@
 
 // Removed takes in that an upstream's entry was removed.
 func (f *Fleet) Removed(now time.Time, id core.UpstreamID) []roster.Change {
-	return f.put(func(r *roster.Roster) []roster.Change {
+	return f.put(now, func(r *roster.Roster) []roster.Change {
 		if c, ok := r.Remove(now, id); ok {
 			return []roster.Change{c}
 		}
@@ -48,7 +48,7 @@
 
 // put changes the roster and forgets what was known of processes that are no
 // more. With tell, the next beat tells what has changed.
-func (f *Fleet) put(change func(*roster.Roster) []roster.Change, tell bool) []roster.Change {
+func (f *Fleet) put(now time.Time, change func(*roster.Roster) []roster.Change, tell bool) []roster.Change {
 	var changes []roster.Change
 	f.roster.Do(table.Hold{}, func(held table.Hold, u *upstreams) {
 		changes = change(&u.roster)
@@ -57,7 +57,7 @@
 				u.told = append(u.told, EntryCopy{Upstream: c.ID, Source: up.Source})
 			}
 			if c.Restarted {
-				f.restart(held, c.ID)
+				f.restart(now, held, u, c.ID)
 			}
 		}
 	})
@@ -65,7 +65,7 @@
 }
 
 // restart forgets what was known of an upstream's earlier process.
-func (f *Fleet) restart(held table.Hold, id core.UpstreamID) {
+func (f *Fleet) restart(now time.Time, held table.Hold, u *upstreams, id core.UpstreamID) {
 	f.loads.Do(held, func(held table.Hold, l *loads) {
 		if s := (*l)[id]; s != nil {
 			s.health = health.Record{}
@@ -73,4 +73,7 @@
 		}
 		f.parts.Do(held, func(_ table.Hold, m *prefix.Map) { m.Forget(id) })
 	})
+	if up, ok := u.roster.Get(id); ok {
+		f.suspects.Do(held, func(_ table.Hold, s *suspects) { s.crashed(now, up.Entry) })
+	}
 }
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -136,7 +136,7 @@
 	rest := s.Fleet.Finish(now, target, r.outcome, r.reply.Load)
 	s.Count.Ended(t.Pool.Name, r.outcome.String())
 	if r.outcome == health.Broken && r.sent {
-		s.Fleet.Crashed(now, t.Request, target)
+		s.Fleet.Broke(now, t.Request, target)
 	}
 	if err == nil {
 		s.Fleet.Cleared(t.Request)
