--- a/core/fleet/admit.go
+++ b/core/fleet/admit.go
@@ -129,7 +129,7 @@
 // connections broke is then taken to have crashed the one before.
 func (s *suspects) crashed(now time.Time, e roster.Entry) {
 	for _, b := range s.broken[e.Address] {
-		if b.crash.Process == process(e) || now.Sub(b.at) > breakageAge {
+		if now.Sub(b.at) > breakageAge {
 			continue
 		}
 		s.table.Crash(now, b.crash.Content, b.crash.Process)
--- a/router/conn/quiet.go
+++ b/router/conn/quiet.go
@@ -11,7 +11,7 @@
 // Bytes that came after an answer belong to no request.
 func (c *Conn) quiet() bool {
 	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok || c.Reader.Buffered() > 0 {
+	if !ok {
 		return false
 	}
 	raw, err := tcp.SyscallConn()
--- a/router/gateway/script_test.go
+++ b/router/gateway/script_test.go
@@ -252,6 +252,9 @@
 func cmdAnswer(ts *testscript.TestScript, s *stage, a []string) {
 	head, body, _ := strings.Cut(ts.ReadFile(a[1]), "\n\n")
 	data := strings.ReplaceAll(head, "\n", "\r\n") + "\r\n\r\n" + body
+	if head == "" {
+		data = ""
+	}
 	u := s.upstreams[a[0]]
 	u.mu.Lock()
 	defer u.mu.Unlock()
