--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 
 test: build
 	go test -count=1 $(MODULES:%=./%/...)
+	bash lab/explain/check.sh
 	bash lab/e2e.sh
 
 format:
--- a/core/fleet/beat.go
+++ b/core/fleet/beat.go
@@ -166,14 +166,14 @@
 		}
 	})
 	teach := f.mayTeach(from.ID)
-	if own := f.version(); teach || b.Version > own || (b.Known > 0 && len(f.inService(now)) == 0) {
+	if own := f.Version(); teach || b.Version > own || (b.Known > 0 && len(f.inService(now)) == 0) {
 		return &Message{Want: &Want{Version: own, Held: teach}}
 	}
 	return nil
 }
 
-// version returns the version of the catalog in force; zero if there is none.
-func (f *Fleet) version() uint64 {
+// Version returns the version of the catalog in force; zero if there is none.
+func (f *Fleet) Version() uint64 {
 	if c := f.Current(); c != nil {
 		return c.Version
 	}
--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -248,12 +248,14 @@
 	return best.Upstream.Address
 }
 
-// leaving returns the pool's engines that are leaving but still serve.
+// leaving returns the pool's engines that are leaving but still serve. Those of
+// a data centre that went out of service are left alone after half of the time
+// in which they may still get work.
 func (f *Fleet) leaving(now time.Time, r Request) []Candidate {
 	return table.Read(f.roster, table.Hold{}, func(u *upstreams) []Candidate {
 		var all []Candidate
 		for _, up := range u.roster.All() {
-			if up.Pool == r.Pool.Name && up.Draining && up.Gone.IsZero() && u.roster.In(up.DataCentre) {
+			if up.Pool == r.Pool.Name && u.roster.Leaving(now, up, f.settings.Evacuation/2) {
 				all = append(all, Candidate{Upstream: up})
 			}
 		}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -35,6 +35,9 @@
 	Retry   retry.Terms
 	// Multiple is how many times the mean load an upstream may carry.
 	Multiple float64
+	// Evacuation is how long after a data centre went out of service its upstreams
+	// may still get work.
+	Evacuation time.Duration
 	// Catalog reads the text of a configuration.
 	Catalog func(text []byte) (*catalog.Catalog, error)
 	// Entry reads the text of an upstream's entry.
--- a/core/fleet/upstreams.go
+++ b/core/fleet/upstreams.go
@@ -37,8 +37,8 @@
 }
 
 // Out takes data centres out of service; all others are in.
-func (f *Fleet) Out(centres map[core.DataCentre]bool) {
-	f.roster.Do(table.Hold{}, func(_ table.Hold, u *upstreams) { u.roster.Out(centres) })
+func (f *Fleet) Out(now time.Time, centres map[core.DataCentre]bool) {
+	f.roster.Do(table.Hold{}, func(_ table.Hold, u *upstreams) { u.roster.Out(now, centres) })
 }
 
 // Store takes in whether the store answers what upstreams there are.
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -52,7 +52,8 @@
 // Roster is the table of upstreams. The zero value has none.
 type Roster struct {
 	byID map[core.UpstreamID]Upstream
-	out  map[core.DataCentre]bool
+	// out holds the data centres that are out of service, and since when.
+	out map[core.DataCentre]time.Time
 	// list is replaced, never changed.
 	list []Upstream
 	// away is set while the store doesn't answer; back is when it last did so
@@ -170,11 +171,20 @@
 }
 
 // Out takes data centres out of service; all others are in.
-func (r *Roster) Out(centres map[core.DataCentre]bool) { r.out = centres }
+func (r *Roster) Out(now time.Time, centres map[core.DataCentre]bool) {
+	out := make(map[core.DataCentre]time.Time, len(centres))
+	for dc := range centres {
+		out[dc] = now
+		if since, already := r.out[dc]; already {
+			out[dc] = since
+		}
+	}
+	r.out = out
+}
 
 // Open reports whether an upstream may get new work.
 func (r *Roster) Open(now time.Time, u Upstream) bool {
-	if u.Draining || r.out[u.DataCentre] {
+	if u.Draining || !r.in(u.DataCentre) {
 		return false
 	}
 	return u.Gone.IsZero() || (u.Lapsed && r.lapsing(now))
@@ -197,8 +207,23 @@
 	return r.list
 }
 
-// In reports whether a data centre is in service.
-func (r *Roster) In(dc core.DataCentre) bool { return !r.out[dc] }
+func (r *Roster) in(dc core.DataCentre) bool {
+	_, out := r.out[dc]
+	return !out
+}
+
+// Leaving reports whether an upstream gets no new work but still serves: it is
+// draining, or its data centre went out of service less than grace ago.
+func (r *Roster) Leaving(now time.Time, u Upstream, grace time.Duration) bool {
+	if !u.Gone.IsZero() {
+		return false
+	}
+	since, out := r.out[u.DataCentre]
+	if out {
+		return now.Sub(since) < grace
+	}
+	return u.Draining
+}
 
 func (r *Roster) store(u Upstream) {
 	if r.byID == nil {
--- a/router/cluster/follow.go
+++ b/router/cluster/follow.go
@@ -19,6 +19,10 @@
 	// one. With the time-out of the call, a connection that has gone silent is
 	// found within the 3 s after which a router must be up to date again.
 	longPoll = 2 * time.Second
+	// longerPoll takes its place once manyRouters are known: the first one to read
+	// a configuration tells the others.
+	longerPoll  = 4 * time.Second
+	manyRouters = 8
 	// firstPause and lastPause bound the time between tries while the store is
 	// away: the first is a few round trips, the last leaves most of the second in
 	// which a router must be up to date again.
@@ -37,8 +41,8 @@
 	store Store
 	fleet *fleet.Fleet
 	log   *zap.Logger
-	// wait is how long a read waits, and pause returns the time between reads.
-	wait  time.Duration
+	// wait returns how long a read waits, and pause the time between reads.
+	wait  func(now time.Time) time.Duration
 	pause func(now time.Time) time.Duration
 
 	next   uint64
@@ -79,7 +83,7 @@
 		f.next, f.synced = page.Next, true
 		return nil
 	}
-	wait := f.wait
+	wait := f.wait(time.Now())
 	if f.tries > 0 {
 		// The first read after a failure shows when the store is back.
 		wait = 0
@@ -133,7 +137,7 @@
 	}
 	switch f.feed {
 	case Operators:
-		f.fleet.Out(f.out)
+		f.fleet.Out(now, f.out)
 	case Upstreams:
 		f.changed(f.fleet.Upstreams(now, entries))
 	case Routers:
@@ -157,10 +161,10 @@
 		}
 	case e.Out != "":
 		f.out[e.Out] = true
-		f.centres(e.Out, "out")
+		f.centres(now, e.Out, "out")
 	case e.In != "":
 		delete(f.out, e.In)
-		f.centres(e.In, "in")
+		f.centres(now, e.In, "in")
 	case e.Entry != nil:
 		f.changed(f.fleet.Entered(now, *e.Entry))
 	case e.Removed != "":
@@ -170,12 +174,12 @@
 	}
 }
 
-func (f *follower) centres(dc core.DataCentre, what string) {
+func (f *follower) centres(now time.Time, dc core.DataCentre, what string) {
 	out := make(map[core.DataCentre]bool, len(f.out))
 	for name := range f.out {
 		out[name] = true
 	}
-	f.fleet.Out(out)
+	f.fleet.Out(now, out)
 	f.log.Info("datacentre", zap.String("datacentre", string(dc)), zap.String("service", what))
 }
 
@@ -185,6 +189,19 @@
 	}
 }
 
+// never is the wait or pause of a feed that has none.
+func never(time.Time) time.Duration { return 0 }
+
+// patiently returns a wait that is longer in larger fleets.
+func patiently(f *fleet.Fleet) func(time.Time) time.Duration {
+	return func(now time.Time) time.Duration {
+		if len(f.Members(now)) >= manyRouters {
+			return longerPoll
+		}
+		return longPoll
+	}
+}
+
 // every returns a pause that grows with the fleet, up to a longest one.
 func every(f *fleet.Fleet, longest time.Duration) func(time.Time) time.Duration {
 	return func(now time.Time) time.Duration {
--- a/router/cluster/follow_test.go
+++ b/router/cluster/follow_test.go
@@ -48,8 +48,8 @@
 	}}
 	tables := fleet.New(time.Now(), fleet.Settings{ID: "r1"})
 	f := &follower{
-		feed: Operators, store: store, fleet: tables, log: zap.NewNop(), wait: longPoll,
-		pause: func(time.Time) time.Duration { return 0 },
+		feed: Operators, store: store, fleet: tables, log: zap.NewNop(),
+		wait: patiently(tables), pause: never,
 	}
 	for range 1 + len(store.steps) {
 		f.step(t.Context())
--- a/router/cluster/run.go
+++ b/router/cluster/run.go
@@ -42,11 +42,13 @@
 // Run runs the router until the process is told to stop.
 func Run(p daemon.Process, f File, a Adapter) error {
 	now := time.Now()
-	count, err := metrics.New()
+	p.Log = p.Log.With(zap.String("router", f.Router.ID))
+	r := &Router{file: f, log: p.Log, adapter: a, fleet: fleet.New(now, f.fleetSettings(now, a)), pool: &conn.Pool{}}
+	r.readiness.Store(fleet.Unconfigured)
+	count, err := metrics.New(r.gauges()...)
 	if err != nil {
 		return err
 	}
-	r := &Router{file: f, log: p.Log, adapter: a, fleet: fleet.New(now, f.fleetSettings(now, a)), pool: &conn.Pool{}}
 	r.gateway = &gateway.Gateway{
 		Fleet: r.fleet, Dialect: a.Incoming, Log: p.Log, Count: count,
 		Relay: &relay.Server{Fleet: r.fleet, Dialect: a.Outgoing, Log: p.Log, Pool: r.pool, Count: count},
@@ -57,6 +59,19 @@
 	return r.run(p, background, stop)
 }
 
+// gauges returns what the metrics show of the router's state.
+func (r *Router) gauges() []metrics.Gauge {
+	return []metrics.Gauge{
+		{Name: "catalog_version", Description: "version of the configuration in force", Read: func() int64 {
+			return int64(r.fleet.Version())
+		}},
+		{Name: "routers_known", Description: "routers that may exist", Read: func() int64 {
+			return int64(len(r.fleet.Members(time.Now())) + 1)
+		}},
+		{Name: "log_lines_left_out", Description: "log lines over the budget of their kind", Read: logs.Left},
+	}
+}
+
 const (
 	// headerTimeout bounds the reading of a request's head: far above any limit
 	// that operators set, so that no caller that keeps to theirs is cut off.
@@ -81,7 +96,7 @@
 	go func() { failed <- listen(r.file.Router.Ready, http.HandlerFunc(r.ready)) }()
 	go func() { failed <- listen(r.file.Router.Metrics, metricsMux) }()
 	go func() { failed <- listenWith(callers) }()
-	r.log.Info("started", zap.String("router", r.file.Router.ID), zap.String("listen", r.file.Router.Listen),
+	r.log.Info("started", zap.String("listen", r.file.Router.Listen),
 		zap.Uint64("incarnation", uint64(r.fleet.Self().Incarnation)))
 	select {
 	case err := <-failed:
@@ -163,8 +178,8 @@
 func (r *Router) follow(ctx context.Context) {
 	drain := time.Duration(r.file.Bounds.Drain) * time.Millisecond
 	for _, f := range []*follower{
-		{feed: Operators, wait: longPoll, pause: func(time.Time) time.Duration { return 0 }},
-		{feed: Upstreams, pause: every(r.fleet, drain/2)},
+		{feed: Operators, wait: patiently(r.fleet), pause: never},
+		{feed: Upstreams, wait: never, pause: every(r.fleet, drain/2)},
 	} {
 		f.store, f.fleet, f.log = r.adapter.Store, r.fleet, r.log
 		r.clock.Loop(ctx, f.step)
@@ -176,8 +191,7 @@
 func (r *Router) announce(self fleet.Member) func(context.Context) {
 	known := false
 	peers := &follower{
-		feed: Routers, store: r.adapter.Store, fleet: r.fleet, log: r.log,
-		pause: func(time.Time) time.Duration { return 0 },
+		feed: Routers, store: r.adapter.Store, fleet: r.fleet, log: r.log, wait: never, pause: never,
 	}
 	return func(ctx context.Context) {
 		if !known {
--- a/router/cluster/settings.go
+++ b/router/cluster/settings.go
@@ -53,6 +53,9 @@
 	Drain int `ini:"drain" validate:"min=1"`
 	// Apply is how many milliseconds a configuration may take to be in force.
 	Apply int `ini:"apply" validate:"min=1"`
+	// Evacuate is how many milliseconds after it went out of service a data centre
+	// may still get work.
+	Evacuate int `ini:"evacuate" validate:"min=0"`
 	// Grace is how many seconds a stopping router has.
 	Grace float64 `ini:"grace" validate:"gt=0"`
 }
@@ -82,8 +85,9 @@
 			Ratio: f.Bounds.Ratio, Slack: f.Bounds.Slack,
 			Window: time.Duration(f.Bounds.Window * float64(time.Second)),
 		},
-		Multiple: f.Bounds.Multiple,
-		Catalog:  a.Catalog,
-		Entry:    a.Entry,
+		Multiple:   f.Bounds.Multiple,
+		Evacuation: time.Duration(f.Bounds.Evacuate) * time.Millisecond,
+		Catalog:    a.Catalog,
+		Entry:      a.Entry,
 	}
 }
