Let cold upstreams take what would put the warm ones over the bound

Cause: after five of nine engines had come back cold, they got nothing for three seconds and the other four held over twice the mean (LIMIT).

--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -192,33 +192,34 @@
 	}
 }
 
-// usable returns the candidates that should get work now. Upstreams that are
-// left alone count only if there are no others.
+// usable returns the candidates that should get work now. Cold upstreams count
+// once the warm ones are full, and those that are left alone if there are no
+// others.
 func usable(now time.Time, all []Candidate, mayWarm func(Candidate) bool) []Candidate {
-	var warm, resting []Candidate
+	var warm, cold, resting []Candidate
+	full := true
 	for _, c := range all {
 		s := c.state
 		switch {
 		case c.Upstream.Cold(now):
+			if mayWarm(c) {
+				cold = append(cold, c)
+			}
 		case s.health.Resting(now), s.health.Doubtful(now) && s.load.Own > 0:
 			resting = append(resting, c)
 		default:
 			warm = append(warm, c)
+			full = full && c.Over
 		}
 	}
-	if len(warm) > 0 {
+	switch {
+	case !full:
 		return warm
+	case len(warm)+len(cold) > 0:
+		return append(warm, cold...)
+	default:
+		return resting
 	}
-	var cold []Candidate
-	for _, c := range all {
-		if c.Upstream.Cold(now) && mayWarm(c) {
-			cold = append(cold, c)
-		}
-	}
-	if len(cold) > 0 {
-		return cold
-	}
-	return resting
 }
 
 // mayWarm reports whether the router's part of a cold upstream's rate has room
