--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -48,8 +48,6 @@
 	Shares   []Share
 	// Public routes need no key.
 	Public bool
-	// Chats is set if the requests name the parts of their prompts.
-	Chats bool
 	// Resume is set if a broken stream may go on at another upstream.
 	Resume bool
 	// Regions are where requests may run; empty permits all.
@@ -88,11 +86,6 @@
 // Pool is a set of upstreams that serve the same requests.
 type Pool struct {
 	Name core.Pool
-	// Connections is the number of connections that one upstream takes from
-	// all routers together.
-	Connections int
-	// ColdFor is how long an upstream stays cold after its start.
-	ColdFor time.Duration
 	// ColdRate is the number of requests a second that a cold upstream bears.
 	ColdRate float64
 	// Engine is nil for a pool of plain services.
@@ -110,7 +103,7 @@
 
 // Limits bound what a caller may send.
 type Limits struct {
-	HeaderBytes, BodyBytes int
+	BodyBytes int
 }
 
 // Catalog is one version of the configuration. It is never changed once made.
--- a/core/fleet/admit.go
+++ b/core/fleet/admit.go
@@ -47,6 +47,14 @@
 	Version uint64
 }
 
+// Priority returns how urgent the request is; zero is the most urgent.
+func (r Request) Priority() int {
+	if p := r.Account.Priority; p != nil {
+		return *p
+	}
+	return r.Route.Priority
+}
+
 // defaultTimeout bounds requests of routes that have no time-out.
 const defaultTimeout = time.Minute
 
--- a/router/cluster/settings.go
+++ b/router/cluster/settings.go
@@ -51,8 +51,6 @@
 	// Drain is how many milliseconds after it was told a leaving upstream may
 	// still get work.
 	Drain int `ini:"drain" validate:"min=1"`
-	// Apply is how many milliseconds a configuration may take to be in force.
-	Apply int `ini:"apply" validate:"min=1"`
 	// Evacuate is how many milliseconds after it went out of service a data centre
 	// may still get work.
 	Evacuate int `ini:"evacuate" validate:"min=0"`
--- a/router/gateway/caller.go
+++ b/router/gateway/caller.go
@@ -2,12 +2,11 @@
 
 import (
 	"net/http"
-	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"camphorpulley.org/base/wrap"
+	"camphorpulley.org/router/hop"
 )
 
 // caller passes an answer on to the one who asked.
@@ -21,23 +20,13 @@
 	stream bool
 }
 
-// hop lists the header fields that concern one connection only.
-var hop = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-	"Content-Length", "Date",
-}
+// ownFields lists the fields that the server sets itself.
+var ownFields = []string{"Date"}
 
 // Head implements relay.Caller.
 func (c *caller) Head(status int, h http.Header, length int) {
-	named := strings.Split(strings.Join(h.Values("Connection"), ","), ",")
 	out := c.w.Header()
-	for name, values := range h {
-		if !slices.Contains(hop, name) && !slices.ContainsFunc(named, func(n string) bool {
-			return strings.EqualFold(strings.TrimSpace(n), name)
-		}) {
-			out[name] = values
-		}
-	}
+	hop.Copy(out, h, ownFields)
 	if _, ok := out["Content-Type"]; !ok {
 		// No value keeps the server from guessing one.
 		out["Content-Type"] = nil
