Let a refusal claim no more than the attempts permit

Cause: a safe request that may have run was refused as not run when no further upstream could be tried (refusal-true.txtar failed before). A caller that takes no more of its answer is no longer held against the upstream, nor served again.

--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"camphorpulley.org/base/logs"
@@ -41,6 +42,17 @@
 // Unwrap returns the cause.
 func (e *BrokenError) Unwrap() error { return e.Cause }
 
+// CallerError reports that the caller took no more of its answer.
+type CallerError struct {
+	Cause error
+}
+
+// Error implements error.
+func (e *CallerError) Error() string { return "the caller takes no more: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *CallerError) Unwrap() error { return e.Cause }
+
 // task is a request on its way.
 type task struct {
 	*Call
@@ -77,7 +89,7 @@
 		now := time.Now()
 		target, refusal := t.choose(now)
 		if refusal != nil {
-			return t.giveUp(now, refusal)
+			return t.giveUp(now, t.truly(now, refusal))
 		}
 		sent, err := t.attempt(target)
 		if err == nil {
@@ -85,14 +97,22 @@
 		}
 		t.tried = append(t.tried, target.ID)
 		now = time.Now()
-		if ctx.Err() != nil || !s.Fleet.Again(now, c.Request, &t.exchange, sent, t.runs) {
+		var caller *CallerError
+		if ctx.Err() != nil || errors.As(err, &caller) || !s.Fleet.Again(now, c.Request, &t.exchange, sent, t.runs) {
 			return t.giveUp(now, s.Fleet.Refuse(now, c.Request, &t.exchange, err.Error()))
 		}
 	}
 }
 
-// choose returns the next target. Once all upstreams were tried, those of
-// which the attempts left nothing behind may be tried again.
+// truly returns a refusal that claims no more than the attempts permit.
+func (t *task) truly(now time.Time, refusal *core.Refusal) *core.Refusal {
+	if t.exchange.Certainty() == core.NotRun {
+		return refusal
+	}
+	return t.server.Fleet.Refuse(now, t.Request, &t.exchange, refusal.Message)
+}
+
+// choose returns the next target, by the policy for the kind of request.
 func (t *task) choose(now time.Time) (fleet.Target, *core.Refusal) {
 	switch {
 	case t.Pool.Engine == nil:
--- a/router/relay/run.go
+++ b/router/relay/run.go
@@ -96,6 +96,10 @@
 // lost returns the outcome of an attempt whose answer didn't come or broke.
 func (r *run) lost(err error) health.Outcome {
 	r.exchange.Mark(r.id, answer.Broken)
+	var caller *CallerError
+	if errors.As(err, &caller) {
+		return health.Unknown
+	}
 	var timeout interface{ Timeout() bool }
 	if errors.As(err, &timeout) && timeout.Timeout() {
 		return r.unless(health.Silent)
@@ -133,10 +137,11 @@
 
 // plain passes on an answer that is read whole first.
 func (r *run) plain(a *conn.Answer) error {
-	if err := a.Until(r.Until); err != nil {
-		return err
+	var body []byte
+	err := a.Until(r.Until)
+	if err == nil {
+		body, err = io.ReadAll(io.LimitReader(a, largestBody))
 	}
-	body, err := io.ReadAll(io.LimitReader(a, largestBody))
 	if err == nil && a.ContentLength >= 0 && int64(len(body)) != a.ContentLength && r.Method != http.MethodHead {
 		err = io.ErrUnexpectedEOF
 	}
@@ -165,7 +170,10 @@
 	}
 	r.exchange.Mark(r.id, answer.Ended)
 	r.out.Head(a.StatusCode, a.Header, len(body))
-	return r.out.Write(body)
+	if err := r.out.Write(body); err != nil {
+		return &CallerError{Cause: err}
+	}
+	return nil
 }
 
 // promises reports whether a status promises that a request has not run.
@@ -246,7 +254,7 @@
 		r.begin(a)
 	}
 	if err := r.out.Write(e.raw); err != nil {
-		return err
+		return &CallerError{Cause: err}
 	}
 	return a.Until(r.NextBy(time.Now(), r.runs))
 }
