--- a/core/fleet/beat.go
+++ b/core/fleet/beat.go
@@ -85,8 +85,9 @@
 	if c := f.Current(); c != nil {
 		b.Version = c.Version
 	}
+	var dropped []core.UpstreamID
 	f.roster.Do(table.Hold{}, func(_ table.Hold, u *upstreams) {
-		u.roster.Forget(now)
+		dropped = u.roster.Forget(now)
 		b.Entries, u.told = u.told, nil
 		for _, up := range u.roster.All() {
 			if u.roster.Open(now, up) {
@@ -95,6 +96,9 @@
 		}
 	})
 	f.loads.Do(table.Hold{}, func(_ table.Hold, l *loads) {
+		for _, id := range dropped {
+			delete(*l, id)
+		}
 		for id, s := range *l {
 			if s.load.Own > 0 {
 				b.Running = append(b.Running, Running{Upstream: id, Count: s.load.Own})
@@ -108,7 +112,13 @@
 			}
 		}
 	})
-	b.Held = table.Read(f.parts, table.Hold{}, (*prefix.Map).Take)
+	f.parts.Do(table.Hold{}, func(_ table.Hold, m *prefix.Map) {
+		for _, id := range dropped {
+			m.Forget(id)
+		}
+		m.Sweep(now)
+		b.Held = m.Take()
+	})
 	f.suspects.Do(table.Hold{}, func(_ table.Hold, s *suspects) {
 		s.forget(now)
 		b.Crashes, s.told = s.told, nil
--- a/core/prefix/map.go
+++ b/core/prefix/map.go
@@ -37,6 +37,8 @@
 	engines map[core.UpstreamID]*engine
 	// fresh holds what was learned since the last Take.
 	fresh []Held
+	// swept is when parts that aren't used were dropped last.
+	swept time.Time
 }
 
 type engine struct {
@@ -182,5 +184,28 @@
 	return all
 }
 
+// sweepEvery is the time between two sweeps.
+const sweepEvery = stale / 4
+
+// Sweep drops parts that were not used for long. It does nothing if the last
+// sweep was a short while ago.
+func (m *Map) Sweep(now time.Time) {
+	if now.Sub(m.swept) < sweepEvery {
+		return
+	}
+	m.swept = now
+	for _, e := range m.engines {
+		for id, k := range e.parts {
+			if now.Sub(k.used) < stale {
+				continue
+			}
+			if !k.listed {
+				e.tokens -= k.tokens
+			}
+			delete(e.parts, id)
+		}
+	}
+}
+
 // Forget drops all that is known of an engine.
 func (m *Map) Forget(id core.UpstreamID) { delete(m.engines, id) }
--- a/core/prefix/map_test.go
+++ b/core/prefix/map_test.go
@@ -19,7 +19,9 @@
 		for range 200 {
 			now = now.Add(time.Second)
 			part := Part{ID: core.Digest(rapid.IntRange(1, 30).Draw(t, "part")), Tokens: rapid.IntRange(1, 400).Draw(t, "tokens")}
-			switch rapid.IntRange(0, 2).Draw(t, "what") {
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 3:
+				m.Sweep(now)
 			case 0:
 				m.List(now, "e", []Part{part})
 			case 1:
@@ -53,3 +55,18 @@
 		t.Errorf("tokens after a long time: got %d, want %d", got, want)
 	}
 }
+
+// TestSweep: what isn't used is dropped, also what an engine has listed.
+func TestSweep(t *testing.T) {
+	var m Map
+	now := time.Unix(1000, 0)
+	m.List(now, "e", []Part{{ID: 1, Tokens: 10}})
+	m.Read(now, "e", []Part{{ID: 2, Tokens: 20}}, 0)
+	m.Sweep(now.Add(2 * stale))
+	if got := len(m.engine("e").parts); got != 0 {
+		t.Errorf("parts: got %d, want none", got)
+	}
+	if got := m.Stored("e"); got != 0 {
+		t.Errorf("stored: got %d, want 0", got)
+	}
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -160,14 +160,17 @@
 	return r.away || (!r.back.IsZero() && now.Sub(r.back) < LapseGrace)
 }
 
-// Forget drops entries that were removed long ago.
-func (r *Roster) Forget(now time.Time) {
+// Forget drops entries that were removed long ago, and returns them.
+func (r *Roster) Forget(now time.Time) []core.UpstreamID {
+	var dropped []core.UpstreamID
 	for id, u := range r.byID {
 		if !u.Gone.IsZero() && now.Sub(u.Gone) > forget {
 			delete(r.byID, id)
 			r.list = nil
+			dropped = append(dropped, id)
 		}
 	}
+	return dropped
 }
 
 // Out takes data centres out of service; all others are in.
