--- a/core/fleet/members.go
+++ b/core/fleet/members.go
@@ -105,6 +105,15 @@
 	})
 }
 
+// ids returns the routers that may exist, the own one first.
+func (f *Fleet) ids(now time.Time) []core.RouterID {
+	ids := []core.RouterID{f.settings.ID}
+	for _, m := range f.Members(now) {
+		ids = append(ids, m.ID)
+	}
+	return ids
+}
+
 // Member returns one other router.
 func (f *Fleet) Member(id core.RouterID) (Member, bool) {
 	m := table.Read(f.members, table.Hold{}, func(p *members) member { return p.byID[id] })
--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -66,7 +66,7 @@
 		"remove": cmdRemove, "out": cmdOut, "store": cmdStore, "beats": cmdBeats, "cut": cmdCut, "heal": cmdHeal,
 		"after": cmdAfter, "send": cmdSend, "again": cmdAgain, "end": cmdEnd, "to": cmdTo, "fetch": cmdFetch,
 		"refused": cmdRefused, "running": cmdRunning, "ready": cmdReady, "version": cmdVersion, "break": cmdBreak,
-		"retries": cmdRetries, "survey": cmdSurvey, "slack": cmdSlack, "spread": cmdSpread,
+		"retries": cmdRetries, "survey": cmdSurvey, "slack": cmdSlack, "spread": cmdSpread, "told": cmdTold,
 	}
 	wrapped := map[string]func(*testscript.TestScript, bool, []string){}
 	for name, run := range all {
@@ -434,3 +434,14 @@
 		}
 	}
 }
+
+// told COUNT: how many routers tell of entries in their next beat.
+func cmdTold(ts *testscript.TestScript, w *world, a []string) {
+	got := 0
+	for _, id := range w.order {
+		got += min(len(w.routers[id].Beat(w.now).Entries), 1)
+	}
+	if want, err := strconv.Atoi(a[0]); err != nil || got != want {
+		ts.Fatalf("routers that tell of entries: got %d, want %s", got, a[0])
+	}
+}
--- a/core/fleet/survey.go
+++ b/core/fleet/survey.go
@@ -20,10 +20,7 @@
 	if _, _, settled := f.place(now); c == nil || !settled || len(f.inService(now)) == 0 {
 		return nil, false
 	}
-	routers := []core.RouterID{f.settings.ID}
-	for _, m := range f.Members(now) {
-		routers = append(routers, m.ID)
-	}
+	routers := f.ids(now)
 	engines := table.Read(f.roster, table.Hold{}, func(u *upstreams) []roster.Upstream {
 		return slices.DeleteFunc(slices.Clone(u.roster.All()), func(up roster.Upstream) bool {
 			return c.Pools[up.Pool].Engine == nil || !u.roster.Open(now, up) || first(up.ID, routers) != f.settings.ID
--- a/core/fleet/upstreams.go
+++ b/core/fleet/upstreams.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"camphorpulley.org/core"
+	"camphorpulley.org/core/chat"
 	"camphorpulley.org/core/health"
 	"camphorpulley.org/core/load"
 	"camphorpulley.org/core/prefix"
@@ -46,14 +47,31 @@
 	f.roster.Do(table.Hold{}, func(_ table.Hold, u *upstreams) { u.roster.Store(now, answers) })
 }
 
+// tellers is how many routers tell the others of a changed entry. Each router
+// reads the store itself; the tellers serve those that can't.
+const tellers = 2
+
+// tells reports whether the own router is among the first for an upstream.
+func (f *Fleet) tells(id core.UpstreamID, routers []core.RouterID) bool {
+	key := chat.Key("", string(id), nil)
+	own, before := chat.Score(key, string(f.settings.ID)), 0
+	for _, r := range routers {
+		if chat.Score(key, string(r)) > own {
+			before++
+		}
+	}
+	return before < tellers
+}
+
 // put changes the roster and forgets what was known of processes that are no
 // more. With tell, the next beat tells what has changed.
 func (f *Fleet) put(now time.Time, change func(*roster.Roster) []roster.Change, tell bool) []roster.Change {
 	var changes []roster.Change
+	routers := f.ids(now)
 	f.roster.Do(table.Hold{}, func(held table.Hold, u *upstreams) {
 		changes = change(&u.roster)
 		for _, c := range changes {
-			if up, ok := u.roster.Get(c.ID); ok && tell && up.Gone.IsZero() {
+			if up, ok := u.roster.Get(c.ID); ok && tell && up.Gone.IsZero() && f.tells(c.ID, routers) {
 				u.told = append(u.told, EntryCopy{Upstream: c.ID, Source: up.Source})
 			}
 			if c.Restarted {
