--- a/lab/fleet.sh
+++ b/lab/fleet.sh
@@ -99,7 +99,7 @@
 
 # fleet_run PROGRAM ID starts one process; its id is in $FLEET_DIR/ID.pid.
 fleet_run() {
-  "$BIN/$1" run "$FLEET_DIR/$2.ini" >>"$FLEET_DIR/$2.out" 2>>"$FLEET_DIR/$2.log" </dev/null &
+  "$BIN/$1" run "$FLEET_DIR/$2.ini" >>"$FLEET_DIR/$2.log" 2>>"$FLEET_DIR/$2.err" </dev/null &
   local pid=$!
   FLEET_PIDS+=("$pid")
   echo "$pid" >"$FLEET_DIR/$2.pid"
