--- a/router/cluster/run.go
+++ b/router/cluster/run.go
@@ -53,7 +53,7 @@
 		Fleet: r.fleet, Dialect: a.Incoming, Log: p.Log, Count: count,
 		Relay: &relay.Server{Fleet: r.fleet, Dialect: a.Outgoing, Log: p.Log, Pool: r.pool, Count: count},
 	}
-	r.gateway.Away = func() bool { return r.readiness.Load() == fleet.Isolated }
+	r.gateway.Away = func() bool { return r.leaving.Load() || r.readiness.Load() == fleet.Isolated }
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	return r.run(p, background, stop)
@@ -214,17 +214,21 @@
 	// notice is how long the balancer needs to see that the router is leaving:
 	// two misses of a check each second, and one second more.
 	notice = 3 * time.Second
+	// settle is how long requests that are being read have before idle connections
+	// are closed: the server takes a connection for idle until it has read the
+	// head of a request.
+	settle = 200 * time.Millisecond
 	// lastMargin is left of the grace for the process to end.
 	lastMargin = 400 * time.Millisecond
 )
 
 // shutdown finishes what is in hand. New connections are taken until the
-// balancer has seen that the router is leaving.
+// balancer has seen that the router is leaving; callers' connections close after
+// their next answer.
 func (r *Router) shutdown(callers *http.Server) {
 	begun := time.Now()
 	r.leaving.Store(true)
 	r.log.Info("leaving", zap.Int64("running", r.gateway.Running.Load()))
-	callers.SetKeepAlivesEnabled(false)
 	grace := time.Duration(r.file.Bounds.Grace*float64(time.Second)) - lastMargin
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(grace))
 	defer cancel()
@@ -232,6 +236,8 @@
 		r.log.Warn("withdraw_failed", logs.Err(err))
 	}
 	worker.Sleep(ctx, min(notice, grace/2)-time.Since(begun))
+	r.gateway.Closing.Store(true)
+	worker.Sleep(ctx, settle)
 	err := callers.Shutdown(ctx)
 	r.log.Info("left", zap.Int64("cut", r.gateway.Running.Load()), zap.Duration("took", time.Since(begun)), logs.Err(err))
 }
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -56,6 +56,9 @@
 	// Away reports whether callers should open new connections, which the
 	// balancer then leads elsewhere; nil never does.
 	Away func() bool
+	// Closing is set shortly before the connections are closed. What comes then
+	// isn't passed on: its connection may close under it.
+	Closing atomic.Bool
 	// Running is the number of requests in hand.
 	Running atomic.Int64
 }
@@ -72,6 +75,12 @@
 		w.Header().Set("Connection", "close")
 	}
 	said := g.Dialect.Incoming(r)
+	if g.Closing.Load() {
+		g.refuse(w, said.ID, "", &core.Refusal{
+			Status: http.StatusServiceUnavailable, Certainty: core.NotRun, Code: "leaving", Message: "the router is leaving",
+		})
+		return
+	}
 	said.Host, said.Path = host(r.Host), path(r.RequestURI)
 	body, refusal := g.read(w, r)
 	if refusal != nil {
--- a/router/gateway/script_test.go
+++ b/router/gateway/script_test.go
@@ -42,7 +42,7 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"upstream": with(cmdUpstream), "answer": with(cmdAnswer), "ask": with(cmdAsk), "status": with(cmdStatus),
 			"body": with(cmdBody), "header": with(cmdHeader), "got": with(cmdGot), "requests": with(cmdRequests),
-			"leave": with(cmdLeave), "closed": with(cmdClosed), "down": with(cmdDown), "cut": with(cmdCut),
+			"leave": with(cmdLeave), "closed": with(cmdClosed), "down": with(cmdDown), "cut": with(cmdCut), "closing": with(cmdClosing),
 		},
 	})
 }
@@ -52,6 +52,7 @@
 // stage is the gateway with all that is around it.
 type stage struct {
 	fleet     *fleet.Fleet
+	gateway   *gateway.Gateway
 	server    *httptest.Server
 	upstreams map[string]*upstream
 	status    int
@@ -85,10 +86,11 @@
 		},
 		Limits: catalog.Limits{BodyBytes: 1 << 20},
 	})
-	s.server = httptest.NewServer(&gateway.Gateway{
+	s.gateway = &gateway.Gateway{
 		Fleet: s.fleet, Dialect: dialect{}, Log: zap.NewNop(), Count: counter{},
 		Relay: &relay.Server{Fleet: s.fleet, Dialect: dialect{}, Log: zap.NewNop(), Pool: &conn.Pool{}, Count: counter{}},
-	})
+	}
+	s.server = httptest.NewServer(s.gateway)
 	return s
 }
 
@@ -318,6 +320,9 @@
 	}
 }
 
+// closing: the router is about to close its connections.
+func cmdClosing(_ *testscript.TestScript, s *stage, _ []string) { s.gateway.Closing.Store(true) }
+
 // cut: the last answer broke off.
 func cmdCut(ts *testscript.TestScript, s *stage, _ []string) {
 	if s.err == nil {
