Keep one copy of the routers' rank for an upstream, and lock by evidence

Read once more; behaviour is as before. Who comes first for an upstream stood twice (survey, tellers) and is one function. The list of leaving engines made up its evidence of a held lock and now passes what it was given. Entries that others tell no longer list the routers each time. The wrapping of one change stood three times. A check for a body that is never nil is gone.

--- a/core/fleet/beat.go
+++ b/core/fleet/beat.go
@@ -233,19 +233,14 @@
 
 // hearEntries takes in entries that another router has read.
 func (f *Fleet) hearEntries(now time.Time, copies []EntryCopy) {
+	if f.settings.Entry == nil {
+		return
+	}
 	for _, c := range copies {
-		if f.settings.Entry == nil {
-			return
-		}
 		e, err := f.settings.Entry(c.Upstream, c.Source)
 		if err != nil {
 			continue
 		}
-		f.put(now, func(r *roster.Roster) []roster.Change {
-			if change, ok := r.Put(now, e); ok {
-				return []roster.Change{change}
-			}
-			return nil
-		}, false)
+		f.put(now, func(r *roster.Roster) []roster.Change { return changed(r.Put(now, e)) }, false)
 	}
 }
--- a/core/fleet/source.go
+++ b/core/fleet/source.go
@@ -28,18 +28,18 @@
 // a data centre that went out of service are left alone after half of the time
 // in which they may still get work.
 func (f *Fleet) leaving(now time.Time, r Request) []Candidate {
-	return table.Read(f.roster, table.Hold{}, func(u *upstreams) []Candidate {
-		var all []Candidate
+	var all []Candidate
+	f.roster.Do(table.Hold{}, func(held table.Hold, u *upstreams) {
 		for _, up := range u.roster.All() {
 			if up.Pool == r.Pool.Name && u.roster.Leaving(now, up, f.settings.Evacuation/2) {
 				all = append(all, Candidate{Upstream: up})
 			}
 		}
-		f.parts.Do(table.Hold{Rank: table.RankUpstreams}, func(_ table.Hold, m *prefix.Map) {
+		f.parts.Do(held, func(_ table.Hold, m *prefix.Map) {
 			for i := range all {
 				all[i].Held = m.Tokens(now, all[i].Upstream.ID, r.Shared)
 			}
 		})
-		return all
 	})
+	return all
 }
--- a/core/fleet/survey.go
+++ b/core/fleet/survey.go
@@ -23,21 +23,23 @@
 	routers := f.ids(now)
 	engines := table.Read(f.roster, table.Hold{}, func(u *upstreams) []roster.Upstream {
 		return slices.DeleteFunc(slices.Clone(u.roster.All()), func(up roster.Upstream) bool {
-			return c.Pools[up.Pool].Engine == nil || !u.roster.Open(now, up) || first(up.ID, routers) != f.settings.ID
+			return c.Pools[up.Pool].Engine == nil || !u.roster.Open(now, up) || f.ahead(up.ID, routers) > 0
 		})
 	})
 	return engines, true
 }
 
-// first returns the router that comes first for an upstream.
-func first(id core.UpstreamID, routers []core.RouterID) core.RouterID {
+// ahead returns how many routers come before the own one for an upstream, by
+// rendezvous.
+func (f *Fleet) ahead(id core.UpstreamID, routers []core.RouterID) int {
 	key := chat.Key("", string(id), nil)
-	return slices.MaxFunc(routers, func(a, b core.RouterID) int {
-		if chat.Score(key, string(a)) < chat.Score(key, string(b)) {
-			return -1
+	own, ahead := chat.Score(key, string(f.settings.ID)), 0
+	for _, r := range routers {
+		if chat.Score(key, string(r)) > own {
+			ahead++
 		}
-		return 1
-	})
+	}
+	return ahead
 }
 
 // Surveyed takes in what an engine has in its cache. The next beat tells.
--- a/core/fleet/upstreams.go
+++ b/core/fleet/upstreams.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"camphorpulley.org/core"
-	"camphorpulley.org/core/chat"
 	"camphorpulley.org/core/health"
 	"camphorpulley.org/core/load"
 	"camphorpulley.org/core/prefix"
@@ -19,22 +18,12 @@
 
 // Entered takes in an entry that an upstream has written.
 func (f *Fleet) Entered(now time.Time, e roster.Entry) []roster.Change {
-	return f.put(now, func(r *roster.Roster) []roster.Change {
-		if c, ok := r.Put(now, e); ok {
-			return []roster.Change{c}
-		}
-		return nil
-	}, true)
+	return f.put(now, func(r *roster.Roster) []roster.Change { return changed(r.Put(now, e)) }, true)
 }
 
 // Removed takes in that an upstream's entry was removed.
 func (f *Fleet) Removed(now time.Time, id core.UpstreamID) []roster.Change {
-	return f.put(now, func(r *roster.Roster) []roster.Change {
-		if c, ok := r.Remove(now, id); ok {
-			return []roster.Change{c}
-		}
-		return nil
-	}, true)
+	return f.put(now, func(r *roster.Roster) []roster.Change { return changed(r.Remove(now, id)) }, true)
 }
 
 // Out takes data centres out of service; all others are in.
@@ -51,27 +40,26 @@
 // reads the store itself; the tellers serve those that can't.
 const tellers = 2
 
-// tells reports whether the own router is among the first for an upstream.
-func (f *Fleet) tells(id core.UpstreamID, routers []core.RouterID) bool {
-	key := chat.Key("", string(id), nil)
-	own, before := chat.Score(key, string(f.settings.ID)), 0
-	for _, r := range routers {
-		if chat.Score(key, string(r)) > own {
-			before++
-		}
+// changed returns the change that a rule of the roster reports, if any.
+func changed(c roster.Change, ok bool) []roster.Change {
+	if !ok {
+		return nil
 	}
-	return before < tellers
+	return []roster.Change{c}
 }
 
 // put changes the roster and forgets what was known of processes that are no
 // more. With tell, the next beat tells what has changed.
 func (f *Fleet) put(now time.Time, change func(*roster.Roster) []roster.Change, tell bool) []roster.Change {
 	var changes []roster.Change
-	routers := f.ids(now)
+	var routers []core.RouterID
+	if tell {
+		routers = f.ids(now)
+	}
 	f.roster.Do(table.Hold{}, func(held table.Hold, u *upstreams) {
 		changes = change(&u.roster)
 		for _, c := range changes {
-			if up, ok := u.roster.Get(c.ID); ok && tell && up.Gone.IsZero() && f.tells(c.ID, routers) {
+			if up, ok := u.roster.Get(c.ID); ok && tell && up.Gone.IsZero() && f.ahead(c.ID, routers) < tellers {
 				u.told = append(u.told, EntryCopy{Upstream: c.ID, Source: up.Source})
 			}
 			if c.Restarted {
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -87,9 +87,6 @@
 		g.refuse(w, said.ID, "", refusal)
 		return
 	}
-	if body == nil && r.Context().Err() != nil {
-		return
-	}
 	said.Content = digest(r, said, body)
 	request, refusal := g.Fleet.Admit(arrived, said.Ask)
 	if refusal != nil {
@@ -131,7 +128,7 @@
 	}
 }
 
-// read reads the body. It is nil if the caller left.
+// read reads the body, or says why it can't be taken.
 func (g *Gateway) read(w http.ResponseWriter, r *http.Request) ([]byte, *core.Refusal) {
 	limit := int64(defaultBody)
 	if c := g.Fleet.Current(); c != nil && c.Limits.BodyBytes > 0 {
