Fetch from engines that lost an answer, and see a cut from two losses

Change: a source is any engine of the pool that serves, also one that was tried, unless contact was lost and nothing came for 300 ms. Entries removed without notice give for the drain time. Two losses in a data centre with no sign of life between them are a cut: what lies there is left alone, tried again after growing rests, and not fetched from. 421 is an outcome of its own, since something answered.

--- a/core/fleet/beat.go
+++ b/core/fleet/beat.go
@@ -97,9 +97,9 @@
 	})
 	f.loads.Do(table.Hold{}, func(_ table.Hold, l *loads) {
 		for _, id := range dropped {
-			delete(*l, id)
+			delete(l.byID, id)
 		}
-		for id, s := range *l {
+		for id, s := range l.byID {
 			if s.load.Own > 0 {
 				b.Running = append(b.Running, Running{Upstream: id, Count: s.load.Own})
 			}
@@ -107,7 +107,7 @@
 				b.Results = append(b.Results, Results{Upstream: id, Good: s.fine, Bad: s.bad})
 			}
 			s.fine, s.bad = 0, 0
-			if s.rested && s.health.Resting(now) {
+			if s.rested && s.health.Resting(now) && !s.centre.Cut(now) {
 				b.Resting = append(b.Resting, Resting{Upstream: id, ForMS: s.health.Until.Sub(now).Milliseconds()})
 			}
 		}
@@ -153,7 +153,7 @@
 			running[r.Upstream] = r.Count
 			l.of(r.Upstream)
 		}
-		for id, s := range *l {
+		for id, s := range l.byID {
 			s.load.Hear(now, from.ID, running[id])
 		}
 		for _, r := range b.Results {
--- a/core/fleet/candidates.go
+++ b/core/fleet/candidates.go
@@ -57,16 +57,17 @@
 }
 
 // candidates describes the open upstreams for a policy.
-func (f *Fleet) candidates(now time.Time, l loads, r Request, open []roster.Upstream, held []holding) []Candidate {
+func (f *Fleet) candidates(now time.Time, l *loads, r Request, open []roster.Upstream, held []holding) []Candidate {
 	all := make([]Candidate, len(open))
 	prompt := prefix.Sum(r.Shared)
 	for i, u := range open {
-		s := l.of(u.ID)
+		s, way := l.of(u.ID), l.centre(u.DataCentre)
 		all[i] = Candidate{
 			Upstream: u, Load: s.load.Total(now), Held: held[i].prompt,
 			Lacks: held[i].prompt < prompt, Stored: held[i].all,
 			Failing: s.health.Failing(now), Near: u.DataCentre == f.settings.DataCentre,
 			Score: chat.Score(r.Key, string(u.ID)), state: s,
+			Rests: s.rests(now) || way.Resting(now),
 		}
 		if 2*all[i].Held >= prompt {
 			all[i].useful = all[i].Held
@@ -88,7 +89,7 @@
 
 // bound returns the bound for a pool. The mean is that of all its upstreams:
 // those that get no new work lower it.
-func (f *Fleet) bound(now time.Time, l loads, pool []roster.Upstream) bound {
+func (f *Fleet) bound(now time.Time, l *loads, pool []roster.Upstream) bound {
 	total := 0
 	for _, u := range pool {
 		total += l.of(u.ID).load.Total(now)
@@ -124,13 +125,12 @@
 	var warm, cold, resting []Candidate
 	full := true
 	for _, c := range all {
-		s := c.state
 		switch {
 		case c.Upstream.Cold(now):
 			if mayWarm(c) {
 				cold = append(cold, c)
 			}
-		case s.health.Resting(now), s.health.Doubtful(now) && s.load.Own > 0:
+		case c.Rests:
 			resting = append(resting, c)
 		default:
 			warm = append(warm, c)
--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -45,8 +45,8 @@
 	var best Candidate
 	var all []Candidate
 	f.loads.Do(table.Hold{}, func(_ table.Hold, l *loads) {
-		all = f.candidates(now, *l, r, open, held)
-		f.bound(now, *l, pool).mark(all)
+		all = f.candidates(now, l, r, open, held)
+		f.bound(now, l, pool).mark(all)
 		best = choose(policy, usable(now, all, func(c Candidate) bool {
 			return f.mayWarm(now, c, r, routers, rank, settled)
 		}))
@@ -63,7 +63,7 @@
 	}
 	t := Target{Upstream: best.Upstream, Load: best.Load, Held: best.Held, Prompt: prefix.Sum(r.Shared), Chosen: now, Candidates: len(all)}
 	if r.Pool.Engine != nil && t.Held < t.Prompt {
-		t.Fetch = f.source(now, r, all, best)
+		t.Fetch = f.source(now, r, best)
 	}
 	return t, nil
 }
--- a/core/fleet/finish.go
+++ b/core/fleet/finish.go
@@ -14,6 +14,7 @@
 	var rest bool
 	f.loads.Do(table.Hold{}, func(_ table.Hold, l *loads) {
 		s := l.of(t.ID)
+		s.centre = l.centre(t.DataCentre)
 		if o == health.Silent && s.alive.After(t.Chosen) {
 			o = health.Slow
 		}
@@ -22,7 +23,8 @@
 			s.load.Report(now, *report)
 		}
 		if o == health.Good {
-			s.good, s.alive = now, now
+			s.good = now
+			s.seen(now)
 			s.fine++
 			s.rested = false
 		}
@@ -32,13 +34,16 @@
 		if rest = s.health.Note(now, o); rest {
 			s.rested = true
 		}
+		if o.Loss() {
+			s.centre.Lost(now, t.ID)
+		}
 	})
 	return rest
 }
 
 // Alive takes in that something has come from an upstream.
 func (f *Fleet) Alive(now time.Time, t Target) {
-	f.loads.Do(table.Hold{}, func(_ table.Hold, l *loads) { l.of(t.ID).alive = now })
+	f.loads.Do(table.Hold{}, func(_ table.Hold, l *loads) { l.of(t.ID).seen(now) })
 }
 
 // Loaded takes in what an upstream said of its load while it runs an attempt.
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -14,9 +14,6 @@
 
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/catalog"
-	"camphorpulley.org/core/health"
-	"camphorpulley.org/core/load"
-	"camphorpulley.org/core/pace"
 	"camphorpulley.org/core/poison"
 	"camphorpulley.org/core/prefix"
 	"camphorpulley.org/core/retry"
@@ -35,6 +32,8 @@
 	Retry   retry.Terms
 	// Multiple is how many times the mean load an upstream may carry.
 	Multiple float64
+	// Drain is how long a leaving upstream serves on.
+	Drain time.Duration
 	// Evacuation is how long after a data centre went out of service its upstreams
 	// may still get work.
 	Evacuation time.Duration
@@ -65,31 +64,6 @@
 	told []EntryCopy
 }
 
-// state is what the router knows of one upstream from requests.
-type state struct {
-	health health.Record
-	load   load.Book
-	// cold counts the requests that were sent while the upstream was cold.
-	cold pace.Window
-	// good is when the last good answer came, alive when anything came.
-	good, alive time.Time
-	// fine and bad count the answers and failures since the last beat.
-	fine, bad int
-	// rested is set while the rest was begun by the router's own requests.
-	rested bool
-}
-
-type loads map[core.UpstreamID]*state
-
-func (l loads) of(id core.UpstreamID) *state {
-	s := l[id]
-	if s == nil {
-		s = &state{}
-		l[id] = s
-	}
-	return s
-}
-
 type suspects struct {
 	table poison.Suspects
 	// told holds crashes that the next beat tells.
--- a/core/fleet/policy.go
+++ b/core/fleet/policy.go
@@ -23,6 +23,9 @@
 	Stored int
 	// Failing is the recent failure rate.
 	Failing float64
+	// Rests is set if the upstream is left alone for now, and Lost if contact to it
+	// or to its data centre was lost.
+	Rests, Lost bool
 	// Near is set for the router's own data centre.
 	Near bool
 	// Score is the rendezvous weight for the request's key.
--- a/core/fleet/ready.go
+++ b/core/fleet/ready.go
@@ -83,7 +83,7 @@
 				continue
 			}
 			far++
-			if s := (*l)[up.ID]; s != nil && (s.health.Resting(now) || s.health.Doubtful(now)) {
+			if l.centre(up.DataCentre).Cut(now) || l.of(up.ID).doubtful(now) {
 				lost++
 			}
 		}
--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -123,7 +123,7 @@
 func cmdRouter(_ *testscript.TestScript, w *world, a []string) {
 	f := fleet.New(w.now, fleet.Settings{
 		ID: core.RouterID(a[0]), DataCentre: core.DataCentre(a[1]), Address: a[0], Multiple: 2,
-		Evacuation: 5 * time.Second, Incarnation: core.Incarnation(w.now.UnixMilli()),
+		Drain: 2 * time.Second, Evacuation: 5 * time.Second, Incarnation: core.Incarnation(w.now.UnixMilli()),
 		Retry: retry.Terms{Ratio: 0.2, Slack: w.slack, Window: 10 * time.Second},
 		Catalog: func([]byte) (*catalog.Catalog, error) {
 			c := w.catalog
--- a/core/fleet/upstreams.go
+++ b/core/fleet/upstreams.go
@@ -73,7 +73,7 @@
 // restart forgets what was known of an upstream's earlier process.
 func (f *Fleet) restart(now time.Time, held table.Hold, u *upstreams, id core.UpstreamID) {
 	f.loads.Do(held, func(held table.Hold, l *loads) {
-		if s := (*l)[id]; s != nil {
+		if s := l.byID[id]; s != nil {
 			s.health = health.Record{}
 			s.load = load.Book{Own: s.load.Own}
 		}
--- a/core/health/record.go
+++ b/core/health/record.go
@@ -13,6 +13,8 @@
 	Unreachable
 	// Broken means that a connection broke with a request on it.
 	Broken
+	// Misdirected means that another upstream has the address.
+	Misdirected
 	// Silent means that nothing came in the time that it should have.
 	Silent
 	// Slow means that nothing came in time while the upstream answered others.
@@ -27,9 +29,12 @@
 
 // String returns the word for logs.
 func (o Outcome) String() string {
-	return [...]string{"good", "unreachable", "broken", "silent", "slow", "failed", "shed", "unknown"}[o]
+	return [...]string{"good", "unreachable", "broken", "misdirected", "silent", "slow", "failed", "shed", "unknown"}[o]
 }
 
+// Loss reports whether the outcome says that contact was lost.
+func (o Outcome) Loss() bool { return o == Unreachable || o == Broken || o == Silent }
+
 const (
 	// firstRest is how long an upstream is left alone after one loss of contact,
 	// doubled for each further one: a process needs longer to start again.
@@ -81,10 +86,15 @@
 		return false
 	}
 	r.Losses++
-	r.Until = now.Add(min(firstRest<<min(r.Losses-1, 8), longestRest))
+	r.Until = now.Add(rest(r.Losses))
 	return true
 }
 
+// rest returns how long an upstream is left alone after a number of losses.
+func rest(losses int) time.Duration {
+	return min(firstRest<<min(losses-1, 8), longestRest)
+}
+
 // mostCounted bounds how many outcomes of another router count at once: beyond
 // it the rate is theirs in any case.
 const mostCounted = 32
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -216,14 +216,14 @@
 }
 
 // Leaving reports whether an upstream gets no new work but still serves: it is
-// draining, or its data centre went out of service less than grace ago.
-func (r *Roster) Leaving(now time.Time, u Upstream, grace time.Duration) bool {
+// draining, its entry was removed without notice less than drain ago, or its
+// data centre went out of service less than out ago.
+func (r *Roster) Leaving(now time.Time, u Upstream, drain, out time.Duration) bool {
 	if !u.Gone.IsZero() {
-		return false
+		return !u.Draining && now.Sub(u.Gone) < drain
 	}
-	since, out := r.out[u.DataCentre]
-	if out {
-		return now.Sub(since) < grace
+	if since, isOut := r.out[u.DataCentre]; isOut {
+		return now.Sub(since) < out
 	}
 	return u.Draining
 }
--- a/router/cluster/settings.go
+++ b/router/cluster/settings.go
@@ -84,6 +84,7 @@
 			Window: time.Duration(f.Bounds.Window * float64(time.Second)),
 		},
 		Multiple:   f.Bounds.Multiple,
+		Drain:      time.Duration(f.Bounds.Drain) * time.Millisecond,
 		Evacuation: time.Duration(f.Bounds.Evacuate) * time.Millisecond,
 		Catalog:    a.Catalog,
 		Entry:      a.Entry,
--- a/router/relay/run.go
+++ b/router/relay/run.go
@@ -115,7 +115,7 @@
 	r.runs--
 	r.outcome = health.Shed
 	if r.reply.Misdirected {
-		r.outcome = health.Unreachable
+		r.outcome = health.Misdirected
 	}
 	_, err := io.Copy(io.Discard, io.LimitReader(a, largestEvent))
 	if err != nil {
