Drop entries that other routers told and the store doesn't show

Change: what is heard counts until the next read of the store that began after it. Store entries that come after such a drop are taken again.

--- a/core/fleet/beat.go
+++ b/core/fleet/beat.go
@@ -241,6 +241,6 @@
 		if err != nil {
 			continue
 		}
-		f.put(now, func(r *roster.Roster) []roster.Change { return changed(r.Put(now, e)) }, false)
+		f.put(now, func(r *roster.Roster) []roster.Change { return changed(r.Hear(now, e)) }, false)
 	}
 }
--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -63,7 +63,7 @@
 func commands() map[string]func(*testscript.TestScript, bool, []string) {
 	all := map[string]func(*testscript.TestScript, *world, []string){
 		"router": cmdRouter, "pool": cmdPool, "route": cmdRoute, "apply": cmdApply, "upstream": cmdUpstream,
-		"remove": cmdRemove, "out": cmdOut, "store": cmdStore, "beats": cmdBeats, "cut": cmdCut, "heal": cmdHeal,
+		"remove": cmdRemove, "read": cmdRead, "out": cmdOut, "store": cmdStore, "beats": cmdBeats, "cut": cmdCut, "heal": cmdHeal,
 		"after": cmdAfter, "send": cmdSend, "again": cmdAgain, "end": cmdEnd, "to": cmdTo, "fetch": cmdFetch,
 		"refused": cmdRefused, "running": cmdRunning, "ready": cmdReady, "version": cmdVersion, "break": cmdBreak,
 		"retries": cmdRetries, "survey": cmdSurvey, "slack": cmdSlack, "spread": cmdSpread, "told": cmdTold,
@@ -194,9 +194,14 @@
 	w.each(nil, func(f *fleet.Fleet) { f.Entered(w.now, e) })
 }
 
-// remove ID: the entry is gone.
+// read [ROUTER...]: the store is read, and shows nothing new.
+func cmdRead(_ *testscript.TestScript, w *world, a []string) {
+	w.each(a, func(f *fleet.Fleet) { f.Confirmed(w.now, w.now) })
+}
+
+// remove ID [ROUTER...]: the entry is gone, as these routers have read.
 func cmdRemove(_ *testscript.TestScript, w *world, a []string) {
-	w.each(nil, func(f *fleet.Fleet) { f.Removed(w.now, core.UpstreamID(a[0])) })
+	w.each(a[1:], func(f *fleet.Fleet) { f.Removed(w.now, core.UpstreamID(a[0])) })
 }
 
 // out [DC...]: these data centres are out of service, and no others.
--- a/core/fleet/upstreams.go
+++ b/core/fleet/upstreams.go
@@ -26,6 +26,12 @@
 	return f.put(now, func(r *roster.Roster) []roster.Change { return changed(r.Remove(now, id)) }, true)
 }
 
+// Confirmed takes in that the store's entries were read from a time on. What
+// other routers told before and the store hasn't shown is gone.
+func (f *Fleet) Confirmed(now, began time.Time) []roster.Change {
+	return f.put(now, func(r *roster.Roster) []roster.Change { return r.Confirm(now, began) }, false)
+}
+
 // Out takes data centres out of service; all others are in.
 func (f *Fleet) Out(now time.Time, centres map[core.DataCentre]bool) {
 	f.roster.Do(table.Hold{}, func(_ table.Hold, u *upstreams) { u.roster.Out(now, centres) })
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -44,6 +44,9 @@
 	Gone time.Time
 	// Lapsed is set if the entry was removed while the store was unreliable.
 	Lapsed bool
+	// Heard is when another router told of the entry; zero once the store has
+	// shown it.
+	Heard time.Time
 }
 
 // Cold reports whether the upstream is still warming up.
@@ -81,18 +84,46 @@
 	Restarted bool
 }
 
-// Put takes an entry in. It reports a change
-// that matters to requests. An older entry of the same process, or one of an
-// earlier process, changes nothing.
-func (r *Roster) Put(now time.Time, e Entry) (Change, bool) {
+// Put takes in an entry that the store has shown. It reports a change that
+// matters to requests. An older entry of the same process, or one of an earlier
+// process, changes nothing.
+func (r *Roster) Put(now time.Time, e Entry) (Change, bool) { return r.put(now, e, time.Time{}) }
+
+// Hear takes in an entry that another router has told. Until the store shows it
+// as well it may be one that the store no longer has.
+func (r *Roster) Hear(now time.Time, e Entry) (Change, bool) {
+	heard := now
+	if old, known := r.byID[e.ID]; known && old.Gone.IsZero() {
+		heard = old.Heard
+	}
+	return r.put(now, e, heard)
+}
+
+// Confirm takes in that the store was read from a time on: an entry that was
+// heard before and that the store hasn't shown since is gone.
+func (r *Roster) Confirm(now, began time.Time) []Change {
+	var changes []Change
+	for _, u := range r.All() {
+		if u.Heard.IsZero() || !u.Heard.Before(began) {
+			continue
+		}
+		if c, ok := r.Remove(now, u.ID); ok {
+			changes = append(changes, c)
+		}
+	}
+	return changes
+}
+
+func (r *Roster) put(now time.Time, e Entry, heard time.Time) (Change, bool) {
 	old, known := r.byID[e.ID]
 	if known && (e.Born < old.Born || (e.Born == old.Born && e.Sequence < old.Sequence)) {
 		return Change{}, false
 	}
-	if known && !old.Gone.IsZero() && e.Born == old.Born && e.Sequence == old.Sequence {
+	shown := heard.IsZero() && !old.Heard.IsZero()
+	if known && !old.Gone.IsZero() && !shown && e.Born == old.Born && e.Sequence == old.Sequence {
 		return Change{}, false
 	}
-	u := Upstream{Entry: e, ColdUntil: now.Add(e.ColdLeft)}
+	u := Upstream{Entry: e, ColdUntil: now.Add(e.ColdLeft), Heard: heard}
 	change, changed := Change{ID: e.ID}, true
 	switch {
 	case !known:
--- a/router/cluster/follow.go
+++ b/router/cluster/follow.go
@@ -73,6 +73,7 @@
 }
 
 func (f *follower) read(ctx context.Context) error {
+	began := time.Now()
 	if !f.synced {
 		page, err := f.store.Newest(ctx, f.feed)
 		if err != nil {
@@ -97,6 +98,9 @@
 		f.apply(time.Now(), e)
 	}
 	f.next = page.Next
+	if f.feed == Upstreams {
+		f.changed(f.fleet.Confirmed(time.Now(), began))
+	}
 	return nil
 }
 
