Use 0.8 of the permitted excess over the mean load

Change: boundPart 0.5 to 0.8.

Ruled out: better estimates of the load (the age of a report at 100 and 1 ms changed nothing).

--- a/core/fleet/candidates.go
+++ b/core/fleet/candidates.go
@@ -79,7 +79,7 @@
 const (
 	// boundPart is the part of the permitted excess over the mean that is used:
 	// the loads of other routers are known with a delay.
-	boundPart = 0.5
+	boundPart = 0.8
 	// boundSlack lets small loads be uneven, in requests.
 	boundSlack = 2
 )
