Let two routers read the upstreams' entries and tell the others

What changed was told besides by two routers for each entry, without removals.

Change: core/feed decides who reads and when. Two routers of two data centres read and tell parts of the feed with their offsets; the others take them in order, read for themselves when a part is missing or nothing was heard for three quarters of the drain time, and then tell too. A router that the store turns away relies on what is told. What a message has changed, and what of it can't be read, is logged. Entries in beats are gone.

Ruled out: relays of the operators' records as well: a reader whose connection has gone silent would hide a configuration longer than its bound.

--- a/core/fleet/beat.go
+++ b/core/fleet/beat.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/prefix"
 	"camphorpulley.org/core/roster"
@@ -15,6 +17,18 @@
 	Beat     *Beat
 	Want     *Want
 	Snapshot *Snapshot
+	Read     *Read
+}
+
+// Effects are what a message has changed, and the answer to it.
+type Effects struct {
+	// Reply is the answer; nil if the message needs none.
+	Reply   *Message
+	Changes []roster.Change
+	// Version is that of a catalog that came into force; zero if none did.
+	Version uint64
+	// Faults are the parts of the message that can't be read.
+	Faults []error
 }
 
 // Beat tells what a router knows at the moment, and what it has learned since
@@ -30,7 +44,6 @@
 	Results []Results
 	Held    []prefix.Held
 	Crashes []Crash
-	Entries []EntryCopy
 }
 
 // Running is how many requests a router has at an upstream.
@@ -88,7 +101,6 @@
 	var dropped []core.UpstreamID
 	f.roster.Do(table.Hold{}, func(_ table.Hold, u *upstreams) {
 		dropped = u.roster.Forget(now)
-		b.Entries, u.told = u.told, nil
 		for _, up := range u.roster.All() {
 			if u.roster.Open(now, up) {
 				b.Known++
@@ -126,19 +138,20 @@
 	return b
 }
 
-// Receive takes a message in and returns the answer to it; nil if it needs
-// none.
-func (f *Fleet) Receive(now time.Time, from Member, m Message) *Message {
+// Receive takes a message in.
+func (f *Fleet) Receive(now time.Time, from Member, m Message) Effects {
 	f.heard(now, from)
 	switch {
 	case m.Beat != nil:
-		return f.hear(now, from, *m.Beat)
+		return Effects{Reply: f.hear(now, from, *m.Beat)}
 	case m.Want != nil:
-		return &Message{Snapshot: f.snapshot(now, *m.Want)}
+		return Effects{Reply: &Message{Snapshot: f.snapshot(now, *m.Want)}}
 	case m.Snapshot != nil:
-		f.learn(now, *m.Snapshot)
+		return f.learn(now, *m.Snapshot)
+	case m.Read != nil:
+		return f.told(now, *m.Read)
 	}
-	return nil
+	return Effects{}
 }
 
 // goodAge is how recent a good answer of the router's own must be to go before
@@ -146,7 +159,6 @@
 const goodAge = 500 * time.Millisecond
 
 func (f *Fleet) hear(now time.Time, from Member, b Beat) *Message {
-	f.hearEntries(now, b.Entries)
 	f.loads.Do(table.Hold{}, func(_ table.Hold, l *loads) {
 		running := make(map[core.UpstreamID]int, len(b.Running))
 		for _, r := range b.Running {
@@ -221,26 +233,38 @@
 	return s
 }
 
-func (f *Fleet) learn(now time.Time, s Snapshot) {
+func (f *Fleet) learn(now time.Time, s Snapshot) Effects {
+	var e Effects
 	if len(s.Catalog) > 0 && f.settings.Catalog != nil {
-		if c, err := f.settings.Catalog(s.Catalog); err == nil {
-			f.Configure(c)
+		c, err := f.settings.Catalog(s.Catalog)
+		if err != nil {
+			e.Faults = append(e.Faults, err)
+		} else if f.Configure(c) {
+			e.Version = c.Version
 		}
 	}
-	f.hearEntries(now, s.Entries)
+	for _, copied := range s.Entries {
+		entry, fault := f.entry(copied.Upstream, copied.Source)
+		if fault != nil {
+			e.Faults = append(e.Faults, fault)
+			continue
+		}
+		e.Changes = append(e.Changes, f.put(now, table.Hold{}, func(r *roster.Roster) []roster.Change {
+			return changed(r.Hear(now, *entry))
+		})...)
+	}
 	f.parts.Do(table.Hold{}, func(_ table.Hold, m *prefix.Map) { m.Hear(now, s.Held, f.memory()) })
+	return e
 }
 
-// hearEntries takes in entries that another router has read.
-func (f *Fleet) hearEntries(now time.Time, copies []EntryCopy) {
+// entry reads the text of an entry that another router has told.
+func (f *Fleet) entry(id core.UpstreamID, source []byte) (*roster.Entry, error) {
 	if f.settings.Entry == nil {
-		return
+		return nil, errors.Errorf("entry of upstream %s: no reader of entries", id)
 	}
-	for _, c := range copies {
-		e, err := f.settings.Entry(c.Upstream, c.Source)
-		if err != nil {
-			continue
-		}
-		f.put(now, func(r *roster.Roster) []roster.Change { return changed(r.Hear(now, e)) }, false)
+	e, err := f.settings.Entry(id, source)
+	if err != nil {
+		return nil, err
 	}
+	return &e, nil
 }
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -14,6 +14,7 @@
 
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/catalog"
+	"camphorpulley.org/core/feed"
 	"camphorpulley.org/core/poison"
 	"camphorpulley.org/core/prefix"
 	"camphorpulley.org/core/retry"
@@ -51,6 +52,7 @@
 	current  atomic.Pointer[catalog.Catalog]
 	catalog  *table.Cell[catalog.Shelf]
 	members  *table.Cell[members]
+	feed     *table.Cell[feed.Progress]
 	roster   *table.Cell[upstreams]
 	loads    *table.Cell[loads]
 	parts    *table.Cell[prefix.Map]
@@ -60,8 +62,6 @@
 
 type upstreams struct {
 	roster roster.Roster
-	// told holds changes that the next beat tells.
-	told []EntryCopy
 }
 
 type suspects struct {
@@ -85,6 +85,7 @@
 		started:  now,
 		catalog:  table.New(table.RankConfig, catalog.Shelf{}),
 		members:  table.New(table.RankInstances, members{byID: map[core.RouterID]member{}}),
+		feed:     table.New(table.RankFeeds, feed.Progress{}),
 		roster:   table.New(table.RankUpstreams, upstreams{}),
 		loads:    table.New(table.RankLoads, loads{}),
 		parts:    table.New(table.RankParts, prefix.Map{}),
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -49,6 +49,19 @@
 	Heard time.Time
 }
 
+// coldStep is how much the end of the cold time of one process may differ between
+// two entries: they are read up to a second after they were written.
+const coldStep = 1500 * time.Millisecond
+
+// warms reports whether an upstream turns out to be cold for longer than it was
+// known to be, or for less.
+func (u Upstream) warms(now time.Time, old Upstream) bool {
+	if !u.Cold(now) && !old.Cold(now) {
+		return false
+	}
+	return u.ColdUntil.Sub(old.ColdUntil).Abs() > coldStep
+}
+
 // Cold reports whether the upstream is still warming up.
 func (u Upstream) Cold(now time.Time) bool { return now.Before(u.ColdUntil) }
 
@@ -132,7 +145,9 @@
 		change.What, change.Restarted = "restarted", true
 	case !old.Gone.IsZero():
 		change.What = "returned"
-	case e.same(old.Entry):
+	case shown && old.Gone.IsZero():
+		change.What = "confirmed"
+	case e.same(old.Entry) && !u.warms(now, old):
 		changed = false
 	default:
 		change.What = "updated"
--- a/core/table/rank.go
+++ b/core/table/rank.go
@@ -12,6 +12,7 @@
 	RankNone Rank = iota
 	RankConfig
 	RankInstances
+	RankFeeds
 	RankUpstreams
 	RankPermits
 	RankHoldings
--- a/router/cluster/follow.go
+++ b/router/cluster/follow.go
@@ -11,7 +11,6 @@
 	"camphorpulley.org/base/worker"
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/fleet"
-	"camphorpulley.org/core/roster"
 )
 
 const (
@@ -28,11 +27,6 @@
 	// which a router must be up to date again.
 	firstPause = 100 * time.Millisecond
 	lastPause  = 800 * time.Millisecond
-	// leastPoll is the shortest time between two reads of the upstreams' records,
-	// and pollPart what each router adds to it: routers tell each other what they
-	// read, so that the whole fleet reads as often as one router would.
-	leastPoll = time.Second
-	pollPart  = 120 * time.Millisecond
 )
 
 // follower keeps one feed in step with the store.
@@ -41,9 +35,8 @@
 	store Store
 	fleet *fleet.Fleet
 	log   *zap.Logger
-	// wait returns how long a read waits, and pause the time between reads.
-	wait  func(now time.Time) time.Duration
-	pause func(now time.Time) time.Duration
+	// wait returns how long a read waits.
+	wait func(now time.Time) time.Duration
 
 	next   uint64
 	synced bool
@@ -51,35 +44,31 @@
 	out    map[core.DataCentre]bool
 }
 
-// step reads once and then pauses.
+// step reads once.
 func (f *follower) step(ctx context.Context) {
 	err := f.read(ctx)
 	if ctx.Err() != nil {
 		return
 	}
-	now := time.Now()
 	var gap *GapError
 	switch {
 	case errors.As(err, &gap):
 		f.synced = false
 		f.log.Warn("records_dropped", zap.String("feed", f.feed.String()), logs.Err(err))
 	case err != nil:
-		f.lost(now, err)
+		f.lost(err)
 		worker.Sleep(ctx, min(firstPause<<min(f.tries-1, 8), lastPause))
 	default:
-		f.regained(now)
-		worker.Sleep(ctx, f.pause(now))
+		f.regained()
 	}
 }
 
 func (f *follower) read(ctx context.Context) error {
-	began := time.Now()
 	if !f.synced {
 		page, err := f.store.Newest(ctx, f.feed)
 		if err != nil {
 			return err
 		}
-		f.answered(time.Now())
 		f.replace(time.Now(), page.Events)
 		f.next, f.synced = page.Next, true
 		return nil
@@ -93,34 +82,20 @@
 	if err != nil {
 		return err
 	}
-	f.answered(time.Now())
 	for _, e := range page.Events {
 		f.apply(time.Now(), e)
 	}
 	f.next = page.Next
-	if f.feed == Upstreams {
-		f.changed(f.fleet.Confirmed(time.Now(), began))
-	}
 	return nil
 }
 
-// answered takes in that the store answers, before what it says.
-func (f *follower) answered(now time.Time) {
-	if f.feed == Upstreams {
-		f.fleet.Store(now, true)
-	}
-}
-
-func (f *follower) lost(now time.Time, err error) {
-	if f.feed == Upstreams {
-		f.fleet.Store(now, false)
-	}
+func (f *follower) lost(err error) {
 	if f.tries++; f.tries == 1 {
 		f.log.Warn("store_lost", zap.String("feed", f.feed.String()), zap.Uint64("next", f.next), logs.Err(err))
 	}
 }
 
-func (f *follower) regained(now time.Time) {
+func (f *follower) regained() {
 	if f.tries == 0 {
 		return
 	}
@@ -130,20 +105,13 @@
 
 // replace takes in all that the store holds.
 func (f *follower) replace(now time.Time, events []Event) {
-	var entries []roster.Entry
 	f.out = map[core.DataCentre]bool{}
 	for _, e := range events {
-		if e.Entry != nil {
-			entries = append(entries, *e.Entry)
-			continue
-		}
 		f.apply(now, e)
 	}
 	switch f.feed {
 	case Operators:
 		f.fleet.Out(now, f.out)
-	case Upstreams:
-		f.changed(f.fleet.Upstreams(now, entries))
 	case Routers:
 		f.fleet.Listed()
 	}
@@ -155,9 +123,6 @@
 	switch {
 	case e.Fault != nil:
 		f.log.Warn("record_unreadable", zap.String("feed", f.feed.String()), logs.Err(e.Fault))
-		if e.Removed != "" {
-			f.changed(f.fleet.Removed(now, e.Removed))
-		}
 	case e.Catalog != nil:
 		if f.fleet.Configure(e.Catalog) {
 			f.log.Info("catalog_in_force", zap.Uint64("version", e.Catalog.Version), zap.Int("routes", len(e.Catalog.Routes)),
@@ -169,10 +134,6 @@
 	case e.In != "":
 		delete(f.out, e.In)
 		f.centres(now, e.In, "in")
-	case e.Entry != nil:
-		f.changed(f.fleet.Entered(now, *e.Entry))
-	case e.Removed != "":
-		f.changed(f.fleet.Removed(now, e.Removed))
 	case e.Member != nil:
 		f.fleet.Meet(now, *e.Member)
 	}
@@ -187,13 +148,7 @@
 	f.log.Info("datacentre", zap.String("datacentre", string(dc)), zap.String("service", what))
 }
 
-func (f *follower) changed(changes []roster.Change) {
-	for _, c := range changes {
-		f.log.Info("upstream", zap.String("upstream", string(c.ID)), zap.String("change", c.What), zap.Uint64("next", f.next))
-	}
-}
-
-// never is the wait or pause of a feed that has none.
+// never is the wait of a feed that has none.
 func never(time.Time) time.Duration { return 0 }
 
 // patiently returns a wait that is longer in larger fleets.
@@ -205,11 +160,3 @@
 		return longPoll
 	}
 }
-
-// every returns a pause that grows with the fleet, up to a longest one.
-func every(f *fleet.Fleet, longest time.Duration) func(time.Time) time.Duration {
-	return func(now time.Time) time.Duration {
-		routers := time.Duration(len(f.Members(now)) + 1)
-		return min(max(leastPoll, pollPart*routers), longest)
-	}
-}
--- a/router/cluster/run.go
+++ b/router/cluster/run.go
@@ -148,9 +148,7 @@
 	member := fleet.Member{ID: self.ID, Address: self.Address, DataCentre: self.DataCentre, Incarnation: self.Incarnation}
 	r.network = peer.New(ctx, member, r.log, wire.Fleet(), peer.Handler[fleet.Member, fleet.Message]{
 		Receive: func(from fleet.Member, m fleet.Message) {
-			if reply := r.fleet.Receive(time.Now(), from, m); reply != nil {
-				r.network.Send(from.ID, *reply)
-			}
+			r.received(from, r.fleet.Receive(time.Now(), from, m))
 		},
 		Lost: func(id core.RouterID) { r.log.Info("peer_lost", zap.String("peer", string(id))) },
 		Address: func(id core.RouterID) string {
@@ -163,9 +161,7 @@
 		members := r.fleet.Members(time.Now())
 		worker.Sleep(ctx, max(leastBeat, beatPart*time.Duration(len(members))))
 		beat := r.fleet.Beat(time.Now())
-		for _, m := range members {
-			r.network.Send(m.ID, fleet.Message{Beat: &beat})
-		}
+		r.tell(fleet.Message{Beat: &beat})
 	})
 	r.clock.Every(ctx, sweepEvery, func(context.Context) { r.pool.Sweep(time.Now()) })
 	r.clock.Loop(ctx, r.announce(member))
@@ -176,13 +172,35 @@
 
 // follow keeps the tables in step with the store.
 func (r *Router) follow(ctx context.Context) {
-	drain := time.Duration(r.file.Bounds.Drain) * time.Millisecond
-	for _, f := range []*follower{
-		{feed: Operators, wait: patiently(r.fleet), pause: never},
-		{feed: Upstreams, wait: never, pause: every(r.fleet, drain/2)},
-	} {
-		f.store, f.fleet, f.log = r.adapter.Store, r.fleet, r.log
-		r.clock.Loop(ctx, f.step)
+	operators := &follower{
+		feed: Operators, store: r.adapter.Store, fleet: r.fleet, log: r.log, wait: patiently(r.fleet),
+	}
+	upstreams := &entries{
+		store: r.adapter.Store, fleet: r.fleet, log: r.log,
+		tell: func(read fleet.Read) { r.tell(fleet.Message{Read: &read}) },
+	}
+	r.clock.Loop(ctx, operators.step)
+	r.clock.Loop(ctx, upstreams.step)
+}
+
+// tell sends a message to all other routers.
+func (r *Router) tell(m fleet.Message) {
+	for _, peer := range r.fleet.Members(time.Now()) {
+		r.network.Send(peer.ID, m)
+	}
+}
+
+// received logs what a message has changed, and answers it.
+func (r *Router) received(from fleet.Member, e fleet.Effects) {
+	logChanges(r.log, from.ID, e.Changes)
+	if e.Version > 0 {
+		r.log.Info("catalog_in_force", zap.Uint64("version", e.Version), zap.String("teller", string(from.ID)))
+	}
+	for _, fault := range e.Faults {
+		r.log.Warn("message_unreadable", zap.String("teller", string(from.ID)), logs.Err(fault))
+	}
+	if e.Reply != nil {
+		r.network.Send(from.ID, *e.Reply)
 	}
 }
 
@@ -191,12 +209,12 @@
 func (r *Router) announce(self fleet.Member) func(context.Context) {
 	known := false
 	peers := &follower{
-		feed: Routers, store: r.adapter.Store, fleet: r.fleet, log: r.log, wait: never, pause: never,
+		feed: Routers, store: r.adapter.Store, fleet: r.fleet, log: r.log, wait: never,
 	}
 	return func(ctx context.Context) {
 		if !known {
 			if err := r.adapter.Store.Announce(ctx, self); err != nil {
-				peers.lost(time.Now(), err)
+				peers.lost(err)
 				worker.Sleep(ctx, lastPause)
 				return
 			}
--- a/router/wire/fleet.go
+++ b/router/wire/fleet.go
@@ -16,6 +16,7 @@
 	Beat     *fleetBeat     `cbor:"2,keyasint,omitempty"`
 	Want     *fleetWant     `cbor:"3,keyasint,omitempty"`
 	Snapshot *fleetSnapshot `cbor:"4,keyasint,omitempty"`
+	Read     *fleetRead     `cbor:"5,keyasint,omitempty"`
 }
 
 type fleetMember struct {
@@ -33,7 +34,6 @@
 	Resting []fleetResting `cbor:"4,keyasint,omitempty"`
 	Held    []fleetHeld    `cbor:"5,keyasint,omitempty"`
 	Crashes []fleetCrash   `cbor:"6,keyasint,omitempty"`
-	Entries []fleetEntry   `cbor:"7,keyasint,omitempty"`
 	Results []fleetResults `cbor:"8,keyasint,omitempty"`
 }
 
@@ -70,6 +70,19 @@
 	Source   []byte          `cbor:"2,keyasint"`
 }
 
+type fleetRead struct {
+	From    uint64        `cbor:"1,keyasint"`
+	Next    uint64        `cbor:"2,keyasint"`
+	AgeMS   int64         `cbor:"3,keyasint,omitempty"`
+	Records []fleetRecord `cbor:"4,keyasint,omitempty"`
+}
+
+type fleetRecord struct {
+	Offset   uint64          `cbor:"1,keyasint"`
+	Upstream core.UpstreamID `cbor:"2,keyasint"`
+	Source   []byte          `cbor:"3,keyasint,omitempty"`
+}
+
 type fleetWant struct {
 	Version uint64 `cbor:"1,keyasint"`
 	Held    bool   `cbor:"2,keyasint,omitempty"`
@@ -91,13 +104,15 @@
 			Resting: lo.Map(b.Resting, func(r fleet.Resting, _ int) fleetResting { return fleetResting(r) }),
 			Held:    encodeHeld(b.Held),
 			Crashes: lo.Map(b.Crashes, func(c fleet.Crash, _ int) fleetCrash { return fleetCrash(c) }),
-			Entries: encodeEntries(b.Entries),
 			Results: lo.Map(b.Results, func(r fleet.Results, _ int) fleetResults { return fleetResults(r) }),
 		}
 	}
 	if s := m.Snapshot; s != nil {
 		w.Snapshot = &fleetSnapshot{Catalog: s.Catalog, Entries: encodeEntries(s.Entries), Held: encodeHeld(s.Held)}
 	}
+	if r := m.Read; r != nil {
+		w.Read = &fleetRead{From: r.From, Next: r.Next, AgeMS: r.AgeMS, Records: encodeRecords(r.Records)}
+	}
 	return record.Encode(w)
 }
 
@@ -115,16 +130,30 @@
 			Resting: lo.Map(b.Resting, func(r fleetResting, _ int) fleet.Resting { return fleet.Resting(r) }),
 			Held:    decodeHeld(b.Held),
 			Crashes: lo.Map(b.Crashes, func(c fleetCrash, _ int) fleet.Crash { return fleet.Crash(c) }),
-			Entries: decodeEntries(b.Entries),
 			Results: lo.Map(b.Results, func(r fleetResults, _ int) fleet.Results { return fleet.Results(r) }),
 		}
 	}
 	if s := w.Snapshot; s != nil {
 		m.Snapshot = &fleet.Snapshot{Catalog: s.Catalog, Entries: decodeEntries(s.Entries), Held: decodeHeld(s.Held)}
 	}
+	if r := w.Read; r != nil {
+		m.Read = &fleet.Read{From: r.From, Next: r.Next, AgeMS: r.AgeMS, Records: decodeRecords(r.Records)}
+	}
 	return m, nil
 }
 
+func encodeRecords(all []fleet.Record) []fleetRecord {
+	return lo.Map(all, func(r fleet.Record, _ int) fleetRecord {
+		return fleetRecord{Offset: r.Offset, Upstream: r.Upstream, Source: r.Source}
+	})
+}
+
+func decodeRecords(all []fleetRecord) []fleet.Record {
+	return lo.Map(all, func(r fleetRecord, _ int) fleet.Record {
+		return fleet.Record{Offset: r.Offset, Upstream: r.Upstream, Source: r.Source}
+	})
+}
+
 func encodeEntries(all []fleet.EntryCopy) []fleetEntry {
 	return lo.Map(all, func(e fleet.EntryCopy, _ int) fleetEntry { return fleetEntry(e) })
 }
