--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -30,6 +30,7 @@
 	log      []fleet.Record
 	entries  map[core.UpstreamID]roster.Entry
 	asked    map[string]uint64
+	regions  map[core.DataCentre]string
 	cuts     map[[2]string]bool
 	requests map[string]*sent
 	slack    float64
@@ -56,7 +57,7 @@
 		Setup: func(env *testscript.Env) error {
 			env.Values[worldKey{}] = &world{
 				now: start, routers: map[string]*fleet.Fleet{}, entries: map[core.UpstreamID]roster.Entry{},
-				asked: map[string]uint64{}, cuts: map[[2]string]bool{}, requests: map[string]*sent{}, slack: 56,
+				asked: map[string]uint64{}, regions: map[core.DataCentre]string{}, cuts: map[[2]string]bool{}, requests: map[string]*sent{}, slack: 56,
 				catalog: catalog.Catalog{Pools: map[core.Pool]catalog.Pool{}},
 			}
 			return nil
@@ -71,7 +72,7 @@
 		"remove": cmdRemove, "ask": cmdAsk, "read": cmdRead, "tell": cmdTell, "due": cmdDue, "out": cmdOut, "store": cmdStore, "beats": cmdBeats, "cut": cmdCut, "heal": cmdHeal,
 		"after": cmdAfter, "send": cmdSend, "again": cmdAgain, "end": cmdEnd, "to": cmdTo, "fetch": cmdFetch,
 		"refused": cmdRefused, "running": cmdRunning, "ready": cmdReady, "version": cmdVersion, "break": cmdBreak,
-		"retries": cmdRetries, "survey": cmdSurvey, "slack": cmdSlack, "spread": cmdSpread,
+		"retries": cmdRetries, "survey": cmdSurvey, "slack": cmdSlack, "spread": cmdSpread, "region": cmdRegion,
 	}
 	wrapped := map[string]func(*testscript.TestScript, bool, []string){}
 	for name, run := range all {
@@ -128,7 +129,7 @@
 func cmdRouter(_ *testscript.TestScript, w *world, a []string) {
 	f := fleet.New(w.now, fleet.Settings{
 		ID: core.RouterID(a[0]), DataCentre: core.DataCentre(a[1]), Address: a[0], Multiple: 2,
-		Drain: 2 * time.Second, Evacuation: 5 * time.Second, Incarnation: core.Incarnation(w.now.UnixMilli()),
+		Regions: w.regions, Drain: 2 * time.Second, Evacuation: 5 * time.Second, Incarnation: core.Incarnation(w.now.UnixMilli()),
 		Retry: retry.Terms{Ratio: 0.2, Slack: w.slack, Window: 10 * time.Second},
 		Catalog: func([]byte) (*catalog.Catalog, error) {
 			c := w.catalog
@@ -156,6 +157,11 @@
 	return fleet.Member{ID: s.ID, Address: s.Address, DataCentre: s.DataCentre, Incarnation: s.Incarnation}
 }
 
+// region DC REGION: the region of a data centre.
+func cmdRegion(_ *testscript.TestScript, w *world, a []string) {
+	w.regions[core.DataCentre(a[0])] = a[1]
+}
+
 // pool NAME [engine=TOKENS] [cold=RATE].
 func cmdPool(ts *testscript.TestScript, w *world, a []string) {
 	p := catalog.Pool{Name: core.Pool(a[0]), ColdRate: float64(number(ts, a, "cold"))}
@@ -165,13 +171,17 @@
 	w.catalog.Pools[p.Name] = p
 }
 
-// route NAME POOL KIND [attempts=N] [resume]: the route of host NAME.
+// route NAME POOL KIND [attempts=N] [resume] [home=REGION]: the route of host NAME.
 func cmdRoute(ts *testscript.TestScript, w *world, a []string) {
 	kind := map[string]catalog.Kind{"once": catalog.Once, "safe": catalog.Safe, "stream": catalog.Stream}[a[2]]
 	_, resume := option(a, "resume")
+	var homes []string
+	if home, ok := option(a, "home"); ok {
+		homes = []string{home}
+	}
 	w.catalog.Routes = append(w.catalog.Routes, catalog.Route{
 		Name: a[0], Host: a[0], Prefix: "/", Kind: kind, Timeout: 10 * time.Second, Objective: 300 * time.Millisecond,
-		Attempts: number(ts, a, "attempts"), Resume: resume, Public: true,
+		Attempts: number(ts, a, "attempts"), Resume: resume, Public: true, Regions: homes,
 		Shares: []catalog.Share{{Pool: core.Pool(a[1]), Weight: 1}},
 	})
 }
--- a/router/gateway/script_test.go
+++ b/router/gateway/script_test.go
@@ -43,6 +43,7 @@
 			"upstream": with(cmdUpstream), "answer": with(cmdAnswer), "ask": with(cmdAsk), "status": with(cmdStatus),
 			"body": with(cmdBody), "header": with(cmdHeader), "got": with(cmdGot), "requests": with(cmdRequests),
 			"leave": with(cmdLeave), "closed": with(cmdClosed), "down": with(cmdDown), "cut": with(cmdCut), "closing": with(cmdClosing),
+			"waits": with(cmdWait), "left": with(cmdLeft),
 		},
 	})
 }
@@ -56,10 +57,12 @@
 	server    *httptest.Server
 	upstreams map[string]*upstream
 	entries   []roster.Entry
-	status    int
-	header    http.Header
-	body      []byte
-	err       error
+	// wait is how many milliseconds callers say that they wait; empty says nothing.
+	wait   string
+	status int
+	header http.Header
+	body   []byte
+	err    error
 }
 
 const (
@@ -115,6 +118,9 @@
 func (dialect) Incoming(r *http.Request) gateway.Said {
 	var s gateway.Said
 	s.ID = r.Header.Get("X-Id")
+	if ms, err := strconv.Atoi(r.Header.Get("X-Wait")); err == nil {
+		s.Wait = time.Duration(ms) * time.Millisecond
+	}
 	if n, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		s.After, s.HasAfter = n, true
 	}
@@ -128,7 +134,7 @@
 }
 
 func (dialect) Outgoing(a relay.Attempt) http.Header {
-	h := http.Header{"X-Id": {a.Call.ID}}
+	h := http.Header{"X-Id": {a.Call.ID}, "X-Left": {strconv.FormatInt(a.Left.Milliseconds(), 10)}}
 	if a.HasAfter {
 		h.Set("Last-Event-Id", strconv.Itoa(a.After))
 	}
@@ -148,7 +154,9 @@
 	mu       sync.Mutex
 	answers  []scripted
 	requests []string
-	ended    int
+	// left is how many milliseconds the last request said that are left.
+	left  int
+	ended int
 }
 
 // scripted is one answer and what follows it: keep, close, reset or hang.
@@ -220,6 +228,7 @@
 func (u *upstream) note(r *http.Request, body []byte) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.left, _ = strconv.Atoi(r.Header.Get("X-Left"))
 	u.requests = append(u.requests, fmt.Sprintf("%s %s %s after=%s", r.Method, r.RequestURI, body, r.Header.Get("Last-Event-Id")))
 }
 
@@ -292,6 +301,9 @@
 	ts.Check(err)
 	r.Host = a[0]
 	r.Header.Set("X-Id", a[2])
+	if s.wait != "" {
+		r.Header.Set("X-Wait", s.wait)
+	}
 	if after != "" {
 		r.Header.Set("Last-Event-Id", after)
 	}
@@ -305,6 +317,22 @@
 	_ = resp.Body.Close()
 }
 
+// waits MS: what callers say of how long they wait.
+func cmdWait(_ *testscript.TestScript, s *stage, a []string) { s.wait = a[0] }
+
+// left UPSTREAM MOST: the last request that the upstream got may take at most so
+// many milliseconds.
+func cmdLeft(ts *testscript.TestScript, s *stage, a []string) {
+	most, err := strconv.Atoi(a[1])
+	ts.Check(err)
+	u := s.upstreams[a[0]]
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.left <= 0 || u.left > most {
+		ts.Fatalf("time left at %s: got %d ms, want some and at most %d", a[0], u.left, most)
+	}
+}
+
 // leave ROUTE METHOD ID AFTER: a caller asks and leaves after a time.
 func cmdLeave(ts *testscript.TestScript, s *stage, a []string) {
 	d, err := time.ParseDuration(a[3])
