Add the fault soak of real routers

Real processes of the router between stand-ins of the users' store and runners, behind loopback proxies. Faults come by a seed, in series and overlapping; the promises are checked from what callers and runners see. The ledger that checks has scripts for each promise. One seed runs in make test.

--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,11 @@
 # Everything is built into bin/; run/ takes the settings and logs of the
 # processes that the scripts start.
-MODULES := core base router platform ctl lab/engine lab/list lab/load lab/log lab/service proof
+MODULES := core base router platform ctl lab/engine lab/list lab/load lab/log lab/service lab/soak proof
 TOOLS := $(CURDIR)/bin/tools
 GOLANGCI_VERSION := v2.15.0
 SPIN_VERSION := 6.5.2
 
-.PHONY: build test lint format vet model demo measure bench tools clean
+.PHONY: build test lint format vet model demo measure bench soak tools clean
 
 build:
 	go build -o bin/camphorpulley ./router
@@ -16,11 +16,13 @@
 	go build -o bin/lab-load ./lab/load
 	go build -o bin/lab-log ./lab/log
 	go build -o bin/lab-service ./lab/service
+	go build -o bin/lab-soak ./lab/soak
 
 test: build
 	go test -count=1 $(MODULES:%=./%/...)
 	bash lab/explain/check.sh
 	bash lab/e2e.sh
+	bin/lab-soak run --seeds lab/soak/seeds.txt --for 6s
 
 format:
 	@bad=$$(gofmt -l $(MODULES)); if [ -n "$$bad" ]; then echo "not formatted: $$bad"; exit 1; fi
@@ -45,6 +47,9 @@
 measure: build
 	bash lab/measure.sh
 
+soak: build
+	bin/lab-soak run --seed $(or $(SEED),1) --count $(or $(COUNT),10)
+
 bench:
 	go test -run '^$$' -bench . -benchmem $(MODULES:%=./%/...)
 
