Tell operators what routers on the users' platform believe

camphorctl spoke only to routers of the project's own platform. /status on the metrics address tells the version, readiness, who reads the entries and how old they are, the peers, and for each upstream its load, failures, last sign of life and why it is left alone; camphorctl fleet prints it.

--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -72,7 +72,7 @@
 		"remove": cmdRemove, "ask": cmdAsk, "read": cmdRead, "tell": cmdTell, "due": cmdDue, "out": cmdOut, "store": cmdStore, "beats": cmdBeats, "cut": cmdCut, "heal": cmdHeal,
 		"after": cmdAfter, "send": cmdSend, "again": cmdAgain, "end": cmdEnd, "to": cmdTo, "fetch": cmdFetch,
 		"refused": cmdRefused, "running": cmdRunning, "ready": cmdReady, "version": cmdVersion, "break": cmdBreak,
-		"retries": cmdRetries, "survey": cmdSurvey, "slack": cmdSlack, "spread": cmdSpread, "region": cmdRegion,
+		"retries": cmdRetries, "survey": cmdSurvey, "slack": cmdSlack, "spread": cmdSpread, "left": cmdLeft, "region": cmdRegion,
 	}
 	wrapped := map[string]func(*testscript.TestScript, bool, []string){}
 	for name, run := range all {
@@ -466,6 +466,24 @@
 	}
 }
 
+// left ROUTER UPSTREAM WHY|none: why the router's status says that an upstream is
+// left alone.
+func cmdLeft(ts *testscript.TestScript, w *world, a []string) {
+	want := fleet.LeftAlone(a[2])
+	if want == "none" {
+		want = fleet.NotLeft
+	}
+	for _, u := range w.routers[a[0]].Status(w.now).Upstreams {
+		if string(u.ID) == a[1] {
+			if u.Left != want {
+				ts.Fatalf("upstream %s at %s: got %q, want %q", a[1], a[0], u.Left, want)
+			}
+			return
+		}
+	}
+	ts.Fatalf("router %s: got no upstream %s", a[0], a[1])
+}
+
 // ready ROUTER REASON|serving.
 func cmdReady(ts *testscript.TestScript, w *world, a []string) {
 	want := a[1]
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -233,7 +233,7 @@
 
 // Open reports whether an upstream may get new work.
 func (r *Roster) Open(now time.Time, u Upstream) bool {
-	if u.Draining || !r.in(u.DataCentre) {
+	if u.Draining || !r.In(u.DataCentre) {
 		return false
 	}
 	return u.Gone.IsZero() || (u.Lapsed && r.lapsing(now))
@@ -256,7 +256,8 @@
 	return r.list
 }
 
-func (r *Roster) in(dc core.DataCentre) bool {
+// In reports whether a data centre is in service.
+func (r *Roster) In(dc core.DataCentre) bool {
 	_, out := r.out[dc]
 	return !out
 }
--- a/ctl/main.go
+++ b/ctl/main.go
@@ -26,7 +26,7 @@
 			checkCommand(), publishCommand(), showCommand(), diffCommand(),
 			serviceCommand("out", "take a data centre out of service"),
 			serviceCommand("in", "take a data centre back into service"),
-			burnCommand(),
+			burnCommand(), fleetCommand(),
 		},
 	}
 	for _, c := range app.Commands {
--- a/router/cluster/run.go
+++ b/router/cluster/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -90,6 +91,7 @@
 	}
 	metricsMux := http.NewServeMux()
 	metricsMux.Handle("/metrics", promhttp.Handler())
+	metricsMux.HandleFunc("/status", r.status)
 	failed := make(chan error, 4)
 	r.start(background)
 	go func() { failed <- r.network.Serve(r.file.Router.Peer) }()
@@ -121,6 +123,14 @@
 	return s.Serve(ln)
 }
 
+// status tells operators what the router believes.
+func (r *Router) status(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(r.fleet.Status(time.Now())); err != nil {
+		r.log.Info("status_unread", logs.Err(err))
+	}
+}
+
 // ready answers the balancer.
 func (r *Router) ready(w http.ResponseWriter, _ *http.Request) {
 	state := r.fleet.Ready(time.Now())
