--- a/ctl/fleet.go
+++ b/ctl/fleet.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"os"
 
 	"camphorpulley.org/base/wrap"
 
-	"github.com/olekukonko/tablewriter"
 	"github.com/urfave/cli/v3"
 
 	"camphorpulley.org/core/fleet"
@@ -46,8 +44,7 @@
 }
 
 func fleetTable(all []fleet.Status) error {
-	t := tablewriter.NewTable(os.Stdout)
-	t.Header("router", "data centre", "version", "not ready", "reader", "entries ms old", "peers heard", "longest silence ms")
+	var rows [][]any
 	for _, s := range all {
 		heard, silence := 0, int64(0)
 		for _, p := range s.Peers {
@@ -56,24 +53,25 @@
 			}
 			silence = max(silence, p.SilentMS)
 		}
-		err := t.Append(s.Router, s.DataCentre, s.Version, s.Ready, s.Reader, s.KnownMS, fmt.Sprintf("%d of %d", heard, len(s.Peers)), silence)
-		if err != nil {
-			return err
-		}
+		rows = append(rows, []any{
+			s.Router, s.DataCentre, s.Version, s.Ready, s.Reader, s.KnownMS, fmt.Sprintf("%d of %d", heard, len(s.Peers)), silence,
+		})
 	}
-	return t.Render()
+	return printTable([]any{
+		"router", "data centre", "version", "not ready", "reader", "entries ms old", "peers heard", "longest silence ms",
+	}, rows)
 }
 
 func fleetUpstreams(all []fleet.Status) error {
-	t := tablewriter.NewTable(os.Stdout)
-	t.Header("router", "upstream", "pool", "data centre", "left alone", "for ms", "own", "load", "failing", "alive ms ago", "tokens")
+	var rows [][]any
 	for _, s := range all {
 		for _, u := range s.Upstreams {
-			err := t.Append(s.Router, u.ID, u.Pool, u.DataCentre, u.Left, u.ForMS, u.Own, u.Load, fmt.Sprintf("%.2f", u.Failing), u.AliveMS, u.Stored)
-			if err != nil {
-				return err
-			}
+			rows = append(rows, []any{
+				s.Router, u.ID, u.Pool, u.DataCentre, u.Left, u.ForMS, u.Own, u.Load, fmt.Sprintf("%.2f", u.Failing), u.AliveMS, u.Stored,
+			})
 		}
 	}
-	return t.Render()
+	return printTable([]any{
+		"router", "upstream", "pool", "data centre", "left alone", "for ms", "own", "load", "failing", "alive ms ago", "tokens",
+	}, rows)
 }
--- a/ctl/show.go
+++ b/ctl/show.go
@@ -10,7 +10,6 @@
 	"camphorpulley.org/base/wrap"
 
 	"github.com/go-faster/errors"
-	"github.com/olekukonko/tablewriter"
 	"github.com/urfave/cli/v3"
 	"github.com/valyala/fasthttp"
 
@@ -94,8 +93,7 @@
 var errPartial = errors.New("not every router answered")
 
 func routerTable(all []operator.Status) error {
-	t := tablewriter.NewTable(os.Stdout)
-	t.Header("router", "data centre", "seat", "revision", "as of", "author", "running", "live peers", "fault")
+	var rows [][]any
 	for _, s := range all {
 		live := 0
 		for _, p := range s.Peers {
@@ -107,25 +105,23 @@
 		if s.Waiting {
 			fault = "waits for a snapshot"
 		}
-		err := t.Append(s.Router, s.DataCentre, s.Seat, s.Revision, s.AsOf, s.Author, s.Running,
-			fmt.Sprintf("%d of %d", live, len(s.Peers)), fault)
-		if err != nil {
-			return err
-		}
+		rows = append(rows, []any{
+			s.Router, s.DataCentre, s.Seat, s.Revision, s.AsOf, s.Author, s.Running, fmt.Sprintf("%d of %d", live, len(s.Peers)), fault,
+		})
 	}
-	return t.Render()
+	return printTable([]any{"router", "data centre", "seat", "revision", "as of", "author", "running", "live peers", "fault"}, rows)
 }
 
 func upstreamTable(all []operator.Status) error {
-	t := tablewriter.NewTable(os.Stdout)
-	t.Header("router", "upstream", "pool", "data centre", "keeper", "open", "limit", "share", "out", "owed", "waiting")
+	var rows [][]any
 	for _, s := range all {
 		for _, u := range s.Upstreams {
-			err := t.Append(s.Router, u.ID, u.Pool, u.DataCentre, u.Keeper, u.Open, u.Limit, u.Share, u.Out, u.Owed, u.Waiting)
-			if err != nil {
-				return err
-			}
+			rows = append(rows, []any{
+				s.Router, u.ID, u.Pool, u.DataCentre, u.Keeper, u.Open, u.Limit, u.Share, u.Out, u.Owed, u.Waiting,
+			})
 		}
 	}
-	return t.Render()
+	return printTable([]any{
+		"router", "upstream", "pool", "data centre", "keeper", "open", "limit", "share", "out", "owed", "waiting",
+	}, rows)
 }
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -24,8 +24,12 @@
 
 var faults = []fault{
 	{"term", true, func(s *soak, random *rand.Rand) (string, string, func()) { return s.signalled(random, syscall.SIGTERM) }},
-	{"drain", true, drain},
-	{"remove", true, remove},
+	{"drain", true, func(s *soak, random *rand.Rand) (string, string, func()) {
+		return s.replace(random, (*runner.Runner).Drain)
+	}},
+	{"remove", true, func(s *soak, random *rand.Rand) (string, string, func()) {
+		return s.replace(random, (*runner.Runner).Remove)
+	}},
 	{"config", true, config},
 	{"evacuate", true, evacuate},
 	{"add_cold", true, addCold},
@@ -116,26 +120,15 @@
 	return r.id, "stop", func() { s.send(r, syscall.SIGCONT) }
 }
 
-// drain replaces a runner: the new one starts first, the old one drains.
-func drain(s *soak, random *rand.Rand) (part, how string, end func()) {
+// replace replaces a runner: the new one starts first, the old one leaves in the
+// given way and serves on for a while.
+func (s *soak) replace(random *rand.Rand, leave func(*runner.Runner)) (part, how string, end func()) {
 	r := s.take(random)
 	if r == nil {
 		return "", "", nil
 	}
 	s.add(r.Pool, r.Zone, 0)
-	r.Drain()
-	time.AfterFunc(ledger.Drain+linger, r.Stop)
-	return "plan", r.ID, nil
-}
-
-// remove takes a runner away that never says so.
-func remove(s *soak, random *rand.Rand) (part, how string, end func()) {
-	r := s.take(random)
-	if r == nil {
-		return "", "", nil
-	}
-	s.add(r.Pool, r.Zone, 0)
-	r.Remove()
+	leave(r)
 	time.AfterFunc(ledger.Drain+linger, r.Stop)
 	return "plan", r.ID, nil
 }
