--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -69,7 +69,7 @@
 func commands() map[string]func(*testscript.TestScript, bool, []string) {
 	all := map[string]func(*testscript.TestScript, *world, []string){
 		"router": cmdRouter, "pool": cmdPool, "route": cmdRoute, "apply": cmdApply, "upstream": cmdUpstream,
-		"remove": cmdRemove, "ask": cmdAsk, "read": cmdRead, "tell": cmdTell, "due": cmdDue, "out": cmdOut, "store": cmdStore, "beats": cmdBeats, "cut": cmdCut, "heal": cmdHeal,
+		"remove": cmdRemove, "ask": cmdAsk, "lags": cmdLags, "read": cmdRead, "tell": cmdTell, "due": cmdDue, "out": cmdOut, "store": cmdStore, "beats": cmdBeats, "cut": cmdCut, "heal": cmdHeal,
 		"after": cmdAfter, "send": cmdSend, "again": cmdAgain, "end": cmdEnd, "to": cmdTo, "fetch": cmdFetch,
 		"refused": cmdRefused, "running": cmdRunning, "ready": cmdReady, "version": cmdVersion, "break": cmdBreak,
 		"retries": cmdRetries, "survey": cmdSurvey, "slack": cmdSlack, "spread": cmdSpread, "left": cmdLeft, "region": cmdRegion,
@@ -257,6 +257,13 @@
 	w.asked[a[0]], _ = w.routers[a[0]].ReadNext()
 }
 
+// lags ROUTER: the router reads the store, which shows nothing new yet.
+func cmdLags(_ *testscript.TestScript, w *world, a []string) {
+	f := w.routers[a[0]]
+	next, _ := f.ReadNext()
+	f.ReadOn(w.now, w.now, fleet.Read{From: next, Next: next})
+}
+
 // read [ROUTER...]: these routers read the store, and tell nobody.
 func cmdRead(_ *testscript.TestScript, w *world, a []string) { w.read(a) }
 
