Count retries over a whole window, also one that begins within a step

The window slid in 20 steps of half a second, so that at the beginning of a step only 9.5 s were counted.

Change: retries are counted over 21 steps. TestSlidingWindow failed before.

--- a/core/retry/shared.go
+++ b/core/retry/shared.go
@@ -1,6 +1,10 @@
 package retry
 
-import "time"
+import (
+	"time"
+
+	"github.com/samber/lo"
+)
 
 // Terms bound the attempts beyond the first that all routers make together
 // within a window: Ratio for each request, and Slack besides.
@@ -14,15 +18,17 @@
 // and of whoever counts don't begin together.
 const caution = 0.75
 
-// buckets is the number of steps in which a window slides.
+// buckets is the number of steps in which a window slides. Retries are counted
+// over one step more: the window of whoever counts may begin within a step.
 const buckets = 20
 
 // Shared is one router's part of a budget that all routers share. It needs no
 // messages: each router spends the ratio of its own requests and its part of
 // the slack. The zero value is empty.
 type Shared struct {
-	requests, retries [buckets]int
-	step              int64
+	requests [buckets]int
+	retries  [buckets + 1]int
+	step     int64
 }
 
 // Request counts a request.
@@ -35,28 +41,20 @@
 // how many share the budget.
 func (s *Shared) Take(now time.Time, t Terms, routers int) bool {
 	s.slide(now, t)
-	requests, retries := sum(s.requests), sum(s.retries)
+	requests, retries := lo.Sum(s.requests[:]), lo.Sum(s.retries[:])
 	room := caution * (t.Ratio*float64(requests) + t.Slack/float64(max(routers, 1)))
 	if float64(retries+1) > room {
 		return false
 	}
-	s.retries[s.step%buckets]++
+	s.retries[s.step%(buckets+1)]++
 	return true
 }
 
 func (s *Shared) slide(now time.Time, t Terms) {
 	width := max(t.Window/buckets, time.Millisecond)
 	step := now.UnixNano() / int64(width)
-	for i := max(s.step+1, step-buckets+1); i <= step; i++ {
-		s.requests[i%buckets], s.retries[i%buckets] = 0, 0
+	for i := max(s.step+1, step-buckets); i <= step; i++ {
+		s.requests[i%buckets], s.retries[i%(buckets+1)] = 0, 0
 	}
 	s.step = max(s.step, step)
 }
-
-func sum(counts [buckets]int) int {
-	total := 0
-	for _, c := range counts {
-		total += c
-	}
-	return total
-}
