--- a/lab/soak/store/store.go
+++ b/lab/soak/store/store.go
@@ -3,6 +3,7 @@
 package store
 
 import (
+	"cmp"
 	"encoding/binary"
 	"encoding/json"
 	"io"
@@ -182,18 +183,11 @@
 			items = append(items, it)
 		}
 	}
-	slices.SortFunc(items, func(a, b item) int { return compare(a.Key, b.Key) })
+	slices.SortFunc(items, func(a, b item) int { return cmp.Compare(a.Key, b.Key) })
 	more := len(items) > newestItems
 	reply(w, map[string]any{"items": items[:min(len(items), newestItems)], "has_more": more, "end": end})
 }
 
-func compare(a, b string) int {
-	if a < b {
-		return -1
-	}
-	return 1
-}
-
 func reply(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
