--- a/core/fleet/admit.go
+++ b/core/fleet/admit.go
@@ -40,6 +40,8 @@
 	OwnTokens int
 	// AffinityKey is the rendezvous key that ranks upstreams for the request.
 	AffinityKey core.Digest
+	// draw is the seed of the candidates' pseudorandom numbers.
+	draw core.Digest
 	// Content is the digest of method, path and body.
 	Content core.Digest
 	// Deadline is when the time-out of the caller or of the route expires, whichever is
@@ -92,7 +94,8 @@
 	if n := len(a.Parts); n > 0 {
 		r.SharedParts, r.OwnTokens = a.Parts[:n-1], a.Parts[n-1].Tokens
 	}
-	r.AffinityKey = affinityKey(a, r.SharedParts)
+	r.draw = chat.Key("", a.ID, nil)
+	r.AffinityKey = affinityKey(r.draw, r.SharedParts)
 	r.Pool = c.Pools[route.PickPool(chat.Key("", route.Name, nil)^r.AffinityKey)]
 	r.Deadline = now.Add(effectiveTimeout(a.Timeout, route.Timeout))
 	if f.isPoison(now, a.Content) {
@@ -103,12 +106,12 @@
 }
 
 // affinityKey returns the rendezvous key of a request: the id of the last part that
-// it may share with others, or a hash of its own id if there is none.
-func affinityKey(a CallerRequest, shared []prefix.Part) core.Digest {
+// it may share with others, or the hash of its own id if there is none.
+func affinityKey(ownID core.Digest, shared []prefix.Part) core.Digest {
 	if n := len(shared); n > 0 {
 		return shared[n-1].ID
 	}
-	return chat.Key("", a.ID, nil)
+	return ownID
 }
 
 // effectiveTimeout returns the shorter of the caller's and the route's time-out.
--- a/core/fleet/candidates.go
+++ b/core/fleet/candidates.go
@@ -71,7 +71,7 @@
 			Upstream: u, Load: s.load.Total(now), CachedTokens: cached[i].shared,
 			PartsMissing: cached[i].shared < prompt, TotalCached: cached[i].total,
 			FailureRate: s.health.FailureRate(now), SameDataCentre: u.DataCentre == f.settings.DataCentre,
-			Score: chat.Score(r.AffinityKey, string(u.ID)), state: s,
+			Score: chat.Score(r.AffinityKey, string(u.ID)), Draw: chat.Score(r.draw, string(u.ID)), state: s,
 			Excluded: s.excluded(now) || reach.Ejected(now),
 		}
 		if 2*all[i].CachedTokens >= prompt {
@@ -105,22 +105,44 @@
 }
 
 // mark sets OverBound on candidates that one more request would put over the bound,
-// and TopRanked on those whose score is at least the lowest of the topChoices highest
-// scores of the others.
+// TopRanked on the first ones by rendezvous among the others, and Overflowing. The more
+// engines that have the prompt are over the bound, the more are top-ranked; they are
+// then those of the local data centre if it has any.
 func (b loadBound) mark(all []Candidate) {
 	scores := make([]uint64, 0, len(all))
-	for i := range all {
-		if all[i].OverBound = all[i].Load+1 > int(b); !all[i].OverBound {
-			scores = append(scores, all[i].Score)
+	var local []uint64
+	full := 0
+	for i, c := range all {
+		all[i].OverBound = c.Load+1 > int(b)
+		switch {
+		case all[i].OverBound && c.usefulTokens > 0:
+			full++
+		case !all[i].OverBound:
+			scores = append(scores, c.Score)
+			if c.SameDataCentre {
+				local = append(local, c.Score)
+			}
 		}
 	}
+	if full > 0 && len(local) > 0 {
+		scores = local
+	}
 	if len(scores) == 0 {
 		return
 	}
 	slices.Sort(scores)
-	least := scores[max(len(scores)-topChoices, 0)]
+	least := scores[max(len(scores)-max(topChoices, overflowFactor*full), 0)]
 	for i := range all {
-		all[i].TopRanked = all[i].Score >= least
+		all[i].TopRanked, all[i].Overflowing = all[i].Score >= least, full > 0
+	}
+}
+
+// setExpectedLoads sets ExpectedLoad on the candidates of a pool. peerAge is the mean
+// age of the other routers' counts.
+func (st *states) setExpectedLoads(now time.Time, p core.Pool, peerAge time.Duration, all []Candidate) {
+	runTime := st.runTime(p)
+	for i, c := range all {
+		all[i].ExpectedLoad = c.state.load.Expected(now, peerAge, runTime)
 	}
 }
 
--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -45,11 +45,13 @@
 	}
 	routers, rank, settled := f.membership(now)
 	cached := table.Read(f.parts, table.Hold{}, func(m *prefix.Map) []cachedTokens { return cachedTokensOf(now, m, eligible, r.SharedParts) })
+	peerAge := heartbeatInterval(len(f.neighbours(now)))
 	var best Candidate
 	var all []Candidate
 	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
 		all = f.candidates(now, st, r, eligible, cached)
 		f.poolBound(now, st, pool).mark(all)
+		st.setExpectedLoads(now, r.Pool.Name, peerAge, all)
 		best = preferred(policy, usable(now, all, func(c Candidate) bool {
 			return f.mayUseCold(now, c, r, routers, rank, settled)
 		}))
--- a/core/fleet/feed.go
+++ b/core/fleet/feed.go
@@ -1,8 +1,6 @@
 package fleet
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"camphorpulley.org/core"
@@ -16,9 +14,6 @@
 	// readerCount is how many routers read the upstreams' entries and send them to the
 	// others: one may be unable to reach the store.
 	readerCount = 2
-	// readerSeenWithin is how recently a router must have sent a message to count as a
-	// possible reader: a few heartbeats, also in a large fleet.
-	readerSeenWithin = 2 * time.Second
 	// maxReadInterval is the longest time between two reads by a reader.
 	maxReadInterval = time.Second
 	// readFraction is the longest time between two reads by a reader, as a fraction of
@@ -195,25 +190,19 @@
 }
 
 // isReader reports whether the router is one of those that read the entries and send
-// them to the others: the first by rendezvous among the routers seen recently, and
-// the first one in another data centre, or the second one if there is no other.
+// them to the others: the relays of the first two data centres by rendezvous of those
+// heard from, or the first two routers if there is no other data centre.
 func (f *Fleet) isReader(now time.Time) bool {
-	self := Member{ID: f.settings.ID, DataCentre: f.settings.DataCentre}
-	seen := []Member{self}
-	f.members.Do(table.Hold{}, func(_ table.Hold, p *members) {
-		for _, m := range p.byID {
-			if !m.lastSeen.IsZero() && now.Sub(m.lastSeen) < readerSeenWithin {
-				seen = append(seen, m.Member)
-			}
+	rank := f.localRank(now)
+	sources := f.heardSources(now)
+	if len(sources) == 0 {
+		return rank < readerCount
+	}
+	own, ahead := chat.Score(relayKey, string(f.settings.DataCentre)), 0
+	for _, s := range sources {
+		if chat.Score(relayKey, string(s.DataCentre)) > own {
+			ahead++
 		}
-	})
-	key := chat.Key("", "readers", nil)
-	slices.SortFunc(seen, func(a, b Member) int {
-		return cmp.Compare(chat.Score(key, string(b.ID)), chat.Score(key, string(a.ID)))
-	})
-	second := slices.IndexFunc(seen, func(m Member) bool { return m.DataCentre != seen[0].DataCentre })
-	if second < 0 {
-		second = min(readerCount, len(seen)) - 1
 	}
-	return seen[0].ID == self.ID || seen[second].ID == self.ID
+	return rank == 0 && ahead < readerCount
 }
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -60,6 +60,7 @@
 	states   *table.Cell[states]
 	parts    *table.Cell[prefix.Map]
 	suspects *table.Cell[suspects]
+	digests  *table.Cell[digests]
 	budgets  *table.Cell[map[core.Pool]*retry.SharedBudget]
 }
 
@@ -95,6 +96,7 @@
 		states:   table.New(table.RankLoads, states{}),
 		parts:    table.New(table.RankParts, prefix.Map{}),
 		suspects: table.New(table.RankSuspects, suspects{brokenByAddress: map[string][]brokenConnection{}}),
+		digests:  table.New(table.RankDigests, digests{}),
 		budgets:  table.New(table.RankBudgets, map[core.Pool]*retry.SharedBudget{}),
 	}
 }
--- a/core/fleet/members.go
+++ b/core/fleet/members.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"camphorpulley.org/core"
+	"camphorpulley.org/core/chat"
 	"camphorpulley.org/core/table"
 )
 
@@ -24,13 +25,17 @@
 	// snapshotRequested is true once the router was asked for a snapshot with cache
 	// contents.
 	snapshotRequested bool
-	// lastSeen is the time of its last message; zero if there was none.
+	// lastSeen is the time of its last message, to this router or to one that has sent
+	// a digest; zero if there was none.
 	lastSeen time.Time
+	// score is the rendezvous score for relayKey.
+	score uint64
 }
 
 // members is the table of the other routers.
 type members struct {
-	byID map[core.RouterID]member
+	byID    map[core.RouterID]member
+	centres map[core.DataCentre]centre
 	// listed is true once the list of routers was read.
 	listed bool
 	// snapshotRequests counts the routers with snapshotRequested.
@@ -52,10 +57,19 @@
 	if m.ID == f.settings.ID || m.ID == "" {
 		return
 	}
-	f.members.Do(table.Hold{}, func(_ table.Hold, t *members) {
-		old := t.byID[m.ID]
-		t.byID[m.ID] = member{Member: m, refreshedAt: now, snapshotRequested: old.snapshotRequested, lastSeen: old.lastSeen}
-	})
+	f.members.Do(table.Hold{}, func(_ table.Hold, t *members) { t.put(m, now, t.byID[m.ID].lastSeen) })
+}
+
+// put records a router that was listed or sent a message at a time.
+func (t *members) put(m Member, refreshedAt, lastSeen time.Time) {
+	old, known := t.byID[m.ID]
+	if !known {
+		old.score = chat.Score(relayKey, string(m.ID))
+	}
+	if refreshedAt.Before(old.refreshedAt) {
+		refreshedAt = old.refreshedAt
+	}
+	t.byID[m.ID] = member{Member: m, refreshedAt: refreshedAt, snapshotRequested: old.snapshotRequested, lastSeen: lastSeen, score: old.score}
 }
 
 // markMemberSeen records that a message from a router has arrived.
--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -18,12 +18,15 @@
 	SnapshotRequest *SnapshotRequest
 	Snapshot        *Snapshot
 	Segment         *FeedSegment
+	Digest          *Digest
 }
 
 // Effects are the changes that a message has made, and the reply to it.
 type Effects struct {
 	// Reply is the reply; nil if the message needs none.
-	Reply   *Message
+	Reply *Message
+	// Forward holds messages to other routers.
+	Forward []Envelope
 	Changes []roster.Change
 	// Version is that of the catalog that came into force; zero if none did.
 	Version uint64
@@ -31,8 +34,8 @@
 	Errors []error
 }
 
-// Heartbeat is the periodic message to all other routers: the sender's current view,
-// and what it has observed since its last heartbeat.
+// Heartbeat is the periodic message to the other routers of the data centre: the
+// sender's current view, and what it has observed since its last heartbeat.
 type Heartbeat struct {
 	// Version is that of the catalog in force.
 	Version uint64
@@ -154,7 +157,13 @@
 	case m.Snapshot != nil:
 		return f.applySnapshot(now, *m.Snapshot)
 	case m.Segment != nil:
-		return f.applyPeerSegment(now, *m.Segment)
+		e := f.applyPeerSegment(now, *m.Segment)
+		if from.DataCentre != f.settings.DataCentre {
+			e.Forward = addressed(f.neighbours(now), m)
+		}
+		return e
+	case m.Digest != nil:
+		return Effects{Reply: f.applyDigest(now, from, *m.Digest)}
 	}
 	return Effects{}
 }
@@ -163,25 +172,35 @@
 // override ejections by other routers.
 const localSuccessWindow = 500 * time.Millisecond
 
-// applyHeartbeat applies a heartbeat. It returns a request for a snapshot if the
-// sender has a newer catalog, if the sender knows upstreams and this router has none
-// in service, or if the router needs the cache contents that the sender knows; else
-// nil.
+// credible reports whether the sender's ejections are to be believed. A router that has
+// ejected most upstreams is assumed to be partitioned itself.
+func (b Heartbeat) credible() bool { return 2*len(b.Ejections) <= b.UpstreamsInService }
+
+// applyHeartbeat applies a heartbeat and gathers it for the next digest. It returns a
+// request for a snapshot if the router needs one, else nil.
 func (f *Fleet) applyHeartbeat(now time.Time, from Member, b Heartbeat) *Message {
+	counts := countsOf(b.Running)
 	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
-		running := make(map[core.UpstreamID]int, len(b.Running))
-		for _, r := range b.Running {
-			running[r.Upstream] = r.Count
-			st.get(r.Upstream)
+		for id := range counts {
+			st.get(id)
 		}
 		for id, s := range st.byID {
-			s.load.ApplyPeer(now, from.ID, running[id])
+			s.load.ApplyPeer(now, from.ID, counts[id])
 		}
+	})
+	newParts := f.applyObservations(now, b)
+	f.digests.Do(table.Hold{}, func(_ table.Hold, d *digests) { d.toOthers.add(now, b, newParts) })
+	return f.snapshotRequest(now, from, b)
+}
+
+// applyObservations applies what other routers have observed of upstreams, caches and
+// requests. It returns the cached parts that were not known.
+func (f *Fleet) applyObservations(now time.Time, b Heartbeat) []prefix.CachedPart {
+	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
 		for _, r := range b.Results {
 			st.get(r.Upstream).health.ObserveRemote(now, r.Successes, r.Failures)
 		}
-		// A router that has ejected most upstreams is assumed to be partitioned itself.
-		if 2*len(b.Ejections) > b.UpstreamsInService {
+		if !b.credible() {
 			return
 		}
 		for _, r := range b.Ejections {
@@ -190,12 +209,20 @@
 			}
 		}
 	})
-	f.parts.Do(table.Hold{}, func(_ table.Hold, m *prefix.Map) { m.AddFromPeer(now, b.CachedParts, f.maxCacheTokens()) })
 	f.suspects.Do(table.Hold{}, func(_ table.Hold, s *suspects) {
 		for _, c := range b.Crashes {
 			s.table.RecordCrash(now, c.Content, c.Process)
 		}
 	})
+	return table.Read(f.parts, table.Hold{}, func(m *prefix.Map) []prefix.CachedPart {
+		return m.AddFromPeer(now, b.CachedParts, f.maxCacheTokens())
+	})
+}
+
+// snapshotRequest returns a request for a snapshot if the sender of a heartbeat or
+// digest has a newer catalog, if it knows upstreams and this router has none in service,
+// or if the router needs the cache contents that the sender knows; else nil.
+func (f *Fleet) snapshotRequest(now time.Time, from Member, b Heartbeat) *Message {
 	wantsParts := f.takeSnapshotRequest(from.ID)
 	if own := f.CatalogVersion(); wantsParts || b.Version > own || (b.UpstreamsInService > 0 && len(f.inService(now)) == 0) {
 		return &Message{SnapshotRequest: &SnapshotRequest{Version: own, WithCachedParts: wantsParts}}
--- a/core/fleet/outcome.go
+++ b/core/fleet/outcome.go
@@ -25,6 +25,7 @@
 			s.load.ApplyReport(now, *report)
 		}
 		if o == health.Good {
+			st.runTime(t.Pool).Record(now.Sub(t.ChosenAt))
 			s.lastSuccess = now
 			s.markSeen(now)
 			s.successes++
--- a/core/fleet/policy.go
+++ b/core/fleet/policy.go
@@ -1,14 +1,21 @@
 package fleet
 
-import "camphorpulley.org/core/roster"
+import (
+	"math"
+
+	"camphorpulley.org/core/roster"
+)
 
 // Candidate is an upstream that may get a request.
 type Candidate struct {
 	Upstream roster.Upstream
-	// Load is the estimated number of requests at the upstream. OverBound is true if
+	// Load is the number of requests at the upstream as last known. OverBound is true if
 	// one more request would exceed the pool's bound.
 	Load      int
 	OverBound bool
+	// ExpectedLoad is the load expected now: the longer ago the other routers' requests
+	// were counted, the closer it is to the usual one.
+	ExpectedLoad float64
 	// CachedTokens is the estimated number of tokens of the prompt's shared parts in
 	// the cache. PartsMissing is true if those aren't all.
 	CachedTokens int
@@ -17,9 +24,9 @@
 	// zero: a part that all prompts begin with would otherwise attract all of them to
 	// the same engines.
 	usefulTokens int
-	// TopRanked is true if the rendezvous score is at least the lowest of the
-	// topChoices highest scores of the upstreams under the bound.
-	TopRanked bool
+	// TopRanked is true if the upstream is among the first by rendezvous of those under
+	// the bound. Overflowing is true if engines that have the prompt are over the bound.
+	TopRanked, Overflowing bool
 	// TotalCached is the estimated number of tokens of all prompts in the cache.
 	TotalCached int
 	// FailureRate is the recent failure rate, from 0 to 1.
@@ -31,6 +38,9 @@
 	SameDataCentre bool
 	// Score is the rendezvous score for the request's key.
 	Score uint64
+	// Draw is a pseudorandom number that differs for each request and upstream, so that
+	// routers with the same data don't all choose the same upstream.
+	Draw  uint64
 	state *state
 }
 
@@ -65,21 +75,41 @@
 	return false, false
 }
 
-// remoteCost is added to the load of upstreams in other data centres, in requests. A
-// partition breaks requests there, and a somewhat higher load in the local data
-// centre delays no request until all of an upstream's slots are in use.
-const remoteCost = 2
-
-// weightedLoad returns the load, plus remoteCost for another data centre.
-func (c Candidate) weightedLoad() int {
-	if c.SameDataCentre {
-		return c.Load
+const (
+	// defaultSlots is the number of slots of an upstream that states none.
+	defaultSlots = 8
+	// minFreePlaces is the least number of free places that counts, so that a full
+	// upstream still gets a request now and then if all are full.
+	minFreePlaces = 0.1
+	// ampleDeviations is how many standard deviations of the load must be free besides:
+	// requests arrive in groups.
+	ampleDeviations = 3
+)
+
+// freePlaces returns the number of slots that are expected to be free.
+func (c Candidate) freePlaces() float64 {
+	slots := c.Upstream.Slots
+	if slots <= 0 {
+		slots = defaultSlots
 	}
-	return c.Load + remoteCost
+	return float64(slots) - c.ExpectedLoad
+}
+
+// ample reports whether the upstream is expected to have a free slot even if its load
+// is higher by ampleDeviations standard deviations of independent arrivals.
+func (c Candidate) ample() bool {
+	return c.freePlaces()-ampleDeviations*math.Sqrt(max(c.ExpectedLoad, 0)) >= 1
+}
+
+// race returns a random number that is the lowest of several candidates with a
+// probability in proportion to their free places.
+func (c Candidate) race() float64 {
+	uniform := (float64(c.Draw>>11) + 1) / (1<<53 + 1)
+	return -math.Log(uniform) / max(c.freePlaces(), minFreePlaces)
 }
 
 // Affinity prefers, among engines under the bound on the load, the one that has the
-// most of the prompt in its cache.
+// most of the prompt in its cache, and chooses at random among those that have as much.
 type Affinity struct{}
 
 // Better implements Policy.
@@ -96,19 +126,39 @@
 	if a.usefulTokens != b.usefulTokens {
 		return a.usefulTokens > b.usefulTokens
 	}
+	if a.usefulTokens > 0 {
+		return closerOrDrawn(a, b)
+	}
 	if a.PartsMissing && a.TopRanked != b.TopRanked {
 		return a.TopRanked
 	}
+	if a.Overflowing {
+		return closerOrDrawn(a, b)
+	}
 	if sa, sb := a.TotalCached/cachedStep, b.TotalCached/cachedStep; a.PartsMissing && sa != sb {
 		return sa < sb
 	}
 	return a.Score > b.Score
 }
 
-// topChoices is the number of engines, by rendezvous, that are preferred for a
-// prompt that no engine has whole. With the same data, all routers would otherwise
-// choose the engine with the emptiest cache until their next heartbeats.
-const topChoices = 3
+// closerOrDrawn prefers the local data centre, whose load is known best, and chooses at
+// random within one.
+func closerOrDrawn(a, b Candidate) bool {
+	if a.SameDataCentre != b.SameDataCentre {
+		return a.SameDataCentre
+	}
+	return a.Draw > b.Draw
+}
+
+const (
+	// topChoices is the number of engines, by rendezvous, that are preferred for a
+	// prompt that no engine has whole. With the same data, all routers would otherwise
+	// choose the engine with the emptiest cache until their next heartbeats.
+	topChoices = 3
+	// overflowFactor is by how many times the engines that have a prompt and are over
+	// the bound the number of further engines for it exceeds theirs.
+	overflowFactor = 2
+)
 
 // cachedStep is the granularity, in tokens, at which caches are compared: a few long
 // prompts, which other routers may not have announced yet.
@@ -131,17 +181,19 @@
 	return Affinity{}.Better(a, b)
 }
 
-// LeastLoaded prefers the upstream with the lowest load, with remoteCost added for
-// upstreams in other data centres.
-type LeastLoaded struct{}
+// FreePlaces chooses at random, with a probability in proportion to the free places of
+// each upstream. Routers that don't know of each other's latest requests would all
+// choose the upstream with the lowest load. It prefers the local data centre, which no
+// partition separates from the router, while the upstreams there have ample places.
+type FreePlaces struct{}
 
 // Better implements Policy.
-func (LeastLoaded) Better(a, b Candidate) bool {
+func (FreePlaces) Better(a, b Candidate) bool {
 	if better, differ := compareFailureRates(a, b); differ {
 		return better
 	}
-	if la, lb := a.weightedLoad(), b.weightedLoad(); la != lb {
-		return la < lb
+	if la, lb := a.SameDataCentre && a.ample(), b.SameDataCentre && b.ample(); la != lb {
+		return la
 	}
-	return a.Score > b.Score
+	return a.race() < b.race()
 }
--- a/core/fleet/readiness.go
+++ b/core/fleet/readiness.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"camphorpulley.org/core"
 	"camphorpulley.org/core/roster"
 	"camphorpulley.org/core/table"
 )
@@ -50,28 +49,22 @@
 	})
 }
 
-// peerTimeout is the time without messages after which routers of other data centres
-// count as unreachable: several heartbeats.
-const peerTimeout = 1200 * time.Millisecond
+// digestTimeout is the time without a digest after which another data centre counts as
+// unreachable: several heartbeat intervals.
+const digestTimeout = 1200 * time.Millisecond
 
 // mostDataCentresUnreachable reports whether fewer than half of the data centres are
-// reachable: the local one, and each with a router whose last message is more recent
-// than peerTimeout. Data centres that have sent no message aren't counted.
+// reachable: the local one, and each whose last digest is more recent than
+// digestTimeout. Data centres that have sent none aren't counted.
 func (f *Fleet) mostDataCentresUnreachable(now time.Time) bool {
-	return table.Read(f.members, table.Hold{}, func(p *members) bool {
-		known := map[core.DataCentre]bool{f.settings.DataCentre: true}
+	return table.Read(f.members, table.Hold{}, func(t *members) bool {
 		reachable := 1
-		for _, m := range p.byID {
-			if m.lastSeen.IsZero() {
-				continue
-			}
-			recent := now.Sub(m.lastSeen) < peerTimeout
-			if m.DataCentre != f.settings.DataCentre && recent && !known[m.DataCentre] {
+		for _, c := range t.centres {
+			if now.Sub(c.heardAt) < digestTimeout {
 				reachable++
 			}
-			known[m.DataCentre] = known[m.DataCentre] || recent
 		}
-		return 2*reachable < len(known)
+		return 2*reachable < len(t.centres)+1
 	})
 }
 
--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -35,8 +35,10 @@
 	regions      map[core.DataCentre]string
 	// disconnected holds pairs of routers, the sender first, whose messages are lost.
 	disconnected map[[2]string]bool
-	requests     map[string]*sentRequest
-	slack        float64
+	// stopped holds the routers that neither send nor receive.
+	stopped  map[string]bool
+	requests map[string]*sentRequest
+	slack    float64
 }
 
 // sentRequest is a request of a script.
@@ -61,7 +63,7 @@
 			env.Values[simulationKey{}] = &simulation{
 				now: start, routers: map[string]*fleet.Fleet{}, entries: map[core.UpstreamID]roster.Entry{},
 				pendingReads: map[string]uint64{}, regions: map[core.DataCentre]string{},
-				disconnected: map[[2]string]bool{}, requests: map[string]*sentRequest{}, slack: 56,
+				disconnected: map[[2]string]bool{}, stopped: map[string]bool{}, requests: map[string]*sentRequest{}, slack: 56,
 				catalog: catalog.Catalog{Pools: map[core.Pool]catalog.Pool{}},
 			}
 			return nil
@@ -308,12 +310,8 @@
 		a = slices.DeleteFunc(slices.Clone(sim.order), func(id string) bool { return sim.routers[id].NextReadIn(sim.now, false) > 0 })
 	}
 	for from, read := range sim.read(a) {
-		for _, to := range sim.order {
-			if to != from {
-				copied := read
-				copied.Records = slices.Clone(read.Records)
-				sim.deliver(from, to, fleet.Message{Segment: &copied})
-			}
+		for _, e := range sim.routers[from].Spread(sim.now, fleet.Message{Segment: &read}) {
+			sim.deliver(from, string(e.To), e.Message)
 		}
 	}
 }
@@ -371,24 +369,40 @@
 // reconnect: no messages are lost.
 func cmdReconnect(_ *testscript.TestScript, sim *simulation, _ []string) { clear(sim.disconnected) }
 
-// heartbeats: each router sends a heartbeat to each other one, and they reply.
-func cmdHeartbeats(_ *testscript.TestScript, sim *simulation, _ []string) {
-	for _, from := range sim.order {
-		heartbeat := sim.routers[from].NextHeartbeat(sim.now)
-		for _, to := range sim.order {
-			if from != to {
-				sim.deliver(from, to, fleet.Message{Heartbeat: &heartbeat})
+// heartbeats [ROUNDS]: the routers, or all but the stopped ones, send their periodic
+// messages, and reply. It takes heartbeatRounds rounds, or one, until each router knows
+// what any other one does.
+func cmdHeartbeats(ts *testscript.TestScript, sim *simulation, a []string) {
+	rounds := heartbeatRounds
+	if len(a) > 0 {
+		var err error
+		rounds, err = strconv.Atoi(a[0])
+		ts.Check(err)
+	}
+	for range rounds {
+		for _, from := range sim.order {
+			messages, _ := sim.routers[from].Outgoing(sim.now)
+			for _, e := range messages {
+				sim.deliver(from, string(e.To), e.Message)
 			}
 		}
 	}
 }
 
+// heartbeatRounds is how many rounds of messages it takes until each router knows what
+// any other one does: a heartbeat, a digest between data centres and one within.
+const heartbeatRounds = 3
+
 func (sim *simulation) deliver(from, to string, m fleet.Message) {
-	if sim.disconnected[[2]string{from, to}] {
+	if sim.disconnected[[2]string{from, to}] || sim.stopped[from] || sim.stopped[to] || sim.routers[to] == nil {
 		return
 	}
-	if reply := sim.routers[to].Receive(sim.now, member(sim.routers[from]), m).Reply; reply != nil {
-		sim.deliver(to, from, *reply)
+	effects := sim.routers[to].Receive(sim.now, member(sim.routers[from]), m)
+	if effects.Reply != nil {
+		sim.deliver(to, from, *effects.Reply)
+	}
+	for _, e := range effects.Forward {
+		sim.deliver(to, string(e.To), e.Message)
 	}
 }
 
@@ -428,7 +442,7 @@
 func (sim *simulation) choose(s *sentRequest) {
 	switch {
 	case s.request.Pool.Engine == nil:
-		s.target, s.refusal = fleet.Choose(sim.now, s.router, fleet.LeastLoaded{}, s.request, s.tried)
+		s.target, s.refusal = fleet.Choose(sim.now, s.router, fleet.FreePlaces{}, s.request, s.tried)
 	case s.request.Route.Repeatable():
 		s.target, s.refusal = fleet.Choose(sim.now, s.router, fleet.Affinity{}, s.request, s.tried)
 	default:
--- a/core/fleet/upstream_state.go
+++ b/core/fleet/upstream_state.go
@@ -63,6 +63,20 @@
 type states struct {
 	byID         map[core.UpstreamID]*state
 	byDataCentre map[core.DataCentre]*health.Reachability
+	runTimes     map[core.Pool]*load.RunTime
+}
+
+// runTime returns the run time of a pool's requests, creating it on first use.
+func (st *states) runTime(p core.Pool) *load.RunTime {
+	t := st.runTimes[p]
+	if t == nil {
+		if st.runTimes == nil {
+			st.runTimes = map[core.Pool]*load.RunTime{}
+		}
+		t = &load.RunTime{}
+		st.runTimes[p] = t
+	}
+	return t
 }
 
 // get returns the state of an upstream, creating it on first use.
--- a/core/prefix/map.go
+++ b/core/prefix/map.go
@@ -94,11 +94,16 @@
 	}
 }
 
-// AddFromPeer records the parts that another router has sent.
-func (m *Map) AddFromPeer(now time.Time, parts []CachedPart, cacheTokens int) {
+// AddFromPeer records the parts that another router has sent, and returns those that
+// were not known.
+func (m *Map) AddFromPeer(now time.Time, parts []CachedPart, cacheTokens int) []CachedPart {
+	var unknown []CachedPart
 	for _, c := range parts {
-		m.add(now, c, cacheTokens)
+		if m.add(now, c, cacheTokens) {
+			unknown = append(unknown, c)
+		}
 	}
+	return unknown
 }
 
 // TakeUpdates returns the parts added since the last call by AddUsed and
--- a/core/table/rank.go
+++ b/core/table/rank.go
@@ -21,6 +21,7 @@
 	RankParts                 // the cached parts of prompts
 	RankOrders                // the ledger of orders
 	RankSuspects              // the suspected poison requests
+	RankDigests               // what a relay has gathered for its next digests
 	RankBudgets               // the retry budgets
 	RankBurn                  // the counts for burn rates
 	RankPolicies              // the state of chat policies
--- /dev/null
+++ b/lab/fleet/report.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// figures are what a simulation counts after its warm-up.
+type figures struct {
+	attempts, declined, waited, refused, reads int
+	remoteBytes                                int
+	promptTokens, rereadTokens, fetchedTokens  int
+}
+
+// report holds the results of a simulation. Rates are per second.
+type report struct {
+	Routers                   int
+	Attempts                  int
+	Declined, Waiting, Reread float64
+	// Crowded is the highest share of requests, by pool, that reached an upstream
+	// above the bound within five seconds.
+	Crowded map[string]float64
+	// Sent and Busiest are the mean and the highest bytes per second that a router
+	// sent, Remote the mean between data centres.
+	Sent, Busiest, Remote float64
+	Fetched, Refused      float64
+	// Reads is the number of reads of the store per second by all routers.
+	Reads float64
+}
+
+// report returns the results so far.
+func (sim *simulation) report() report {
+	seconds := sim.scenario.Run.Time.Seconds()
+	n := float64(len(sim.routers))
+	r := report{Routers: len(sim.routers), Attempts: sim.figures.attempts, Crowded: map[string]float64{}}
+	for name, p := range sim.pools {
+		r.Crowded[name] = p.window.highest
+	}
+	var sent []float64
+	for _, router := range sim.routers {
+		sent = append(sent, float64(router.sent)/seconds)
+		r.Sent += float64(router.sent) / seconds / n
+	}
+	r.Busiest = slices.Max(sent)
+	r.Remote = float64(sim.figures.remoteBytes) / seconds / n
+	r.Declined = ratio(sim.figures.declined, sim.figures.attempts)
+	r.Waiting = ratio(sim.figures.waited, sim.figures.attempts)
+	r.Reread = ratio(sim.figures.rereadTokens, sim.figures.promptTokens)
+	r.Fetched = ratio(sim.figures.fetchedTokens, sim.figures.promptTokens)
+	r.Refused = ratio(sim.figures.refused, sim.requests)
+	r.Reads = float64(sim.figures.reads) / (seconds + sim.scenario.Run.Warmup.Seconds())
+	return r
+}
+
+func ratio(a, b int) float64 { return float64(a) / float64(max(b, 1)) }
+
+// String returns the report as one line of key=value pairs.
+func (r report) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "routers=%d attempts=%d declined=%.4f waiting=%.4f refused=%.4f", r.Routers, r.Attempts, r.Declined, r.Waiting, r.Refused)
+	names := make([]string, 0, len(r.Crowded))
+	for name := range r.Crowded {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		fmt.Fprintf(&b, " crowded_%s=%.4f", name, r.Crowded[name])
+	}
+	fmt.Fprintf(&b, " reread=%.4f fetched=%.4f sent=%.0f busiest=%.0f remote=%.0f reads=%.2f",
+		r.Reread, r.Fetched, r.Sent, r.Busiest, r.Remote, r.Reads)
+	return b.String()
+}
+
+// exceeded returns the limits of a scenario that the results exceed.
+func (r report) exceeded(l LimitsSection) []string {
+	crowded := 0.0
+	for _, share := range r.Crowded {
+		crowded = max(crowded, share)
+	}
+	checks := []struct {
+		name       string
+		got, limit float64
+	}{
+		{"crowded", crowded, l.Crowded}, {"declined", r.Declined, l.Declined}, {"waiting", r.Waiting, l.Waiting}, {"reread", r.Reread, l.Reread},
+		{"sent", r.Sent, l.Sent}, {"busiest", r.Busiest, l.Busiest}, {"remote", r.Remote, l.Remote},
+	}
+	var over []string
+	for _, c := range checks {
+		if c.limit > 0 && c.got > c.limit {
+			over = append(over, fmt.Sprintf("%s: got %.4g, want at most %.4g", c.name, c.got, c.limit))
+		}
+	}
+	return over
+}
+
+// crowdingWindow is the span in which requests at crowded upstreams are counted.
+const crowdingWindow = 5 * time.Second
+
+const (
+	// crowdedFactor and crowdedSlack define when an upstream is crowded: it has more
+	// than the factor times the mean load of its pool, plus the slack in requests.
+	crowdedFactor = 2.0
+	crowdedSlack  = 3.0
+	// minCrowded is the number of requests from which on a share counts.
+	minCrowded = 20
+)
+
+// crowded reports whether an upstream is crowded with one more request.
+func (p *poolState) crowded(u *upstream) bool {
+	total := 0
+	for _, other := range p.upstreams {
+		total += other.busy()
+	}
+	mean := float64(total+1) / float64(len(p.upstreams))
+	return float64(u.busy()+1) > crowdedFactor*mean+crowdedSlack
+}
+
+// crowding tracks the share of requests at crowded upstreams within a sliding window.
+type crowding struct {
+	arrivals []arrival
+	crowded  int
+	highest  float64
+}
+
+type arrival struct {
+	at      time.Time
+	crowded bool
+}
+
+// add counts a request.
+func (c *crowding) add(now time.Time, crowded bool) {
+	c.arrivals = append(c.arrivals, arrival{now, crowded})
+	if crowded {
+		c.crowded++
+	}
+	for now.Sub(c.arrivals[0].at) > crowdingWindow {
+		if c.arrivals[0].crowded {
+			c.crowded--
+		}
+		c.arrivals = c.arrivals[1:]
+	}
+	if c.crowded >= minCrowded {
+		c.highest = max(c.highest, float64(c.crowded)/float64(len(c.arrivals)))
+	}
+}
--- /dev/null
+++ b/lab/fleet/request.go
@@ -0,0 +1,207 @@
+package main
+
+import (
+	"strconv"
+	"time"
+
+	"camphorpulley.org/core"
+	"camphorpulley.org/core/fleet"
+	"camphorpulley.org/core/health"
+	"camphorpulley.org/core/prefix"
+)
+
+// scheduleArrivals schedules the groups of requests of a load, a Poisson process.
+func (sim *simulation) scheduleArrivals(l *LoadSection) {
+	clump := max(l.Clump, 1)
+	var arrive func(time.Time)
+	arrive = func(now time.Time) {
+		dc := sim.random.IntN(sim.scenario.Fleet.DataCentres)
+		for range clump {
+			sim.events.add(now.Add(time.Duration(sim.random.Int64N(int64(clumpSpread)))), func(at time.Time) { sim.arrive(at, l, dc) })
+		}
+		gap := sim.random.ExpFloat64() * float64(clump) / l.Rate
+		sim.events.add(now.Add(time.Duration(gap*float64(time.Second))), arrive)
+	}
+	sim.after(startDelay, arrive)
+}
+
+const (
+	// startDelay is when the load begins: the routers have sent their first messages.
+	startDelay = time.Second
+	// clumpSpread is the time within which the requests of a group arrive.
+	clumpSpread = 20 * time.Millisecond
+)
+
+// request is a simulated request.
+type request struct {
+	fleet.Request
+	load   *LoadSection
+	router *router
+	tried  []core.UpstreamID
+	target fleet.Target
+}
+
+// arrive sends a request to a router of a data centre, or of the next one with a
+// running router.
+func (sim *simulation) arrive(now time.Time, l *LoadSection, dc int) {
+	r := sim.pickRouter(dc)
+	if r == nil {
+		sim.figures.refused++
+		return
+	}
+	sim.requests++
+	caller := fleet.CallerRequest{ID: strconv.Itoa(sim.requests), Host: l.Name, Path: "/", Content: core.Digest(sim.requests)}
+	if l.Prompts > 0 {
+		caller.Parts = sim.prompt(l)
+	}
+	admitted, refusal := r.fleet.Admit(now, caller)
+	if refusal != nil {
+		sim.figures.refused++
+		return
+	}
+	sim.try(now, &request{Request: admitted, load: l, router: r})
+}
+
+// pickRouter returns a running router of a data centre, or of another one; nil if none
+// runs.
+func (sim *simulation) pickRouter(dc int) *router {
+	n := sim.scenario.Fleet.DataCentres
+	for i := range n {
+		var running []*router
+		for _, r := range sim.routers {
+			if r.dataCentre == (dc+i)%n && !r.stopped {
+				running = append(running, r)
+			}
+		}
+		if len(running) > 0 {
+			return running[sim.random.IntN(len(running))]
+		}
+	}
+	return nil
+}
+
+// prompt returns the parts of a request's prompt: one that many share and one of its
+// own.
+func (sim *simulation) prompt(l *LoadSection) []prefix.Part {
+	i := sim.random.IntN(l.Prompts)
+	since := sim.now.Sub(start) - sim.scenario.Run.Warmup
+	if since >= l.HotFrom && since < l.HotFrom+l.HotTime && sim.random.Float64() < l.Hot {
+		i = 0
+	}
+	id := core.Digest(len(l.Name)<<32 + i + 1)
+	return []prefix.Part{{ID: id, Tokens: l.Tokens}, {ID: core.Digest(1<<60 + sim.requests), Tokens: 100}}
+}
+
+// maxTries bounds the attempts of a request.
+const maxTries = 6
+
+// try makes an attempt.
+func (sim *simulation) try(now time.Time, r *request) {
+	var refusal *core.Refusal
+	switch f := r.router.fleet; {
+	case r.Pool.Engine == nil:
+		r.target, refusal = fleet.Choose(now, f, fleet.FreePlaces{}, r.Request, r.tried)
+	case r.Route.Repeatable():
+		r.target, refusal = fleet.Choose(now, f, fleet.Affinity{}, r.Request, r.tried)
+	default:
+		r.target, refusal = fleet.Choose(now, f, fleet.LocalFirst{}, r.Request, r.tried)
+	}
+	if refusal != nil || len(r.tried) >= maxTries {
+		sim.figures.refused++
+		return
+	}
+	u := sim.upstreams[r.target.ID]
+	there := sim.delay(r.router.member.DataCentre, u.entry.DataCentre)
+	sim.events.add(now.Add(there), func(at time.Time) { sim.reach(at, r, u, there) })
+}
+
+// reach lets an upstream accept or decline an attempt.
+func (sim *simulation) reach(now time.Time, r *request, u *upstream, back time.Duration) {
+	pool := sim.pools[u.pool.Name]
+	if sim.measuring() {
+		sim.figures.attempts++
+		pool.window.add(now, pool.crowded(u))
+	}
+	accepted := u.accept(now, func(started time.Time) {
+		if sim.measuring() && started.Sub(now) > r.load.Time {
+			sim.figures.waited++
+		}
+		sim.execute(started, r, u, back)
+	})
+	if accepted {
+		return
+	}
+	if sim.measuring() {
+		sim.figures.declined++
+	}
+	sim.events.add(now.Add(back), func(at time.Time) {
+		sim.finish(at, r, health.Shed)
+		r.tried = append(r.tried, u.entry.ID)
+		sim.try(at, r)
+	})
+}
+
+// execute runs a request at an upstream: it reads the prompt, sends the first event and
+// ends.
+func (sim *simulation) execute(now time.Time, r *request, u *upstream, back time.Duration) {
+	var reading time.Duration
+	if u.pool.Prefill > 0 {
+		known := sim.anyHas(u.pool.Name, r.SharedParts)
+		missing := u.missing(r.SharedParts)
+		reading = time.Duration(missing+r.OwnTokens) * time.Millisecond / time.Duration(u.pool.Prefill)
+		sim.countRead(r, missing, known)
+	}
+	report := u.report()
+	sim.events.add(now.Add(reading+back), func(at time.Time) {
+		if r.router.stopped {
+			return
+		}
+		r.router.fleet.MarkSeen(at, r.target)
+		r.router.fleet.RecordPrefill(at, r.Request, r.target)
+		if report != nil {
+			r.router.fleet.RecordLoad(at, r.target, *report)
+		}
+	})
+	total := reading + u.runTime(sim.random, r.load.Time)
+	sim.events.add(now.Add(total), func(at time.Time) {
+		u.finish(at)
+		sim.events.add(at.Add(back), func(at time.Time) { sim.finish(at, r, health.Good) })
+	})
+}
+
+// finish tells the router the outcome of an attempt.
+func (sim *simulation) finish(now time.Time, r *request, o health.Outcome) {
+	if !r.router.stopped {
+		r.router.fleet.FinishAttempt(now, r.target, o, nil)
+	}
+}
+
+// anyHas reports whether an engine of a pool has all of the parts in its cache.
+func (sim *simulation) anyHas(pool string, parts []prefix.Part) bool {
+	for _, u := range sim.pools[pool].upstreams {
+		has := true
+		for _, p := range parts {
+			has = has && u.cache[p.ID]
+		}
+		if has {
+			return true
+		}
+	}
+	return false
+}
+
+// countRead counts the tokens of a prompt that are read, and those of them that the
+// target neither has nor fetches though another engine has them.
+func (sim *simulation) countRead(r *request, missing int, known bool) {
+	if !sim.measuring() {
+		return
+	}
+	for _, p := range r.SharedParts {
+		sim.figures.promptTokens += p.Tokens
+	}
+	if known && r.target.FetchFrom == "" {
+		sim.figures.rereadTokens += missing
+	} else if known {
+		sim.figures.fetchedTokens += missing
+	}
+}
--- /dev/null
+++ b/lab/fleet/scenario.go
@@ -0,0 +1,104 @@
+package main
+
+import "time"
+
+// Scenario is a fleet, its load and the limits that a run must keep. It is the content
+// of a scenario file.
+type Scenario struct {
+	Fleet  FleetSection  `ini:"fleet"`
+	Run    RunSection    `ini:"run"`
+	Pools  []PoolSection `ini:"pool" validate:"min=1,dive"`
+	Loads  []LoadSection `ini:"load" validate:"min=1,dive"`
+	Limits LimitsSection `ini:"limits"`
+	Losses []LossSection `ini:"loss" validate:"dive"`
+}
+
+// FleetSection describes the routers and the links between them.
+type FleetSection struct {
+	Routers     int `ini:"routers" validate:"min=1,max=2000"`
+	DataCentres int `ini:"datacentres" validate:"min=1,max=50"`
+	// Local and Remote are the one-way delays within a data centre and between two.
+	Local  time.Duration `ini:"local" validate:"min=0"`
+	Remote time.Duration `ini:"remote" validate:"min=0"`
+}
+
+// RunSection sets the random seed and the simulated time. Nothing is measured during
+// Warmup.
+type RunSection struct {
+	Seed   uint64        `ini:"seed"`
+	Warmup time.Duration `ini:"warmup" validate:"min=0"`
+	Time   time.Duration `ini:"time" validate:"gt=0"`
+}
+
+// PoolSection describes the upstreams of a pool.
+type PoolSection struct {
+	Name      string `ini:"-name"`
+	Upstreams int    `ini:"upstreams" validate:"min=1"`
+	// Slots is how many requests run at a time, Queue how many wait. Further ones are
+	// declined.
+	Slots int `ini:"slots" validate:"min=1"`
+	Queue int `ini:"queue" validate:"min=0"`
+	// Cache is the size of an engine's cache in tokens; zero for plain applications.
+	Cache int `ini:"cache" validate:"min=0"`
+	// Prefill is the number of tokens that an engine reads per millisecond.
+	Prefill int `ini:"prefill" validate:"min=0"`
+	// Slow is the share of their run time by which requests last longer for each other
+	// one that runs beside them.
+	Slow float64 `ini:"slow" validate:"min=0"`
+	// Tells is true if responses state the load.
+	Tells bool `ini:"tells"`
+}
+
+// LoadSection describes requests of one kind.
+type LoadSection struct {
+	Name string `ini:"-name"`
+	Pool string `ini:"pool" validate:"required"`
+	Kind string `ini:"kind" validate:"oneof=once safe stream"`
+	// Resume is true for streams that another upstream may continue.
+	Resume bool `ini:"resume"`
+	// Rate is the number of requests per second, which arrive in groups of Clump.
+	Rate  float64 `ini:"rate" validate:"gt=0"`
+	Clump int     `ini:"clump" validate:"min=0"`
+	// Time is the mean run time without other requests beside it.
+	Time time.Duration `ini:"time" validate:"gt=0"`
+	// Prompts is the number of prompts; each has Tokens tokens that requests share.
+	Prompts int `ini:"prompts" validate:"min=0"`
+	Tokens  int `ini:"tokens" validate:"min=0"`
+	// Hot is the share of requests that use the first prompt, from HotFrom on for
+	// HotTime.
+	Hot     float64       `ini:"hot" validate:"min=0,max=1"`
+	HotFrom time.Duration `ini:"hotfrom" validate:"min=0"`
+	HotTime time.Duration `ini:"hottime" validate:"min=0"`
+}
+
+// LossSection stops routers for a time.
+type LossSection struct {
+	Name string `ini:"-name"`
+	// At is when they stop, and For how long. They keep nothing.
+	At  time.Duration `ini:"at" validate:"min=0"`
+	For time.Duration `ini:"for" validate:"gt=0"`
+	// DataCentre stops all routers of the one with this number; Share stops a share
+	// of all routers.
+	DataCentre int     `ini:"datacentre" validate:"min=0"`
+	Share      float64 `ini:"share" validate:"min=0,max=1"`
+}
+
+// LimitsSection holds what a run must keep; zero means that nothing is checked.
+type LimitsSection struct {
+	// Crowded is the largest share of a pool's requests, in any five seconds, that may
+	// reach an upstream with more than twice the mean load plus three.
+	Crowded float64 `ini:"crowded" validate:"min=0,max=1"`
+	// Declined is the largest share of attempts that upstreams may decline, Waiting that
+	// of those that may wait at an upstream longer than their mean run time.
+	Declined float64 `ini:"declined" validate:"min=0,max=1"`
+	Waiting  float64 `ini:"waiting" validate:"min=0,max=1"`
+	// Sent is the mean number of bytes of control messages that a router may send in a
+	// second; Busiest is that of the busiest router, Remote the mean between data
+	// centres.
+	Sent    float64 `ini:"sent" validate:"min=0"`
+	Busiest float64 `ini:"busiest" validate:"min=0"`
+	Remote  float64 `ini:"remote" validate:"min=0"`
+	// Reread is the largest share of prompt tokens that engines may read though
+	// another engine has them.
+	Reread float64 `ini:"reread" validate:"min=0,max=1"`
+}
--- /dev/null
+++ b/lab/fleet/simulation.go
@@ -0,0 +1,258 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"camphorpulley.org/core"
+	"camphorpulley.org/core/catalog"
+	"camphorpulley.org/core/fleet"
+	"camphorpulley.org/core/retry"
+	"camphorpulley.org/core/roster"
+	"camphorpulley.org/router/wire"
+)
+
+// simulation runs the decisions of all routers of a fleet in simulated time. Nothing
+// but the links and the upstreams is simulated: the tables are those of package fleet.
+type simulation struct {
+	scenario  Scenario
+	random    *rand.Rand
+	now       time.Time
+	events    queue[func(now time.Time)]
+	routers   []*router
+	byID      map[core.RouterID]*router
+	upstreams map[core.UpstreamID]*upstream
+	pools     map[string]*poolState
+	catalog   *catalog.Catalog
+	figures   figures
+	requests  int
+}
+
+// router is a simulated router. Epoch changes with each start and stop, so that what
+// was scheduled before is dropped.
+type router struct {
+	fleet      *fleet.Fleet
+	member     fleet.Member
+	dataCentre int
+	stopped    bool
+	epoch      int
+	sent       int
+}
+
+// poolState is a pool with its upstreams.
+type poolState struct {
+	PoolSection
+	upstreams []*upstream
+	window    crowding
+}
+
+var start = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+
+func newSimulation(s Scenario) *simulation {
+	sim := &simulation{
+		scenario: s, random: rand.New(rand.NewPCG(s.Run.Seed, 0)), now: start, byID: map[core.RouterID]*router{},
+		upstreams: map[core.UpstreamID]*upstream{}, pools: map[string]*poolState{},
+	}
+	sim.catalog = sim.newCatalog()
+	for i := range s.Fleet.Routers {
+		r := &router{dataCentre: i % s.Fleet.DataCentres}
+		r.member = fleet.Member{ID: core.RouterID(fmt.Sprintf("router-%d", i)), Address: fmt.Sprintf("10.0.%d.%d:7", i/250, i%250), DataCentre: dataCentre(r.dataCentre), Incarnation: 1}
+		sim.routers = append(sim.routers, r)
+		sim.byID[r.member.ID] = r
+	}
+	for _, r := range sim.routers {
+		sim.startRouter(r)
+	}
+	for i := range s.Loads {
+		sim.scheduleArrivals(&s.Loads[i])
+	}
+	for _, l := range s.Losses {
+		sim.scheduleLoss(l)
+	}
+	return sim
+}
+
+func dataCentre(i int) core.DataCentre { return core.DataCentre("dc-" + strconv.Itoa(i)) }
+
+// newCatalog returns the catalog of the scenario, and creates the upstreams.
+func (sim *simulation) newCatalog() *catalog.Catalog {
+	c := &catalog.Catalog{Version: 1, Source: []byte("catalog"), Pools: map[core.Pool]catalog.Pool{}}
+	for _, p := range sim.scenario.Pools {
+		pool := catalog.Pool{Name: core.Pool(p.Name)}
+		if p.Cache > 0 {
+			pool.Engine = &catalog.Engine{CacheTokens: p.Cache}
+		}
+		c.Pools[pool.Name] = pool
+		state := &poolState{PoolSection: p}
+		sim.pools[p.Name] = state
+		for i := range p.Upstreams {
+			id := core.UpstreamID(fmt.Sprintf("i-%s%03d", p.Name, i))
+			u := &upstream{pool: &state.PoolSection, cache: map[core.Digest]bool{}, entry: roster.Entry{
+				ID: id, Pool: pool.Name, Address: string(id) + ":8000", DataCentre: dataCentre(i % sim.scenario.Fleet.DataCentres), Slots: p.Slots, StartedMS: 1,
+			}}
+			u.entry.Source = []byte(id)
+			sim.upstreams[id], state.upstreams = u, append(state.upstreams, u)
+		}
+	}
+	kinds := map[string]catalog.Kind{"once": catalog.AtMostOnce, "safe": catalog.Idempotent, "stream": catalog.Stream}
+	for _, l := range sim.scenario.Loads {
+		c.Routes = append(c.Routes, catalog.Route{
+			Name: l.Name, Host: l.Name, Prefix: "/", Kind: kinds[l.Kind], Timeout: 10 * time.Second, LatencyObjective: 400 * time.Millisecond,
+			MaxRuns: 2, Deterministic: l.Resume, Public: true, Pools: []catalog.PoolWeight{{Pool: core.Pool(l.Pool), Weight: 1}},
+		})
+	}
+	return c
+}
+
+// startRouter starts a router, which reads the store, and schedules its messages.
+func (sim *simulation) startRouter(r *router) {
+	r.epoch++
+	r.stopped = false
+	r.member.Incarnation = core.Incarnation(sim.now.UnixMilli())
+	r.fleet = fleet.New(sim.now, fleet.Settings{
+		ID: r.member.ID, Address: r.member.Address, DataCentre: r.member.DataCentre, Incarnation: r.member.Incarnation,
+		Retry: retry.Limits{Ratio: 0.2, Slack: 600, Window: 10 * time.Second}, MaxLoadFactor: 2, Drain: 4 * time.Second, Evacuation: 5 * time.Second,
+		ParseCatalog: func([]byte) (*catalog.Catalog, error) { return sim.catalog, nil },
+		ParseEntry: func(id core.UpstreamID, _ []byte) (roster.Entry, error) {
+			return sim.upstreams[id].entry, nil
+		},
+	})
+	for _, other := range sim.routers {
+		r.fleet.AddMember(sim.now, other.member)
+	}
+	r.fleet.MarkMembersListed()
+	r.fleet.ApplyCatalog(sim.catalog)
+	sim.readEntries(r)
+	epoch := r.epoch
+	var send func(time.Time)
+	send = func(now time.Time) {
+		if r.epoch != epoch {
+			return
+		}
+		messages, wait := r.fleet.Outgoing(now)
+		for _, e := range messages {
+			sim.post(r, e.To, e.Message)
+		}
+		sim.events.add(now.Add(wait), send)
+	}
+	sim.after(time.Duration(sim.random.Int64N(int64(time.Second))), send)
+	sim.scheduleReads(r)
+}
+
+// readEntries lets a router read all entries in the store.
+func (sim *simulation) readEntries(r *router) {
+	entries := make([]roster.Entry, 0, len(sim.upstreams))
+	for _, p := range sim.scenario.Pools {
+		for _, u := range sim.pools[p.Name].upstreams {
+			entries = append(entries, u.entry)
+		}
+	}
+	r.fleet.ApplyFullRead(sim.now, sim.now, 0, entries)
+}
+
+// readCheckInterval is how often a router checks whether it is to read the store.
+const readCheckInterval = 250 * time.Millisecond
+
+// scheduleReads lets a router read the store when that is due. The upstreams never
+// change, so that the segments hold nothing but their offsets.
+func (sim *simulation) scheduleReads(r *router) {
+	epoch := r.epoch
+	var check func(time.Time)
+	check = func(now time.Time) {
+		if r.epoch != epoch {
+			return
+		}
+		if r.fleet.NextReadIn(now, false) <= 0 {
+			sim.figures.reads++
+			_, segment := r.fleet.ApplyRead(now, now, fleet.FeedSegment{})
+			if segment != nil {
+				for _, e := range r.fleet.Spread(now, fleet.Message{Segment: segment}) {
+					sim.post(r, e.To, e.Message)
+				}
+			}
+		}
+		sim.events.add(now.Add(readCheckInterval), check)
+	}
+	sim.after(time.Duration(sim.random.Int64N(int64(time.Second))), check)
+}
+
+// after schedules an event.
+func (sim *simulation) after(d time.Duration, event func(now time.Time)) {
+	sim.events.add(sim.now.Add(d), event)
+}
+
+// delay returns the one-way delay between two data centres.
+func (sim *simulation) delay(a, b core.DataCentre) time.Duration {
+	if a == b {
+		return sim.scenario.Fleet.Local
+	}
+	return sim.scenario.Fleet.Remote
+}
+
+// post encodes a message, counts its bytes and delivers it after the link's delay.
+func (sim *simulation) post(from *router, to core.RouterID, m fleet.Message) {
+	target := sim.byID[to]
+	data, err := wire.EncodeFleetMessage(m)
+	if target == nil || err != nil {
+		return
+	}
+	if sim.measuring() {
+		from.sent += len(data)
+		if from.member.DataCentre != target.member.DataCentre {
+			sim.figures.remoteBytes += len(data)
+		}
+	}
+	sender := from.member
+	sim.after(sim.delay(from.member.DataCentre, target.member.DataCentre), func(now time.Time) {
+		if target.stopped {
+			return
+		}
+		received, err := wire.DecodeFleetMessage(data)
+		if err != nil {
+			return
+		}
+		effects := target.fleet.Receive(now, sender, received)
+		if effects.Reply != nil {
+			sim.post(target, sender.ID, *effects.Reply)
+		}
+		for _, e := range effects.Forward {
+			sim.post(target, e.To, e.Message)
+		}
+	})
+}
+
+// measuring reports whether the warm-up is over.
+func (sim *simulation) measuring() bool { return sim.now.Sub(start) >= sim.scenario.Run.Warmup }
+
+// run simulates the whole time of the scenario and returns the figures.
+func (sim *simulation) run() report {
+	end := start.Add(sim.scenario.Run.Warmup + sim.scenario.Run.Time)
+	for {
+		at, event, ok := sim.events.take()
+		if !ok || at.After(end) {
+			break
+		}
+		sim.now = at
+		event(at)
+	}
+	return sim.report()
+}
+
+// scheduleLoss stops routers and starts them again.
+func (sim *simulation) scheduleLoss(l LossSection) {
+	sim.after(sim.scenario.Run.Warmup+l.At, func(now time.Time) {
+		for i, r := range sim.routers {
+			if l.Share == 0 && r.dataCentre != l.DataCentre {
+				continue
+			}
+			if l.Share > 0 && float64(i) >= l.Share*float64(len(sim.routers)) {
+				break
+			}
+			r.stopped = true
+			r.epoch++
+			sim.events.add(now.Add(l.For), func(time.Time) { sim.startRouter(r) })
+		}
+	})
+}
--- a/router/cluster/router.go
+++ b/router/cluster/router.go
@@ -149,16 +149,9 @@
 	}
 }
 
-const (
-	// The heartbeat interval is heartbeatIntervalPerRouter times the number of
-	// other routers, but at least minHeartbeatInterval, so that the bytes per second
-	// that a router sends in heartbeats don't grow with the fleet.
-	minHeartbeatInterval       = 200 * time.Millisecond
-	heartbeatIntervalPerRouter = 30 * time.Millisecond
-	// connSweepInterval is the time between two closings of old idle connections
-	// to upstreams.
-	connSweepInterval = time.Second
-)
+// connSweepInterval is the time between two closings of old idle connections to
+// upstreams.
+const connSweepInterval = time.Second
 
 // startBackground starts the goroutines that run beside the requests: messages
 // between routers, feed readers, heartbeats, closing of idle connections,
@@ -178,10 +171,9 @@
 	})
 	r.startFeedReaders(ctx)
 	r.scheduler.Repeat(ctx, func(ctx context.Context) {
-		members := r.fleet.Members(time.Now())
-		worker.Sleep(ctx, max(minHeartbeatInterval, heartbeatIntervalPerRouter*time.Duration(len(members))))
-		heartbeat := r.fleet.NextHeartbeat(time.Now())
-		r.broadcast(fleet.Message{Heartbeat: &heartbeat})
+		messages, wait := r.fleet.Outgoing(time.Now())
+		r.send(messages)
+		worker.Sleep(ctx, wait)
 	})
 	r.scheduler.Every(ctx, connSweepInterval, func(context.Context) { r.pool.CloseExpired(time.Now()) })
 	r.scheduler.Repeat(ctx, r.registrationStep(member))
@@ -198,16 +190,16 @@
 	}
 	upstreams := &entryReader{
 		store: r.adapter.Store, fleet: r.fleet, log: r.log,
-		notifyPeers: func(s fleet.FeedSegment) { r.broadcast(fleet.Message{Segment: &s}) },
+		notifyPeers: func(s fleet.FeedSegment) { r.send(r.fleet.Spread(time.Now(), fleet.Message{Segment: &s})) },
 	}
 	r.scheduler.Repeat(ctx, operators.step)
 	r.scheduler.Repeat(ctx, upstreams.step)
 }
 
-// broadcast sends a message to all other known routers.
-func (r *Router) broadcast(m fleet.Message) {
-	for _, member := range r.fleet.Members(time.Now()) {
-		r.network.Send(member.ID, m)
+// send sends messages to other routers.
+func (r *Router) send(messages []fleet.Envelope) {
+	for _, e := range messages {
+		r.network.Send(e.To, e.Message)
 	}
 }
 
@@ -224,6 +216,7 @@
 	if e.Reply != nil {
 		r.network.Send(from.ID, *e.Reply)
 	}
+	r.send(e.Forward)
 }
 
 // registrationStep returns the body of the registration loop: it writes the
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -126,7 +126,7 @@
 func (s *callState) chooseTarget(now time.Time) (fleet.Target, *core.Refusal) {
 	switch {
 	case s.Pool.Engine == nil:
-		return fleet.Choose(now, s.forwarder.Fleet, fleet.LeastLoaded{}, s.Request, s.tried)
+		return fleet.Choose(now, s.forwarder.Fleet, fleet.FreePlaces{}, s.Request, s.tried)
 	case s.Route.Repeatable() && !s.connectFailed:
 		return fleet.Choose(now, s.forwarder.Fleet, fleet.Affinity{}, s.Request, s.tried)
 	default:
--- a/router/wire/fleet.go
+++ b/router/wire/fleet.go
@@ -19,6 +19,24 @@
 	SnapshotRequest *fleetSnapshotRequest `cbor:"3,keyasint,omitempty"`
 	Snapshot        *fleetSnapshot        `cbor:"4,keyasint,omitempty"`
 	Segment         *fleetSegment         `cbor:"5,keyasint,omitempty"`
+	Digest          *fleetDigest          `cbor:"6,keyasint,omitempty"`
+}
+
+type fleetDigest struct {
+	Heartbeat fleetHeartbeat    `cbor:"1,keyasint"`
+	Sources   []fleetSource     `cbor:"2,keyasint,omitempty"`
+	Members   []fleetSeenMember `cbor:"3,keyasint,omitempty"`
+}
+
+type fleetSource struct {
+	DataCentre core.DataCentre `cbor:"1,keyasint"`
+	Relay      core.RouterID   `cbor:"2,keyasint"`
+	AgeMS      int64           `cbor:"3,keyasint,omitempty"`
+}
+
+type fleetSeenMember struct {
+	Member fleetMember `cbor:"1,keyasint"`
+	AgeMS  int64       `cbor:"2,keyasint,omitempty"`
 }
 
 type fleetMember struct {
@@ -100,14 +118,7 @@
 func EncodeFleetMessage(m fleet.Message) ([]byte, error) {
 	w := fleetMessage{Handshake: (*fleetMember)(m.Handshake), SnapshotRequest: (*fleetSnapshotRequest)(m.SnapshotRequest)}
 	if b := m.Heartbeat; b != nil {
-		w.Heartbeat = &fleetHeartbeat{
-			Version: b.Version, UpstreamsInService: b.UpstreamsInService,
-			Running:     lo.Map(b.Running, func(r fleet.Running, _ int) fleetRunning { return fleetRunning(r) }),
-			Ejections:   lo.Map(b.Ejections, func(r fleet.Ejection, _ int) fleetEjection { return fleetEjection(r) }),
-			CachedParts: encodeCachedParts(b.CachedParts),
-			Crashes:     lo.Map(b.Crashes, func(c fleet.Crash, _ int) fleetCrash { return fleetCrash(c) }),
-			Results:     lo.Map(b.Results, func(r fleet.ResultCount, _ int) fleetResults { return fleetResults(r) }),
-		}
+		w.Heartbeat = encodeFleetHeartbeat(*b)
 	}
 	if s := m.Snapshot; s != nil {
 		w.Snapshot = &fleetSnapshot{Catalog: s.Catalog, Entries: encodeEntries(s.Entries), CachedParts: encodeCachedParts(s.CachedParts)}
@@ -115,9 +126,40 @@
 	if r := m.Segment; r != nil {
 		w.Segment = &fleetSegment{From: r.From, Next: r.Next, AgeMS: r.AgeMS, Records: encodeRecords(r.Records)}
 	}
+	if d := m.Digest; d != nil {
+		w.Digest = &fleetDigest{
+			Heartbeat: *encodeFleetHeartbeat(d.Heartbeat),
+			Sources:   lo.Map(d.Sources, func(s fleet.Source, _ int) fleetSource { return fleetSource(s) }),
+			Members: lo.Map(d.Members, func(s fleet.SeenMember, _ int) fleetSeenMember {
+				return fleetSeenMember{Member: fleetMember(s.Member), AgeMS: s.AgeMS}
+			}),
+		}
+	}
 	return record.Encode(w)
 }
 
+func encodeFleetHeartbeat(b fleet.Heartbeat) *fleetHeartbeat {
+	return &fleetHeartbeat{
+		Version: b.Version, UpstreamsInService: b.UpstreamsInService,
+		Running:     lo.Map(b.Running, func(r fleet.Running, _ int) fleetRunning { return fleetRunning(r) }),
+		Ejections:   lo.Map(b.Ejections, func(r fleet.Ejection, _ int) fleetEjection { return fleetEjection(r) }),
+		CachedParts: encodeCachedParts(b.CachedParts),
+		Crashes:     lo.Map(b.Crashes, func(c fleet.Crash, _ int) fleetCrash { return fleetCrash(c) }),
+		Results:     lo.Map(b.Results, func(r fleet.ResultCount, _ int) fleetResults { return fleetResults(r) }),
+	}
+}
+
+func decodeFleetHeartbeat(b fleetHeartbeat) *fleet.Heartbeat {
+	return &fleet.Heartbeat{
+		Version: b.Version, UpstreamsInService: b.UpstreamsInService,
+		Running:     lo.Map(b.Running, func(r fleetRunning, _ int) fleet.Running { return fleet.Running(r) }),
+		Ejections:   lo.Map(b.Ejections, func(r fleetEjection, _ int) fleet.Ejection { return fleet.Ejection(r) }),
+		CachedParts: decodeCachedParts(b.CachedParts),
+		Crashes:     lo.Map(b.Crashes, func(c fleetCrash, _ int) fleet.Crash { return fleet.Crash(c) }),
+		Results:     lo.Map(b.Results, func(r fleetResults, _ int) fleet.ResultCount { return fleet.ResultCount(r) }),
+	}
+}
+
 // DecodeFleetMessage decodes a message of package fleet. It returns an error if the
 // data is not a valid CBOR message.
 func DecodeFleetMessage(data []byte) (fleet.Message, error) {
@@ -127,14 +169,7 @@
 	}
 	m := fleet.Message{Handshake: (*fleet.Member)(w.Handshake), SnapshotRequest: (*fleet.SnapshotRequest)(w.SnapshotRequest)}
 	if b := w.Heartbeat; b != nil {
-		m.Heartbeat = &fleet.Heartbeat{
-			Version: b.Version, UpstreamsInService: b.UpstreamsInService,
-			Running:     lo.Map(b.Running, func(r fleetRunning, _ int) fleet.Running { return fleet.Running(r) }),
-			Ejections:   lo.Map(b.Ejections, func(r fleetEjection, _ int) fleet.Ejection { return fleet.Ejection(r) }),
-			CachedParts: decodeCachedParts(b.CachedParts),
-			Crashes:     lo.Map(b.Crashes, func(c fleetCrash, _ int) fleet.Crash { return fleet.Crash(c) }),
-			Results:     lo.Map(b.Results, func(r fleetResults, _ int) fleet.ResultCount { return fleet.ResultCount(r) }),
-		}
+		m.Heartbeat = decodeFleetHeartbeat(*b)
 	}
 	if s := w.Snapshot; s != nil {
 		m.Snapshot = &fleet.Snapshot{Catalog: s.Catalog, Entries: decodeEntries(s.Entries), CachedParts: decodeCachedParts(s.CachedParts)}
@@ -142,6 +177,15 @@
 	if r := w.Segment; r != nil {
 		m.Segment = &fleet.FeedSegment{From: r.From, Next: r.Next, AgeMS: r.AgeMS, Records: decodeRecords(r.Records)}
 	}
+	if d := w.Digest; d != nil {
+		m.Digest = &fleet.Digest{
+			Heartbeat: *decodeFleetHeartbeat(d.Heartbeat),
+			Sources:   lo.Map(d.Sources, func(s fleetSource, _ int) fleet.Source { return fleet.Source(s) }),
+			Members: lo.Map(d.Members, func(s fleetSeenMember, _ int) fleet.SeenMember {
+				return fleet.SeenMember{Member: fleet.Member(s.Member), AgeMS: s.AgeMS}
+			}),
+		}
+	}
 	return m, nil
 }
 
