Bound answers that never end, and skip late copies without an id

Cause: net/http reads status lines and fields of any length; a body without a length was cut at 32 MiB and passed on as complete; a line of an event was read whole before its size was checked; comments extended the time for the next event of a stalled stream; the body of a declined attempt was read until the deadline; a signed answer without an id was taken on a connection in use again. Change: a limit on heads, on each body and on all of them together, on events within a line; comments are no progress; 20 ms for the body of a declined attempt; such copies are skipped.

--- a/router/httpclient/pool.go
+++ b/router/httpclient/pool.go
@@ -24,13 +24,21 @@
 // Conn is a connection to an upstream.
 type Conn struct {
 	net.Conn
-	Reader  *bufio.Reader
+	Reader *bufio.Reader
+	// limit bounds what Reader reads while a head is expected.
+	limit   *headLimit
 	address string
+	// reused is true if the connection has carried a request before.
+	reused bool
 	// lastUsed is when the last response ended. After expiresAt, the idle
 	// connection isn't used, because the upstream may close it.
 	lastUsed, expiresAt time.Time
 }
 
+// Reused reports whether the connection has carried a request before. A late copy of an
+// earlier response may then arrive in place of the expected one.
+func (c *Conn) Reused() bool { return c.reused }
+
 // Pool holds idle connections by address. The zero value is empty.
 type Pool struct {
 	idle table.Cell[map[string][]*Conn]
@@ -63,7 +71,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{Conn: raw, Reader: bufio.NewReaderSize(raw, readBufferBytes), address: address}, nil
+	limit := &headLimit{conn: raw}
+	return &Conn{Conn: raw, Reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, address: address}, nil
 }
 
 // take removes the most recently used connection from the pool and returns it. It
@@ -90,7 +99,7 @@
 	if keepAlive <= 0 {
 		keepAlive = maxKeepTime
 	}
-	c.lastUsed = now
+	c.lastUsed, c.reused = now, true
 	c.expiresAt = now.Add(min(keepAlive-keepAliveMargin, maxKeepTime))
 	if c.Reader.Buffered() > 0 || !c.expiresAt.After(now) || c.SetDeadline(time.Time{}) != nil {
 		_ = c.Close()
--- a/router/httpclient/roundtrip.go
+++ b/router/httpclient/roundtrip.go
@@ -116,11 +116,13 @@
 func (resp *Response) readHead(r Request, checkHead func(status int, h http.Header) error) error {
 	request := &http.Request{Method: r.Method}
 	for range maxSkipped + 1 {
+		resp.conn.limit.expectHead()
 		//nolint:bodyclose // The body ends with the connection, in Release or Abort.
 		received, err := http.ReadResponse(resp.conn.Reader, request)
 		if err != nil {
 			return wrap.Err(err, "read answer")
 		}
+		resp.conn.limit.endHead()
 		if received.StatusCode < http.StatusOK {
 			continue
 		}
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -22,7 +22,8 @@
 	// id is the number of the attempt within the call.
 	id int
 	// sent is true once a connection is open: bytes may then have been sent.
-	sent bool
+	// reusedConn is true if the connection has carried an earlier request.
+	sent, reusedConn bool
 	// status and headers are those of the response; zero if there was none.
 	status  int
 	headers ResponseHeaders
@@ -43,6 +44,7 @@
 	a.runs++
 	a.exchange.SetPhase(a.id, answer.Sent)
 	deadline := a.FirstByteDeadline(now, a.target, a.runs)
+	a.reusedConn = c.Reused()
 	resp, err := c.Do(a.ctx, a.request(now), deadline, a.checkHeader)
 	if err != nil {
 		a.outcome = a.markFailed(err)
@@ -89,10 +91,12 @@
 
 // checkHeader parses the header of a response into a.headers. It returns a
 // *httpclient.MismatchedResponseError if the header states the id of another
-// request.
+// request, or if it is a signed one without an id on a connection that has carried
+// earlier requests: it may be a late copy of their responses.
 func (a *attempt) checkHeader(status int, h http.Header) error {
 	a.headers = a.forwarder.HeaderCodec.ParseResponse(status, h)
-	if a.headers.RequestID != "" && a.headers.RequestID != a.ID {
+	anonymous := a.headers.RequestID == "" && a.headers.Signed && a.reusedConn
+	if anonymous || (a.headers.RequestID != "" && a.headers.RequestID != a.ID) {
 		return &httpclient.MismatchedResponseError{Want: a.ID, Got: a.headers.RequestID}
 	}
 	return nil
@@ -125,8 +129,13 @@
 // errDeclined means that the upstream has not run the request.
 var errDeclined = errors.New("the upstream declined the request")
 
-// maxDiscardBytes is how much of the body of a response is read and discarded.
-const maxDiscardBytes = 1 << 20
+const (
+	// maxDiscardBytes is how much of the body of a response is read and discarded.
+	maxDiscardBytes = 64 << 10
+	// maxDiscardTime is how long that may take, while the request waits for its next
+	// attempt.
+	maxDiscardTime = 20 * time.Millisecond
+)
 
 // handleDeclined records that the upstream has not run the request. It reads the
 // rest of a short response, so that the connection can be used again.
@@ -137,7 +146,10 @@
 	if a.headers.Misdirected {
 		a.outcome = health.Misdirected
 	}
-	_, err := io.Copy(io.Discard, io.LimitReader(resp, maxDiscardBytes))
+	err := resp.SetDeadline(earlier(time.Now().Add(maxDiscardTime), a.Deadline))
+	if err == nil {
+		_, err = io.Copy(io.Discard, io.LimitReader(resp, maxDiscardBytes))
+	}
 	if err != nil {
 		resp.Abort()
 	} else {
@@ -153,16 +165,14 @@
 // errUpstreamFailed means that the upstream responded with a failure.
 var errUpstreamFailed = errors.New("the upstream failed")
 
-// maxBodyBytes bounds how much is read of a response that isn't streamed. A longer
-// body fails the attempt if its length is stated; otherwise it is cut off there.
-const maxBodyBytes = 32 << 20
-
 // forwardBuffered reads the whole response before it passes it on to the caller.
 func (a *attempt) forwardBuffered(resp *httpclient.Response) error {
 	var body []byte
 	err := resp.SetDeadline(a.Deadline)
 	if err == nil {
-		body, err = io.ReadAll(io.LimitReader(resp, maxBodyBytes))
+		reader := bodyReader{body: resp, buffered: &a.forwarder.buffered}
+		defer reader.release()
+		body, err = reader.readAll(resp.ContentLength)
 	}
 	if err == nil && resp.ContentLength >= 0 && int64(len(body)) != resp.ContentLength && a.Method != http.MethodHead {
 		err = io.ErrUnexpectedEOF
@@ -265,7 +275,7 @@
 }
 
 // forwardEvent passes on one event, unless the caller has received it before, and
-// extends the deadline for the next one.
+// extends the deadline for the next one. An empty event is no progress.
 func (a *attempt) forwardEvent(resp *httpclient.Response, e event) error {
 	if e.hasID {
 		switch a.sequence.Next(e.id) {
@@ -282,5 +292,8 @@
 	if err := a.writer.Write(e.raw); err != nil {
 		return &CallerWriteError{Cause: err}
 	}
+	if e.empty {
+		return nil
+	}
 	return resp.SetDeadline(a.NextEventDeadline(time.Now(), a.runs))
 }
--- a/router/relay/events.go
+++ b/router/relay/events.go
@@ -16,13 +16,15 @@
 	// id is the number in the event's id field. It is valid if hasID is true.
 	id    int
 	hasID bool
+	// empty is true if the event has no fields: upstreams send comments and empty lines
+	// to keep connections open.
+	empty bool
 }
 
 // errTruncatedEvent means that a stream ended inside an event.
 var errTruncatedEvent = errors.New("the stream ended inside an event")
 
-// maxEventBytes is the size above which an event is refused. It is checked after
-// each whole line.
+// maxEventBytes is the size above which an event is refused.
 const maxEventBytes = 1 << 20
 
 // errEventTooLarge means that an event exceeds maxEventBytes.
@@ -44,26 +46,38 @@
 // two events, otherwise errTruncatedEvent, errEventTooLarge or that of the
 // connection.
 func (r *eventReader) next() (event, error) {
-	var e event
+	e := event{empty: true}
 	for {
-		line, err := r.reader.ReadBytes('\n')
-		if err != nil {
-			if errors.Is(err, io.EOF) && len(e.raw)+len(line) > 0 {
+		start := len(e.raw)
+		if err := r.appendLine(&e); err != nil {
+			if errors.Is(err, io.EOF) && len(e.raw) > 0 {
 				return e, errTruncatedEvent
 			}
 			return e, err
 		}
-		e.raw = append(e.raw, line...)
-		if len(e.raw) > maxEventBytes {
-			return e, errEventTooLarge
-		}
-		line = bytes.TrimRight(line, "\r\n")
+		line := bytes.TrimRight(e.raw[start:], "\r\n")
 		if len(line) == 0 {
 			return e, nil
 		}
+		e.empty = e.empty && line[0] == ':'
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			n, err := strconv.Atoi(string(bytes.TrimSpace(id)))
 			e.id, e.hasID = n, err == nil
 		}
 	}
 }
+
+// appendLine reads a line and appends it to the event. It returns errEventTooLarge as
+// soon as the event is too large, also within a line.
+func (r *eventReader) appendLine(e *event) error {
+	for {
+		piece, err := r.reader.ReadSlice('\n')
+		e.raw = append(e.raw, piece...)
+		if len(e.raw) > maxEventBytes {
+			return errEventTooLarge
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return err
+		}
+	}
+}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -23,6 +24,8 @@
 	Log         *zap.Logger
 	Conns       *httpclient.Pool
 	Metrics     Metrics
+	// buffered is the size of the bodies that are held, in bytes.
+	buffered atomic.Int64
 }
 
 // Metrics counts attempts.
