Test the relays, and bound the ages that messages state

Cause: a negative age in a digest or a segment set a time in the future: a router that was gone stayed in the shares, and a view of the entries never became too old. Change: ages below zero count as zero.

--- a/core/fleet/feed.go
+++ b/core/fleet/feed.go
@@ -137,7 +137,7 @@
 			e.Errors = append(e.Errors, err)
 		}
 	}
-	startedAt := now.Add(-time.Duration(r.AgeMS) * time.Millisecond)
+	startedAt := agoMS(now, r.AgeMS)
 	f.feed.Do(table.Hold{}, func(held table.Hold, p *feed.Progress) {
 		if p.CheckContinuity(r.From, r.Next) {
 			e.Changes, _ = f.applyRecords(now, startedAt, held, p, r, false)
--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -99,6 +99,12 @@
 	CachedParts []prefix.CachedPart
 }
 
+// agoMS returns the time a number of milliseconds ago. A message may state a negative
+// one; it counts as zero, so that nothing is known until a time in the future.
+func agoMS(now time.Time, ms int64) time.Time {
+	return now.Add(-time.Duration(max(ms, 0)) * time.Millisecond)
+}
+
 // NextHeartbeat returns the next heartbeat and resets what is counted between two
 // heartbeats. It also drops data on upstreams that were removed long ago.
 func (f *Fleet) NextHeartbeat(now time.Time) Heartbeat {
--- a/core/fleet/relay.go
+++ b/core/fleet/relay.go
@@ -105,7 +105,7 @@
 func (f *Fleet) markSources(now time.Time, sources []Source) {
 	f.members.Do(table.Hold{}, func(_ table.Hold, t *members) {
 		for _, s := range sources {
-			at := now.Add(-time.Duration(s.AgeMS) * time.Millisecond)
+			at := agoMS(now, s.AgeMS)
 			if s.DataCentre == f.settings.DataCentre || at.Before(t.centres[s.DataCentre].heardAt) {
 				continue
 			}
@@ -152,7 +152,7 @@
 	fresh := false
 	f.members.Do(table.Hold{}, func(_ table.Hold, t *members) {
 		for _, s := range all {
-			at := now.Add(-time.Duration(s.AgeMS) * time.Millisecond)
+			at := agoMS(now, s.AgeMS)
 			old, known := t.byID[s.Member.ID]
 			if s.Member.ID == f.settings.ID || s.Member.ID == "" || now.Sub(at) > memberTTL {
 				continue
--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -35,10 +35,12 @@
 	regions      map[core.DataCentre]string
 	// disconnected holds pairs of routers, the sender first, whose messages are lost.
 	disconnected map[[2]string]bool
-	// stopped holds the routers that neither send nor receive.
-	stopped  map[string]bool
-	requests map[string]*sentRequest
-	slack    float64
+	// frozen holds the routers that neither send nor receive.
+	frozen map[string]bool
+	// crossings counts the messages between data centres.
+	crossings int
+	requests  map[string]*sentRequest
+	slack     float64
 }
 
 // sentRequest is a request of a script.
@@ -63,7 +65,7 @@
 			env.Values[simulationKey{}] = &simulation{
 				now: start, routers: map[string]*fleet.Fleet{}, entries: map[core.UpstreamID]roster.Entry{},
 				pendingReads: map[string]uint64{}, regions: map[core.DataCentre]string{},
-				disconnected: map[[2]string]bool{}, stopped: map[string]bool{}, requests: map[string]*sentRequest{}, slack: 56,
+				disconnected: map[[2]string]bool{}, frozen: map[string]bool{}, requests: map[string]*sentRequest{}, slack: 56,
 				catalog: catalog.Catalog{Pools: map[core.Pool]catalog.Pool{}},
 			}
 			return nil
@@ -107,6 +109,13 @@
 		"at-most-per-upstream": cmdAtMostPerUpstream,
 		"exclusion":            cmdExclusion,
 		"region":               cmdRegion,
+		"run":                  cmdRun,
+		"freeze":               cmdFreeze,
+		"thaw":                 cmdThaw,
+		"crossings":            cmdCrossings,
+		"routers-known":        cmdRoutersKnown,
+		"load":                 cmdLoad,
+		"digest":               cmdDigest,
 	}
 	wrapped := map[string]func(*testscript.TestScript, bool, []string){}
 	for name, run := range all {
@@ -369,7 +378,7 @@
 // reconnect: no messages are lost.
 func cmdReconnect(_ *testscript.TestScript, sim *simulation, _ []string) { clear(sim.disconnected) }
 
-// heartbeats [ROUNDS]: the routers, or all but the stopped ones, send their periodic
+// heartbeats [ROUNDS]: the routers, or all but the frozen ones, send their periodic
 // messages, and reply. It takes heartbeatRounds rounds, or one, until each router knows
 // what any other one does.
 func cmdHeartbeats(ts *testscript.TestScript, sim *simulation, a []string) {
@@ -380,12 +389,34 @@
 		ts.Check(err)
 	}
 	for range rounds {
-		for _, from := range sim.order {
-			messages, _ := sim.routers[from].Outgoing(sim.now)
-			for _, e := range messages {
-				sim.deliver(from, string(e.To), e.Message)
-			}
+		sim.sendHeartbeats()
+	}
+}
+
+// sendHeartbeats lets all routers but the frozen ones send their periodic messages once.
+func (sim *simulation) sendHeartbeats() {
+	for _, from := range sim.order {
+		if sim.frozen[from] {
+			continue
 		}
+		messages, _ := sim.routers[from].Outgoing(sim.now)
+		for _, e := range messages {
+			sim.deliver(from, string(e.To), e.Message)
+		}
+	}
+}
+
+// runStep is the time between two rounds of messages of the verb run.
+const runStep = 500 * time.Millisecond
+
+// run DURATION: advances the clock in steps, in each of which all routers send their
+// periodic messages.
+func cmdRun(ts *testscript.TestScript, sim *simulation, a []string) {
+	d, err := time.ParseDuration(a[0])
+	ts.Check(err)
+	for end := sim.now.Add(d); sim.now.Before(end); {
+		sim.now = sim.now.Add(runStep)
+		sim.sendHeartbeats()
 	}
 }
 
@@ -394,9 +425,12 @@
 const heartbeatRounds = 3
 
 func (sim *simulation) deliver(from, to string, m fleet.Message) {
-	if sim.disconnected[[2]string{from, to}] || sim.stopped[from] || sim.stopped[to] || sim.routers[to] == nil {
+	if sim.disconnected[[2]string{from, to}] || sim.frozen[from] || sim.frozen[to] || sim.routers[to] == nil {
 		return
 	}
+	if sim.routers[from].Settings().DataCentre != sim.routers[to].Settings().DataCentre {
+		sim.crossings++
+	}
 	effects := sim.routers[to].Receive(sim.now, member(sim.routers[from]), m)
 	if effects.Reply != nil {
 		sim.deliver(to, from, *effects.Reply)
@@ -620,3 +654,59 @@
 		}
 	}
 }
+
+// freeze ROUTER...: routers neither send nor receive.
+func cmdFreeze(_ *testscript.TestScript, sim *simulation, a []string) {
+	for _, id := range a {
+		sim.frozen[id] = true
+	}
+}
+
+// thaw ROUTER...: frozen routers send and receive again, with all that they knew.
+func cmdThaw(_ *testscript.TestScript, sim *simulation, a []string) {
+	for _, id := range a {
+		delete(sim.frozen, id)
+	}
+}
+
+// crossings MOST: checks how many messages went between data centres since the last
+// check, and that there were some.
+func cmdCrossings(ts *testscript.TestScript, sim *simulation, a []string) {
+	if want, err := strconv.Atoi(a[0]); err != nil || sim.crossings > want || sim.crossings == 0 {
+		ts.Fatalf("messages between data centres: got %d, want some and at most %s", sim.crossings, a[0])
+	}
+	sim.crossings = 0
+}
+
+// routers-known ROUTER COUNT: checks how many other routers a router takes to exist.
+func cmdRoutersKnown(ts *testscript.TestScript, sim *simulation, a []string) {
+	got := len(sim.routers[a[0]].Members(sim.now))
+	if want, err := strconv.Atoi(a[1]); err != nil || got != want {
+		ts.Fatalf("routers known to %s: got %d, want %s", a[0], got, a[1])
+	}
+}
+
+// load ROUTER UPSTREAM WANT: checks the load of an upstream in a router's status.
+func cmdLoad(ts *testscript.TestScript, sim *simulation, a []string) {
+	for _, u := range sim.routers[a[0]].Status(sim.now).Upstreams {
+		if string(u.ID) != a[1] {
+			continue
+		}
+		if got := strconv.Itoa(u.Load); got != a[2] {
+			ts.Fatalf("load of %s at %s: got %s, want %s", a[1], a[0], got, a[2])
+		}
+		return
+	}
+	ts.Fatalf("router %s: got no upstream %s", a[0], a[1])
+}
+
+// digest FROM TO MEMBER AGE: a router sends a digest with one member that it has seen.
+func cmdDigest(ts *testscript.TestScript, sim *simulation, a []string) {
+	age, err := time.ParseDuration(a[3])
+	ts.Check(err)
+	from := sim.routers[a[0]].Settings()
+	sim.deliver(a[0], a[1], fleet.Message{Digest: &fleet.Digest{
+		Sources: []fleet.Source{{DataCentre: from.DataCentre, Relay: from.ID, AgeMS: age.Milliseconds()}},
+		Members: []fleet.SeenMember{{Member: fleet.Member{ID: core.RouterID(a[2]), DataCentre: from.DataCentre}, AgeMS: age.Milliseconds()}},
+	}})
+}
