End one job, not the process, at an unexpected error

Cause: a panic in a worker, a periodic job, a link or an attempt ended the process. Change: worker.Protect around each job, and around an attempt, which then ends as one of unknown outcome and holds no load; a log line with the stack and the gauge job_panics. Message bytes are counted by kind and reach (message_bytes).

--- a/base/daemon/daemon.go
+++ b/base/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"camphorpulley.org/base/logs"
 	"camphorpulley.org/base/settings"
 	"camphorpulley.org/base/version"
+	"camphorpulley.org/base/worker"
 )
 
 // Exit codes of all programs.
@@ -130,6 +131,9 @@
 	}
 	log := logs.New(level)
 	defer func() { _ = log.Sync() }()
+	worker.SetPanicHandler(func(e *worker.PanicError) {
+		log.Error("job_panicked", logs.Err(e), zap.ByteString("stack", e.Stack))
+	})
 	ctx, forceStop := stopSignals(ctx)
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
@@ -146,7 +150,11 @@
 // program keeps the settings that it was started with.
 func (p Program[T]) recheck(hangups <-chan os.Signal, path string, log *zap.Logger) {
 	for range hangups {
-		if _, err := p.load(path); err != nil {
+		var err error
+		if panicked := worker.Protect(func() { _, err = p.load(path) }); panicked != nil {
+			err = panicked
+		}
+		if err != nil {
 			log.Warn("settings_invalid", zap.String("file", path), logs.Err(err))
 			continue
 		}
--- a/base/worker/pool.go
+++ b/base/worker/pool.go
@@ -40,7 +40,7 @@
 		case <-p.ctx.Done():
 			return
 		case job := <-p.jobs:
-			p.work(p.ctx, job)
+			_ = Protect(func() { p.work(p.ctx, job) })
 		}
 	}
 }
--- a/base/worker/scheduler.go
+++ b/base/worker/scheduler.go
@@ -25,12 +25,15 @@
 			case <-ctx.Done():
 				return
 			case <-ticker.C:
-				fn(ctx)
+				_ = Protect(func() { fn(ctx) })
 			}
 		}
 	}()
 }
 
+// panicPause is the time after a panic in Repeat before the next call.
+const panicPause = 200 * time.Millisecond
+
 // Repeat starts a job that calls fn without a pause until ctx is done. Fn must
 // block while it has nothing to do.
 func (s *Scheduler) Repeat(ctx context.Context, fn func(context.Context)) {
@@ -38,7 +41,9 @@
 	go func() {
 		defer s.wg.Done()
 		for ctx.Err() == nil {
-			fn(ctx)
+			if Protect(func() { fn(ctx) }) != nil {
+				Sleep(ctx, panicPause)
+			}
 		}
 	}()
 }
--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -21,6 +21,25 @@
 	Digest          *Digest
 }
 
+// Kind returns the name of the message's kind, for metrics; empty if it has no content.
+func (m Message) Kind() string {
+	switch {
+	case m.Handshake != nil:
+		return "handshake"
+	case m.Heartbeat != nil:
+		return "heartbeat"
+	case m.SnapshotRequest != nil:
+		return "snapshot_request"
+	case m.Snapshot != nil:
+		return "snapshot"
+	case m.Segment != nil:
+		return "segment"
+	case m.Digest != nil:
+		return "digest"
+	}
+	return ""
+}
+
 // Effects are the changes that a message has made, and the reply to it.
 type Effects struct {
 	// Reply is the reply; nil if the message needs none.
--- a/router/cluster/router.go
+++ b/router/cluster/router.go
@@ -34,6 +34,7 @@
 	pool         *httpclient.Pool
 	gateway      *gateway.Handler
 	network      *peer.Network[fleet.Member, fleet.Message]
+	metrics      *metrics.Metrics
 	scheduler    worker.Scheduler
 	shuttingDown atomic.Bool
 	// lastReadiness is the fleet.Readiness at the load balancer's last check.
@@ -52,6 +53,7 @@
 	if err != nil {
 		return err
 	}
+	r.metrics = instruments
 	r.gateway = &gateway.Handler{
 		Fleet: r.fleet, HeaderCodec: a.Incoming, Log: p.Log, Metrics: instruments,
 		Forwarder: &relay.Forwarder{Fleet: r.fleet, HeaderCodec: a.Outgoing, Log: p.Log, Conns: r.pool, Metrics: instruments},
@@ -71,6 +73,7 @@
 		{Name: "routers_known", Description: "routers that may exist", Read: func() int64 {
 			return int64(len(r.fleet.Members(time.Now())) + 1)
 		}},
+		{Name: "job_panics", Description: "panics that ended a job or an attempt", Read: worker.Panics},
 		{Name: "log_lines_left_out", Description: "log lines over the budget of their kind", Read: logs.SuppressedLines},
 	}
 }
@@ -168,6 +171,10 @@
 			m, _ := r.fleet.Member(id)
 			return m.Address
 		},
+		Queued: func(to core.RouterID, m fleet.Message, bytes int) {
+			member, _ := r.fleet.Member(to)
+			r.metrics.MessageSent(m.Kind(), member.DataCentre == self.DataCentre, bytes)
+		},
 	})
 	r.startFeedReaders(ctx)
 	r.scheduler.Repeat(ctx, func(ctx context.Context) {
--- a/router/metrics/metrics.go
+++ b/router/metrics/metrics.go
@@ -18,12 +18,13 @@
 
 // Metrics holds the instruments. The zero value records nothing.
 type Metrics struct {
-	requests  metric.Int64Counter
-	attempts  metric.Int64Counter
-	outcomes  metric.Int64Counter
-	dropped   metric.Int64Counter
-	crashes   metric.Int64Counter
-	firstByte metric.Float64Histogram
+	requests     metric.Int64Counter
+	attempts     metric.Int64Counter
+	outcomes     metric.Int64Counter
+	dropped      metric.Int64Counter
+	crashes      metric.Int64Counter
+	messageBytes metric.Int64Counter
+	firstByte    metric.Float64Histogram
 }
 
 // Gauge is a metric whose value is read when metrics are collected.
@@ -50,6 +51,7 @@
 		{&m.outcomes, "attempt_outcomes", "attempts by pool and outcome"},
 		{&m.dropped, "dropped_parts", "late, doubled or crossed parts of answers"},
 		{&m.crashes, "crashes", "requests that were running when an upstream crashed"},
+		{&m.messageBytes, "message_bytes", "bytes of messages to other routers by kind and reach"},
 	}
 	for _, c := range counters {
 		if *c.target, err = meter.Int64Counter(c.name, metric.WithDescription(c.description)); err != nil {
@@ -117,6 +119,20 @@
 // therefore a suspect.
 func (m *Metrics) CrashSuspect(pool core.Pool) { m.count(m.crashes, pool) }
 
+// MessageSent counts the bytes of a message to another router by its kind. Local is true
+// if that router is in the same data centre.
+func (m *Metrics) MessageSent(kind string, local bool, bytes int) {
+	if m.messageBytes == nil {
+		return
+	}
+	reach := "remote"
+	if local {
+		reach = "local"
+	}
+	m.messageBytes.Add(context.Background(), int64(bytes),
+		metric.WithAttributes(attribute.String("kind", kind), attribute.String("reach", reach)))
+}
+
 func (m *Metrics) count(c metric.Int64Counter, pool core.Pool) {
 	if c != nil {
 		c.Add(context.Background(), 1, metric.WithAttributes(poolAttribute(pool)))
--- a/router/peer/link.go
+++ b/router/peer/link.go
@@ -7,6 +7,7 @@
 
 	"camphorpulley.org/base/dial"
 	"camphorpulley.org/base/logs"
+	"camphorpulley.org/base/worker"
 
 	"github.com/fasthttp/websocket"
 	"go.uber.org/zap"
@@ -38,7 +39,9 @@
 			l.close()
 			return
 		case data := <-l.queue:
-			l.send(data)
+			if worker.Protect(func() { l.send(data) }) != nil {
+				l.close()
+			}
 		}
 	}
 }
--- a/router/peer/peer.go
+++ b/router/peer/peer.go
@@ -65,6 +65,9 @@
 	// Address returns the address on which a router listens for its peers; empty if
 	// it isn't known.
 	Address func(core.RouterID) string
+	// Queued is called with each message that was queued for a router, and its size in
+	// bytes. It may be nil.
+	Queued func(to core.RouterID, m M, bytes int)
 }
 
 // Network holds the connections between this router and all others.
@@ -125,7 +128,8 @@
 				ctx.SetStatusCode(fasthttp.StatusNotFound)
 				return
 			}
-			if err := upgrader.Upgrade(ctx, n.serveConn); err != nil {
+			serve := func(conn *websocket.Conn) { _ = worker.Protect(func() { n.serveConn(conn) }) }
+			if err := upgrader.Upgrade(ctx, serve); err != nil {
 				n.log.Warn("peer_upgrade_failed", logs.Err(err))
 			}
 		},
@@ -175,6 +179,9 @@
 	}
 	select {
 	case n.linkTo(to).queue <- data:
+		if n.handler.Queued != nil {
+			n.handler.Queued(to, m, len(data))
+		}
 	default:
 		n.log.Warn("peer_queue_full", zap.String("peer", string(to)))
 	}
--- a/router/relay/body.go
+++ b/router/relay/body.go
@@ -14,7 +14,7 @@
 	maxBodyBytes = 32 << 20
 	// maxBufferedBytes bounds the bodies that the router holds at a time. Small ones
 	// are not counted.
-	maxBufferedBytes = 48 << 20
+	maxBufferedBytes = 32 << 20
 	// uncountedBytes is how much of a body isn't counted towards maxBufferedBytes, so
 	// that a few very long ones don't fail all others.
 	uncountedBytes = 64 << 10
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"camphorpulley.org/base/logs"
+	"camphorpulley.org/base/worker"
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/answer"
 	"camphorpulley.org/core/fleet"
@@ -163,7 +164,12 @@
 	id := s.exchange.StartAttempt(target.ID)
 	started := time.Now()
 	a := &attempt{callState: s, target: target, id: id}
-	err := a.run()
+	var err error
+	if panicked := worker.Protect(func() { err = a.run() }); panicked != nil {
+		// What was sent is unknown, but the attempt has ended and holds no load.
+		a.outcome, err = health.Unknown, panicked
+		s.exchange.SetPhase(id, answer.Failed)
+	}
 	now := time.Now()
 	ejected := f.Fleet.FinishAttempt(now, target, a.outcome, a.headers.Load)
 	f.Metrics.Ended(s.Pool.Name, a.outcome.String())
--- a/router/wire/fleet_test.go
+++ b/router/wire/fleet_test.go
@@ -21,6 +21,14 @@
 	{Segment: &fleet.FeedSegment{From: 5, Next: 9, AgeMS: 12, Records: []fleet.Record{
 		{Offset: 5, Upstream: "u", Source: []byte("{}")}, {Offset: 7, Upstream: "v"},
 	}}},
+	{Digest: &fleet.Digest{
+		Heartbeat: fleet.Heartbeat{
+			Version: 3, UpstreamsInService: 2, Running: []fleet.Running{{Upstream: "u", Count: 4}}, Ejections: []fleet.Ejection{},
+			CachedParts: []prefix.CachedPart{}, Crashes: []fleet.Crash{}, Results: []fleet.ResultCount{},
+		},
+		Sources: []fleet.Source{{DataCentre: "b", Relay: "r2", AgeMS: 3}},
+		Members: []fleet.SeenMember{{Member: fleet.Member{ID: "r2", Address: "10.0.0.2:7340", DataCentre: "b", Incarnation: 8}, AgeMS: 4}},
+	}},
 	{SnapshotRequest: &fleet.SnapshotRequest{Version: 2, WithCachedParts: true}},
 	{Snapshot: &fleet.Snapshot{
 		Catalog: []byte("c"), Entries: []fleet.EntryCopy{{Upstream: "u", Source: []byte("{}")}},
