Tell all routers at once that an upstream is full

Cause: counts from heartbeats reach other data centres after 0.6 s on average; meanwhile routers that each send one request of a chat all send it to the engine that has it. Change: a router that learns from a response that an upstream has reached the bound tells all others, unless it knew. The usual load is updated with each own heartbeat only, and whether any upstream is in service is found without a copy of the list.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Programs are built into bin/. The scripts write the settings and logs of the
 # processes that they start into run/.
-MODULES := core base router platform ctl lab/engine lab/list lab/load lab/log lab/service lab/soak proof
+MODULES := core base router platform ctl lab/engine lab/fleet lab/list lab/load lab/log lab/service lab/soak proof
 TOOLS := $(CURDIR)/bin/tools
 GOLANGCI_VERSION := v2.15.0
 GOPLS_VERSION := v0.23.0
@@ -13,6 +13,7 @@
 	go build -o bin/camphorpulley-platform ./platform
 	go build -o bin/camphorctl ./ctl
 	go build -o bin/lab-engine ./lab/engine
+	go build -o bin/lab-fleet ./lab/fleet
 	go build -o bin/lab-list ./lab/list
 	go build -o bin/lab-load ./lab/load
 	go build -o bin/lab-log ./lab/log
--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -50,7 +50,9 @@
 	var all []Candidate
 	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
 		all = f.candidates(now, st, r, eligible, cached)
-		f.poolBound(now, st, pool).mark(all)
+		bound := f.poolBound(now, st, pool)
+		st.setBound(r.Pool.Name, bound)
+		bound.mark(all)
 		st.setExpectedLoads(now, r.Pool.Name, peerAge, all)
 		best = preferred(policy, usable(now, all, func(c Candidate) bool {
 			return f.mayUseCold(now, c, r, routers, rank, settled)
--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -19,6 +19,7 @@
 	Snapshot        *Snapshot
 	Segment         *FeedSegment
 	Digest          *Digest
+	FullUpstream    *FullUpstream
 }
 
 // Kind returns the name of the message's kind, for metrics; empty if it has no content.
@@ -36,6 +37,8 @@
 		return "segment"
 	case m.Digest != nil:
 		return "digest"
+	case m.FullUpstream != nil:
+		return "full_upstream"
 	}
 	return ""
 }
@@ -145,6 +148,7 @@
 			delete(st.byID, id)
 		}
 		for id, s := range st.byID {
+			s.load.UpdateUsual(now)
 			if s.load.Local > 0 {
 				b.Running = append(b.Running, Running{Upstream: id, Count: s.load.Local})
 			}
@@ -183,10 +187,11 @@
 		return f.applySnapshot(now, *m.Snapshot)
 	case m.Segment != nil:
 		e := f.applyPeerSegment(now, *m.Segment)
-		if from.DataCentre != f.settings.DataCentre {
-			e.Forward = addressed(f.neighbours(now), m)
-		}
+		e.Forward = f.passOn(now, from, m)
 		return e
+	case m.FullUpstream != nil:
+		f.applyFullUpstream(now, *m.FullUpstream)
+		return Effects{Forward: f.passOn(now, from, m)}
 	case m.Digest != nil:
 		return Effects{Reply: f.applyDigest(now, from, *m.Digest)}
 	}
@@ -249,7 +254,7 @@
 // or if the router needs the cache contents that the sender knows; else nil.
 func (f *Fleet) snapshotRequest(now time.Time, from Member, b Heartbeat) *Message {
 	wantsParts := f.takeSnapshotRequest(from.ID)
-	if own := f.CatalogVersion(); wantsParts || b.Version > own || (b.UpstreamsInService > 0 && len(f.inService(now)) == 0) {
+	if own := f.CatalogVersion(); wantsParts || b.Version > own || (b.UpstreamsInService > 0 && !f.anyInService(now)) {
 		return &Message{SnapshotRequest: &SnapshotRequest{Version: own, WithCachedParts: wantsParts}}
 	}
 	return nil
--- a/core/fleet/outcome.go
+++ b/core/fleet/outcome.go
@@ -48,8 +48,3 @@
 func (f *Fleet) MarkSeen(now time.Time, t Target) {
 	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) { st.get(t.ID).markSeen(now) })
 }
-
-// RecordLoad records a load report that an upstream has sent while it runs an attempt.
-func (f *Fleet) RecordLoad(now time.Time, t Target, report load.Report) {
-	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) { st.get(t.ID).load.ApplyReport(now, report) })
-}
--- a/core/fleet/outgoing.go
+++ b/core/fleet/outgoing.go
@@ -62,6 +62,15 @@
 	return all
 }
 
+// passOn returns the messages that pass on to the local data centre what a router of
+// another one has sent by Spread.
+func (f *Fleet) passOn(now time.Time, from Member, m Message) []Envelope {
+	if from.DataCentre == f.settings.DataCentre {
+		return nil
+	}
+	return addressed(f.neighbours(now), m)
+}
+
 // Spread returns a message that is to reach all other routers: to those of the data
 // centre, and to one in each other data centre, which passes it on.
 func (f *Fleet) Spread(now time.Time, m Message) []Envelope {
--- a/core/fleet/readiness.go
+++ b/core/fleet/readiness.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"camphorpulley.org/core/roster"
@@ -36,6 +37,13 @@
 	return Serving
 }
 
+// anyInService reports whether an upstream of any pool may get new work.
+func (f *Fleet) anyInService(now time.Time) bool {
+	return table.Read(f.roster, table.Hold{}, func(u *upstreams) bool {
+		return slices.ContainsFunc(u.roster.All(), func(up roster.Upstream) bool { return u.roster.AcceptsWork(now, up) })
+	})
+}
+
 // inService returns the upstreams of all pools that may get new work.
 func (f *Fleet) inService(now time.Time) []roster.Upstream {
 	return table.Read(f.roster, table.Hold{}, func(u *upstreams) []roster.Upstream {
--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -14,6 +14,7 @@
 	"camphorpulley.org/core/catalog"
 	"camphorpulley.org/core/fleet"
 	"camphorpulley.org/core/health"
+	"camphorpulley.org/core/load"
 	"camphorpulley.org/core/prefix"
 	"camphorpulley.org/core/retry"
 	"camphorpulley.org/core/roster"
@@ -110,6 +111,7 @@
 		"exclusion":            cmdExclusion,
 		"region":               cmdRegion,
 		"run":                  cmdRun,
+		"report":               cmdReport,
 		"freeze":               cmdFreeze,
 		"thaw":                 cmdThaw,
 		"crossings":            cmdCrossings,
@@ -710,3 +712,16 @@
 		Members: []fleet.SeenMember{{Member: fleet.Member{ID: core.RouterID(a[2]), DataCentre: from.DataCentre}, AgeMS: age.Milliseconds()}},
 	}})
 }
+
+// report NAME RUNNING: the upstream of a request reports its load while it runs the
+// request.
+func cmdReport(ts *testscript.TestScript, sim *simulation, a []string) {
+	r := sim.requests[a[0]]
+	running, err := strconv.Atoi(a[1])
+	ts.Check(err)
+	if full := r.router.RecordLoad(sim.now, r.target, load.Report{Running: running}); full != nil {
+		for _, e := range r.router.Spread(sim.now, *full) {
+			sim.deliver(string(r.router.Settings().ID), string(e.To), e.Message)
+		}
+	}
+}
--- a/core/fleet/upstream_state.go
+++ b/core/fleet/upstream_state.go
@@ -64,6 +64,16 @@
 	byID         map[core.UpstreamID]*state
 	byDataCentre map[core.DataCentre]*health.Reachability
 	runTimes     map[core.Pool]*load.RunTime
+	// bounds holds the bound on the load by pool, as of the last choice.
+	bounds map[core.Pool]loadBound
+}
+
+// setBound keeps a pool's bound for reports that arrive until the next choice.
+func (st *states) setBound(p core.Pool, b loadBound) {
+	if st.bounds == nil {
+		st.bounds = map[core.Pool]loadBound{}
+	}
+	st.bounds[p] = b
 }
 
 // runTime returns the run time of a pool's requests, creating it on first use.
--- a/core/load/tracker.go
+++ b/core/load/tracker.go
@@ -63,25 +63,25 @@
 // upstream.
 func (t *Tracker) ApplyPeer(now time.Time, from core.RouterID, running int) {
 	if running == 0 {
-		delete(t.peers, from)
-	} else {
-		if t.peers == nil {
-			t.peers = map[core.RouterID]count{}
+		if len(t.peers) > 0 {
+			delete(t.peers, from)
 		}
-		t.peers[from] = count{running, now}
+		return
+	}
+	if t.peers == nil {
+		t.peers = map[core.RouterID]count{}
 	}
-	t.updateUsual(now)
+	t.peers[from] = count{running, now}
 }
 
 // ApplyElsewhere records how many requests the routers in other data centres have at
 // the upstream.
 func (t *Tracker) ApplyElsewhere(now time.Time, running int) {
 	t.elsewhere = count{running, now}
-	t.updateUsual(now)
 }
 
-// updateUsual moves the usual load towards the current one.
-func (t *Tracker) updateUsual(now time.Time) {
+// UpdateUsual moves the usual load towards the current one. It is called regularly.
+func (t *Tracker) UpdateUsual(now time.Time) {
 	age := now.Sub(t.usualAt)
 	if age <= 0 && !t.usualAt.IsZero() {
 		return
--- a/lab/fleet/report.go
+++ b/lab/fleet/report.go
@@ -83,7 +83,7 @@
 		name       string
 		got, limit float64
 	}{
-		{"crowded", crowded, l.Crowded}, {"declined", r.Declined, l.Declined}, {"waiting", r.Waiting, l.Waiting}, {"reread", r.Reread, l.Reread},
+		{"crowded", crowded, l.Crowded}, {"declined", r.Declined, l.Declined}, {"waiting", r.Waiting, l.Waiting}, {"refused", r.Refused, l.Refused}, {"reread", r.Reread, l.Reread},
 		{"sent", r.Sent, l.Sent}, {"busiest", r.Busiest, l.Busiest}, {"remote", r.Remote, l.Remote},
 	}
 	var over []string
--- a/lab/fleet/request.go
+++ b/lab/fleet/request.go
@@ -159,7 +159,11 @@
 		r.router.fleet.MarkSeen(at, r.target)
 		r.router.fleet.RecordPrefill(at, r.Request, r.target)
 		if report != nil {
-			r.router.fleet.RecordLoad(at, r.target, *report)
+			if full := r.router.fleet.RecordLoad(at, r.target, *report); full != nil {
+				for _, e := range r.router.fleet.Spread(at, *full) {
+					sim.post(r.router, e.To, e.Message)
+				}
+			}
 		}
 	})
 	total := reading + u.runTime(sim.random, r.load.Time)
--- a/lab/fleet/scenario.go
+++ b/lab/fleet/scenario.go
@@ -92,6 +92,8 @@
 	// of those that may wait at an upstream longer than their mean run time.
 	Declined float64 `ini:"declined" validate:"min=0,max=1"`
 	Waiting  float64 `ini:"waiting" validate:"min=0,max=1"`
+	// Refused is the largest share of requests that routers may refuse.
+	Refused float64 `ini:"refused" validate:"min=0,max=1"`
 	// Sent is the mean number of bytes of control messages that a router may send in a
 	// second; Busiest is that of the busiest router, Remote the mean between data
 	// centres.
--- a/router/cluster/router.go
+++ b/router/cluster/router.go
@@ -58,6 +58,7 @@
 		Fleet: r.fleet, HeaderCodec: a.Incoming, Log: p.Log, Metrics: instruments,
 		Forwarder: &relay.Forwarder{Fleet: r.fleet, HeaderCodec: a.Outgoing, Log: p.Log, Conns: r.pool, Metrics: instruments},
 	}
+	r.gateway.Forwarder.Notify = func(m fleet.Message) { r.send(r.fleet.Spread(time.Now(), m)) }
 	r.gateway.CloseAfterResponse = func() bool { return r.shuttingDown.Load() || r.lastReadiness.Load() == fleet.Isolated }
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -269,7 +269,9 @@
 	a.streamStarted = true
 	a.writer.WriteHeader(resp.StatusCode, resp.Header, -1)
 	if a.headers.Load != nil {
-		a.forwarder.Fleet.RecordLoad(time.Now(), a.target, *a.headers.Load)
+		if full := a.forwarder.Fleet.RecordLoad(time.Now(), a.target, *a.headers.Load); full != nil && a.forwarder.Notify != nil {
+			a.forwarder.Notify(*full)
+		}
 		a.headers.Load = nil
 	}
 }
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -25,6 +25,8 @@
 	Log         *zap.Logger
 	Conns       *httpclient.Pool
 	Metrics     Metrics
+	// Notify sends a message to all other routers. It doesn't wait, and may be nil.
+	Notify func(fleet.Message)
 	// buffered is the size of the bodies that are held, in bytes.
 	buffered atomic.Int64
 }
--- a/router/wire/fleet.go
+++ b/router/wire/fleet.go
@@ -20,6 +20,12 @@
 	Snapshot        *fleetSnapshot        `cbor:"4,keyasint,omitempty"`
 	Segment         *fleetSegment         `cbor:"5,keyasint,omitempty"`
 	Digest          *fleetDigest          `cbor:"6,keyasint,omitempty"`
+	FullUpstream    *fleetFullUpstream    `cbor:"7,keyasint,omitempty"`
+}
+
+type fleetFullUpstream struct {
+	Upstream core.UpstreamID `cbor:"1,keyasint"`
+	Load     int             `cbor:"2,keyasint"`
 }
 
 type fleetDigest struct {
@@ -116,7 +122,7 @@
 
 // EncodeFleetMessage encodes a message of package fleet.
 func EncodeFleetMessage(m fleet.Message) ([]byte, error) {
-	w := fleetMessage{Handshake: (*fleetMember)(m.Handshake), SnapshotRequest: (*fleetSnapshotRequest)(m.SnapshotRequest)}
+	w := fleetMessage{Handshake: (*fleetMember)(m.Handshake), SnapshotRequest: (*fleetSnapshotRequest)(m.SnapshotRequest), FullUpstream: (*fleetFullUpstream)(m.FullUpstream)}
 	if b := m.Heartbeat; b != nil {
 		w.Heartbeat = encodeFleetHeartbeat(*b)
 	}
@@ -167,7 +173,7 @@
 	if err != nil {
 		return fleet.Message{}, err
 	}
-	m := fleet.Message{Handshake: (*fleet.Member)(w.Handshake), SnapshotRequest: (*fleet.SnapshotRequest)(w.SnapshotRequest)}
+	m := fleet.Message{Handshake: (*fleet.Member)(w.Handshake), SnapshotRequest: (*fleet.SnapshotRequest)(w.SnapshotRequest), FullUpstream: (*fleet.FullUpstream)(w.FullUpstream)}
 	if b := w.Heartbeat; b != nil {
 		m.Heartbeat = decodeFleetHeartbeat(*b)
 	}
