--- /dev/null
+++ b/core/fleet/heartbeat.go
@@ -0,0 +1,181 @@
+package fleet
+
+import (
+	"time"
+
+	"camphorpulley.org/core"
+	"camphorpulley.org/core/prefix"
+	"camphorpulley.org/core/table"
+)
+
+// Heartbeat is the periodic message to the other routers of the data centre: the
+// sender's current view, and what it has observed since its last heartbeat.
+type Heartbeat struct {
+	// Version is that of the catalog in force.
+	Version uint64
+	// UpstreamsInService is the number of upstreams that the sender knows and that may
+	// get work.
+	UpstreamsInService int
+	Running            []Running
+	Ejections          []Ejection
+	// Results holds the upstreams that have failed requests since the last heartbeat.
+	Results     []ResultCount
+	CachedParts []prefix.CachedPart
+	Crashes     []Crash
+}
+
+// Running is the number of requests that the sender has at an upstream.
+type Running struct {
+	Upstream core.UpstreamID
+	Count    int
+}
+
+// Ejection records that an upstream is ejected for RemainingMS more milliseconds.
+type Ejection struct {
+	Upstream    core.UpstreamID
+	RemainingMS int64
+}
+
+// ResultCount counts the responses of an upstream: complete ones and failures. Attempts
+// that ended otherwise aren't counted.
+type ResultCount struct {
+	Upstream            core.UpstreamID
+	Successes, Failures int
+}
+
+// Crash records that an upstream's process crashed while it ran a request, which is
+// identified by the digest of its content.
+type Crash struct {
+	Content core.Digest
+	Process string
+}
+
+// agoMS returns the time a number of milliseconds ago. A message may state a negative
+// one; it counts as zero, so that nothing is known until a time in the future.
+func agoMS(now time.Time, ms int64) time.Time {
+	return now.Add(-time.Duration(max(ms, 0)) * time.Millisecond)
+}
+
+// NextHeartbeat returns the next heartbeat and resets what is counted between two
+// heartbeats. It also drops data on upstreams that were removed long ago.
+func (f *Fleet) NextHeartbeat(now time.Time) Heartbeat {
+	var b Heartbeat
+	if c := f.Catalog(); c != nil {
+		b.Version = c.Version
+	}
+	var dropped []core.UpstreamID
+	f.roster.Do(table.Hold{}, func(_ table.Hold, u *upstreams) {
+		dropped = u.roster.PruneRemoved(now)
+		for _, up := range u.roster.All() {
+			if u.roster.AcceptsWork(now, up) {
+				b.UpstreamsInService++
+			}
+		}
+	})
+	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
+		for _, id := range dropped {
+			delete(st.byID, id)
+		}
+		for id, s := range st.byID {
+			s.load.UpdateUsual(now)
+			if s.load.Local > 0 {
+				b.Running = append(b.Running, Running{Upstream: id, Count: s.load.Local})
+			}
+			if s.failures > 0 {
+				b.Results = append(b.Results, ResultCount{Upstream: id, Successes: s.successes, Failures: s.failures})
+			}
+			s.successes, s.failures = 0, 0
+			if s.ejectedLocally && s.health.Ejected(now) && !s.reachability.Partitioned(now) {
+				b.Ejections = append(b.Ejections, Ejection{Upstream: id, RemainingMS: s.health.EjectedUntil.Sub(now).Milliseconds()})
+			}
+		}
+	})
+	f.parts.Do(table.Hold{}, func(_ table.Hold, m *prefix.Map) {
+		for _, id := range dropped {
+			m.RemoveEngine(id)
+		}
+		m.Sweep(now)
+		b.CachedParts = m.TakeUpdates()
+	})
+	f.suspects.Do(table.Hold{}, func(_ table.Hold, s *suspects) {
+		s.expireBroken(now)
+		b.Crashes, s.unsent = s.unsent, nil
+	})
+	return b
+}
+
+// localSuccessWindow is how recent this router's own success at an upstream must be to
+// override ejections by other routers.
+const localSuccessWindow = 500 * time.Millisecond
+
+// credible reports whether the sender's ejections are to be believed. A router that has
+// ejected most upstreams is assumed to be partitioned itself.
+func (b Heartbeat) credible() bool { return 2*len(b.Ejections) <= b.UpstreamsInService }
+
+// applyHeartbeat applies a heartbeat and gathers it for the next digest. It returns a
+// request for a snapshot if the router needs one, else nil.
+func (f *Fleet) applyHeartbeat(now time.Time, from Member, b Heartbeat) *Message {
+	counts := countsOf(b.Running)
+	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
+		for id := range counts {
+			st.get(id)
+		}
+		for id, s := range st.byID {
+			s.load.ApplyPeer(now, from.ID, counts[id])
+		}
+	})
+	newParts := f.applyObservations(now, b)
+	f.digests.Do(table.Hold{}, func(_ table.Hold, d *digests) { d.toOthers.add(now, b, newParts) })
+	return f.snapshotRequest(now, from, b)
+}
+
+// applyObservations applies what other routers have observed of upstreams, caches and
+// requests. It returns the cached parts that were not known.
+func (f *Fleet) applyObservations(now time.Time, b Heartbeat) []prefix.CachedPart {
+	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
+		for _, r := range b.Results {
+			st.get(r.Upstream).health.ObserveRemote(now, r.Successes, r.Failures)
+		}
+		if !b.credible() {
+			return
+		}
+		for _, r := range b.Ejections {
+			if s := st.get(r.Upstream); now.Sub(s.lastSuccess) > localSuccessWindow {
+				s.health.EjectFor(now, time.Duration(r.RemainingMS)*time.Millisecond)
+			}
+		}
+	})
+	f.suspects.Do(table.Hold{}, func(_ table.Hold, s *suspects) {
+		for _, c := range b.Crashes {
+			s.table.RecordCrash(now, c.Content, c.Process)
+		}
+	})
+	return table.Read(f.parts, table.Hold{}, func(m *prefix.Map) []prefix.CachedPart {
+		return m.AddFromPeer(now, b.CachedParts, f.maxCacheTokens())
+	})
+}
+
+// snapshotRequest returns a request for a snapshot if the sender of a heartbeat or
+// digest has a newer catalog, if it knows upstreams and this router has none in service,
+// or if the router needs the cache contents that the sender knows; else nil.
+func (f *Fleet) snapshotRequest(now time.Time, from Member, b Heartbeat) *Message {
+	wantsParts := f.takeSnapshotRequest(from.ID)
+	if own := f.CatalogVersion(); wantsParts || b.Version > own || (b.UpstreamsInService > 0 && !f.anyInService(now)) {
+		return &Message{SnapshotRequest: &SnapshotRequest{Version: own, WithCachedParts: wantsParts}}
+	}
+	return nil
+}
+
+// maxCacheTokens returns the size of the largest KV cache among the pools' engines, in
+// tokens.
+func (f *Fleet) maxCacheTokens() int {
+	tokens := 0
+	if c := f.Catalog(); c != nil {
+		for _, p := range c.Pools {
+			if p.Engine != nil {
+				tokens = max(tokens, p.Engine.CacheTokens)
+			}
+		}
+	}
+	return tokens
+}
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -112,13 +112,17 @@
 
 // markFailed sets the phase of the attempt to Failed. It returns the outcome for
 // err, the error of an attempt without a whole response; Unknown if the fault is
-// the caller's.
+// the caller's or that of other bodies.
 func (a *attempt) markFailed(err error) health.Outcome {
 	a.exchange.SetPhase(a.id, answer.Failed)
 	var writeErr *CallerWriteError
 	if errors.As(err, &writeErr) {
 		return health.Unknown
 	}
+	var large *BodyTooLargeError
+	if errors.As(err, &large) && large.Shared {
+		return health.Unknown
+	}
 	var timeout interface{ Timeout() bool }
 	if errors.As(err, &timeout) && timeout.Timeout() {
 		return a.unlessCancelled(health.TimedOut)
@@ -146,7 +150,7 @@
 	if a.headers.Misdirected {
 		a.outcome = health.Misdirected
 	}
-	err := resp.SetDeadline(earlier(time.Now().Add(maxDiscardTime), a.Deadline))
+	err := resp.SetDeadline(time.Now().Add(maxDiscardTime))
 	if err == nil {
 		_, err = io.Copy(io.Discard, io.LimitReader(resp, maxDiscardBytes))
 	}
--- a/router/relay/body.go
+++ b/router/relay/body.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"sync/atomic"
-	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -12,23 +11,26 @@
 const (
 	// maxBodyBytes bounds the body of a response that isn't streamed.
 	maxBodyBytes = 32 << 20
-	// maxBufferedBytes bounds the bodies that the router holds at a time. Small ones
-	// are not counted.
+	// maxBufferedBytes bounds the bodies that the router holds at a time, without the
+	// first uncountedBytes of each, so that long ones don't fail all short ones.
 	maxBufferedBytes = 32 << 20
-	// uncountedBytes is how much of a body isn't counted towards maxBufferedBytes, so
-	// that a few very long ones don't fail all others.
-	uncountedBytes = 64 << 10
-	// bodyStepBytes is how much of a body is read at a time.
-	bodyStepBytes = 64 << 10
+	uncountedBytes   = 64 << 10
+	// initialBodyBytes is the room at first for a body without a stated length.
+	initialBodyBytes = 4 << 10
 )
 
-// BodyTooLargeError reports a body that exceeds Limit, a number of bytes.
+// BodyTooLargeError reports a body that exceeds Limit, a number of bytes. Shared is true
+// if all bodies together exceed it.
 type BodyTooLargeError struct {
-	Limit int
+	Limit  int
+	Shared bool
 }
 
 // Error implements error.
 func (e *BodyTooLargeError) Error() string {
+	if e.Shared {
+		return fmt.Sprintf("all bodies of answers together exceed %d bytes", e.Limit)
+	}
 	return fmt.Sprintf("the body of the answer exceeds %d bytes", e.Limit)
 }
 
@@ -48,8 +50,8 @@
 	}
 	var body []byte
 	for {
-		if free := cap(body) - len(body); free == 0 {
-			grown, err := r.grow(body, length)
+		if len(body) == cap(body) {
+			grown, err := r.grow(body, int(length))
 			if err != nil {
 				return nil, err
 			}
@@ -57,47 +59,36 @@
 		}
 		n, err := r.body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
-		if errors.Is(err, io.EOF) {
+		switch {
+		case errors.Is(err, io.EOF):
 			return body, nil
-		}
-		if err != nil {
+		case err != nil:
 			return nil, err
 		}
 	}
 }
 
-// grow returns a copy of body with more room, and counts it.
-func (r *bodyReader) grow(body []byte, length int64) ([]byte, error) {
-	size := max(2*cap(body), minBodyBytes)
-	if length >= 0 {
-		// One byte more, so that the end is seen without growing again.
-		size = min(max(size, int(min(length+1, bodyStepBytes))), int(length)+1)
-	}
-	if len(body) >= maxBodyBytes {
+// grow returns a copy of body with twice the room, and counts it. The room is at most
+// one byte more than may come, so that the end is seen.
+func (r *bodyReader) grow(body []byte, length int) ([]byte, error) {
+	if len(body) > maxBodyBytes {
 		return nil, &BodyTooLargeError{Limit: maxBodyBytes}
 	}
-	size = min(size, maxBodyBytes+1)
+	size, most := max(2*len(body), initialBodyBytes), maxBodyBytes+1
+	if length >= 0 {
+		size, most = max(size, uncountedBytes), max(length, len(body))+1
+	}
+	size = min(size, most)
 	if more := int64(size) - uncountedBytes - r.counted; more > 0 {
 		r.counted += more
 		if r.buffered.Add(more) > maxBufferedBytes {
-			return nil, &BodyTooLargeError{Limit: maxBufferedBytes}
+			return nil, &BodyTooLargeError{Limit: maxBufferedBytes, Shared: true}
 		}
 	}
-	grown := make([]byte, len(body), max(size, len(body)+1))
+	grown := make([]byte, len(body), size)
 	copy(grown, body)
 	return grown, nil
 }
 
-// minBodyBytes is the room for a body without a stated length at first.
-const minBodyBytes = 4 << 10
-
 // release ends the count of the body.
 func (r *bodyReader) release() { r.buffered.Add(-r.counted) }
-
-// earlier returns the earlier one of two times.
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
