Close idle connections on which an upstream goes on sending

Cause: bytes that come some time after an answer were noticed only when the connection was to be used again, or after 10 s. Change: idle connections are checked each second.

--- a/router/cluster/router.go
+++ b/router/cluster/router.go
@@ -153,7 +153,7 @@
 	}
 }
 
-// connSweepInterval is the time between two closings of old idle connections to
+// connSweepInterval is the time between two closings of unusable idle connections to
 // upstreams.
 const connSweepInterval = time.Second
 
@@ -183,7 +183,7 @@
 		r.send(messages)
 		worker.Sleep(ctx, wait)
 	})
-	r.scheduler.Every(ctx, connSweepInterval, func(context.Context) { r.pool.CloseExpired(time.Now()) })
+	r.scheduler.Every(ctx, connSweepInterval, func(context.Context) { r.pool.CloseUnusable(time.Now()) })
 	r.scheduler.Repeat(ctx, r.registrationStep(member))
 	if !r.settings.Router.FirstStart {
 		go r.fetchCacheInventories(ctx)
--- a/router/gateway/script_test.go
+++ b/router/gateway/script_test.go
@@ -67,6 +67,7 @@
 type fixture struct {
 	fleet     *fleet.Fleet
 	gateway   *gateway.Handler
+	pool      *httpclient.Pool
 	server    *httptest.Server
 	upstreams map[string]*upstream
 	entries   []roster.Entry
@@ -88,7 +89,7 @@
 )
 
 func newFixture() *fixture {
-	f := &fixture{upstreams: map[string]*upstream{}}
+	f := &fixture{upstreams: map[string]*upstream{}, pool: &httpclient.Pool{}}
 	f.fleet = fleet.New(time.Now(), fleet.Settings{
 		ID: "r1", DataCentre: "a", MaxLoadFactor: 2, Retry: retry.Limits{Ratio: 0.2, Slack: 1000, Window: 10 * time.Second},
 	})
@@ -109,7 +110,7 @@
 	})
 	f.gateway = &gateway.Handler{
 		Fleet: f.fleet, HeaderCodec: headerCodec{}, Log: zap.NewNop(), Metrics: noMetrics{},
-		Forwarder: &relay.Forwarder{Fleet: f.fleet, HeaderCodec: headerCodec{}, Log: zap.NewNop(), Conns: &httpclient.Pool{}, Metrics: noMetrics{}},
+		Forwarder: &relay.Forwarder{Fleet: f.fleet, HeaderCodec: headerCodec{}, Log: zap.NewNop(), Conns: f.pool, Metrics: noMetrics{}},
 	}
 	f.server = httptest.NewServer(f.gateway)
 	return f
@@ -190,7 +191,7 @@
 	data []byte
 	// after is keep, close, reset, hang, early or endless.
 	after string
-	// An endless response repeats piece, with a pause after each, until the router
+	// An endless response repeats piece, with a pause before each, until the router
 	// closes the connection.
 	piece []byte
 	pause time.Duration
@@ -264,6 +265,7 @@
 // repeat sends the pieces of an endless response until the router closes the connection.
 func (u *upstream) repeat(c net.Conn, r response) {
 	for {
+		time.Sleep(r.pause)
 		n, err := c.Write(r.piece)
 		u.mu.Lock()
 		u.endlessBytes += n
@@ -271,7 +273,6 @@
 		if err != nil {
 			return
 		}
-		time.Sleep(r.pause)
 	}
 }
 
@@ -337,7 +338,7 @@
 
 // respond-endless UPSTREAM FILE PIECE [PAUSE [SIZE]]: adds a response that begins with a
 // file and repeats a piece until the router closes the connection. There is a pause
-// after each SIZE bytes, by default after each piece. All line ends become CR LF, and
+// before each SIZE bytes, by default before each piece. All line ends become CR LF, and
 // \r\n in the piece stands for CR LF.
 func cmdRespondEndless(ts *testscript.TestScript, f *fixture, a []string) {
 	r := response{after: "endless", piece: []byte(strings.ReplaceAll(a[2], `\r\n`, "\r\n"))}
@@ -580,7 +581,8 @@
 const closeWait = 2 * time.Second
 
 // closed-connections UPSTREAM COUNT: waits up to 2 s until at least COUNT
-// connections of the upstream have closed.
+// connections of the upstream have closed. Meanwhile idle connections are checked as
+// in a running router.
 func cmdClosedConnections(ts *testscript.TestScript, f *fixture, a []string) {
 	want, err := strconv.Atoi(a[1])
 	ts.Check(err)
@@ -592,6 +594,7 @@
 		if got >= want {
 			return
 		}
+		f.pool.CloseUnusable(time.Now())
 	}
 	ts.Fatalf("closed connections of %s after %s: got %d, want at least %d", a[0], closeWait, got, want)
 }
--- a/router/httpclient/pool.go
+++ b/router/httpclient/pool.go
@@ -125,15 +125,17 @@
 	keepAliveMargin = 500 * time.Millisecond
 )
 
-// CloseExpired closes the idle connections that have expired.
-func (p *Pool) CloseExpired(now time.Time) {
-	var expired []*Conn
+// CloseUnusable closes the idle connections that have expired, that the upstream has
+// closed, or on which it has sent bytes: those belong to no request, may go on without
+// end, and take memory until the connection is closed.
+func (p *Pool) CloseUnusable(now time.Time) {
+	var unusable []*Conn
 	p.idle.Do(table.Hold{}, func(_ table.Hold, all *map[string][]*Conn) {
 		for address, conns := range *all {
 			kept := conns[:0:0]
 			for _, c := range conns {
-				if now.After(c.expiresAt) {
-					expired = append(expired, c)
+				if now.After(c.expiresAt) || !c.reusable() {
+					unusable = append(unusable, c)
 				} else {
 					kept = append(kept, c)
 				}
@@ -144,7 +146,7 @@
 			}
 		}
 	})
-	for _, c := range expired {
+	for _, c := range unusable {
 		_ = c.Close()
 	}
 }
