Log the prompt parts of attempts that break before an answer

The log couldn't tell which requests were at fault: an attempt that broke had neither its parts nor whether its answer had begun. attempt_finished now has events, and parts when the connection broke before the second event.

--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -27,6 +27,8 @@
 	// status and headers are those of the response; zero if there was none.
 	status  int
 	headers ResponseHeaders
+	// events is the number of events of a stream that have arrived.
+	events int
 	// outcome is what the fleet is told of the attempt.
 	outcome health.Outcome
 }
@@ -237,7 +239,7 @@
 	}
 	events := newEventReader(resp)
 	var lastAlive time.Time
-	for first := true; ; first = false {
+	for {
 		e, err := events.next()
 		if errors.Is(err, io.EOF) {
 			break
@@ -246,10 +248,8 @@
 			lastAlive = now
 			a.forwarder.Fleet.MarkSeen(now, a.target)
 		}
-		if first && err == nil {
-			a.forwarder.Fleet.RecordPrefill(time.Now(), a.Request, a.target)
-		}
 		if err == nil {
+			a.recordEvent()
 			err = a.forwardEvent(resp, e)
 		}
 		if err != nil {
@@ -267,6 +267,18 @@
 	return nil
 }
 
+// minEventsUnderWay is the number of events after which an answer is under way: an engine
+// that crashes as it begins to write may have sent one.
+const minEventsUnderWay = 2
+
+// recordEvent counts an event. The first one shows that the engine has the prompt in its
+// cache.
+func (a *attempt) recordEvent() {
+	if a.events++; a.events == 1 {
+		a.forwarder.Fleet.RecordPrefill(time.Now(), a.Request, a.target)
+	}
+}
+
 // sendHeader sends the header of a stream to the caller. It reports the load
 // stated there to the fleet at once, rather than at the end of the stream.
 func (a *attempt) sendHeader(resp *httpclient.Response) {
--- /dev/null
+++ b/router/relay/attempt_log.go
@@ -0,0 +1,34 @@
+package relay
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+
+	"camphorpulley.org/base/logs"
+	"camphorpulley.org/core/health"
+	"camphorpulley.org/core/prefix"
+)
+
+// log logs a finished attempt. The shared parts of the prompt are logged only if the
+// connection broke before the answer was under way: they may be the cause.
+func (a *attempt) log(took time.Duration, ejected bool, err error) {
+	t := a.target
+	fields := []zap.Field{
+		zap.String("request", a.ID), zap.Int("attempt", a.id), zap.String("upstream", string(t.ID)),
+		zap.String("outcome", a.outcome.String()), zap.Int("status", a.status), zap.Bool("sent", a.sent), zap.Int("events", a.events),
+		zap.Duration("took", took), zap.Int("load", t.Load), zap.Int("held", t.CachedTokens), zap.Int("prompt", t.SharedTokens),
+		zap.String("fetch", t.FetchFrom), zap.Int("candidates", t.CandidateCount), zap.Bool("rests", ejected), logs.Err(err),
+	}
+	if a.outcome == health.Broken && a.events < minEventsUnderWay && len(a.SharedParts) > 0 {
+		fields = append(fields, zap.Strings("parts", partNames(a.SharedParts)))
+	}
+	a.forwarder.Log.Info("attempt_finished", fields...)
+}
+
+// partNames returns the ids of parts in hexadecimal.
+func partNames(parts []prefix.Part) []string {
+	return lo.Map(parts, func(p prefix.Part, _ int) string { return strconv.FormatUint(uint64(p.ID), 16) })
+}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -9,7 +9,6 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
-	"camphorpulley.org/base/logs"
 	"camphorpulley.org/base/worker"
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/answer"
@@ -181,9 +180,6 @@
 	if err == nil {
 		f.Fleet.ClearSuspect(s.Request)
 	}
-	f.Log.Info("attempt_finished", zap.String("request", s.ID), zap.Int("attempt", id), zap.String("upstream", string(target.ID)),
-		zap.String("outcome", a.outcome.String()), zap.Int("status", a.status), zap.Bool("sent", a.sent),
-		zap.Duration("took", now.Sub(started)), zap.Int("load", target.Load), zap.Int("held", target.CachedTokens), zap.Int("prompt", target.SharedTokens),
-		zap.String("fetch", target.FetchFrom), zap.Int("candidates", target.CandidateCount), zap.Bool("rests", ejected), logs.Err(err))
+	a.log(now.Sub(started), ejected, err)
 	return a.sent, err
 }
