Refuse requests under parts of prompts that crash engines

Cause: requests that crash engines were recognised by the digest of their whole content, and only once another process had appeared at the engine's address. Requests with one deadly part are all different, and 3.5 s are too late.

Change: core/poison.Parts holds strikes against parts, shared by all routers and cleared by answers, and refuses the fewest parts that explain them, with tests that become rarer. This works because one answer proves that a part isn't deadly, so that a broken connection may count at once.

--- a/core/fleet/admit.go
+++ b/core/fleet/admit.go
@@ -63,12 +63,13 @@
 // defaultTimeout applies to routes without a time-out.
 const defaultTimeout = time.Minute
 
-// Refusal codes of Admit and Choose.
+// Refusal codes of Admit, CheckParts and Choose.
 const (
 	codeUnconfigured = "unconfigured"
 	codeNoRoute      = "no_route"
 	codeBadKey       = "bad_key"
 	codeCrashes      = "crashes_upstreams"
+	codeDeadlyPart   = "deadly_part"
 	codeNoUpstream   = "no_upstream"
 )
 
--- a/core/fleet/digest.go
+++ b/core/fleet/digest.go
@@ -151,14 +151,14 @@
 
 // applyDigest applies a digest. One from another data centre is kept for the next
 // digest to the local one.
-func (f *Fleet) applyDigest(now time.Time, from Member, d Digest) *Message {
+func (f *Fleet) applyDigest(now time.Time, from Member, d Digest) Effects {
 	fresh := f.addSeenMembers(now, d.Members)
 	f.markSources(now, d.Sources)
-	newParts := f.applyObservations(now, d.Heartbeat)
+	newParts, changes := f.applyObservations(now, d.Heartbeat)
 	counts := runningCounts{countsOf(d.Heartbeat.Running), now}
 	if from.DataCentre == f.settings.DataCentre {
 		f.setElsewhere(now, counts.byUpstream)
-		return nil
+		return Effects{PartChanges: changes}
 	}
 	var elsewhere map[core.UpstreamID]int
 	f.digests.Do(table.Hold{}, func(_ table.Hold, t *digests) {
@@ -173,7 +173,7 @@
 		elsewhere = t.elsewhere(now)
 	})
 	f.setElsewhere(now, elsewhere)
-	return f.snapshotRequest(now, from, d.Heartbeat)
+	return Effects{Reply: f.snapshotRequest(now, from, d.Heartbeat), PartChanges: changes}
 }
 
 // countsOf returns the numbers of running requests by upstream.
@@ -216,6 +216,7 @@
 		}
 	})
 	d.Heartbeat.Version = f.CatalogVersion()
+	d.Heartbeat.Parts = f.partEvidence(now)
 	d.Heartbeat.UpstreamsInService = len(f.inService(now))
 	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
 		for id, s := range st.byID {
@@ -245,6 +246,7 @@
 		}
 	})
 	d.Heartbeat.UpstreamsInService = len(f.inService(now))
+	d.Heartbeat.Parts = f.partEvidence(now)
 	if withMembers {
 		d.Members = f.seenMembers(now, false)
 	}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -69,9 +69,12 @@
 	roster roster.Roster
 }
 
-// suspects is the table of requests that were running when upstreams crashed.
+// suspects is the table of requests that were running when upstreams crashed, and of
+// the parts of their prompts.
 type suspects struct {
 	table poison.Suspects
+	// parts holds the parts of prompts that may be deadly.
+	parts poison.Parts
 	// unsent holds the crashes to be sent with the next heartbeat.
 	unsent []Crash
 	// brokenByAddress holds the requests on broken connections by upstream address.
--- a/core/fleet/heartbeat.go
+++ b/core/fleet/heartbeat.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"camphorpulley.org/core"
+	"camphorpulley.org/core/poison"
 	"camphorpulley.org/core/prefix"
 	"camphorpulley.org/core/table"
 )
@@ -22,6 +23,8 @@
 	Results     []ResultCount
 	CachedParts []prefix.CachedPart
 	Crashes     []Crash
+	// Parts is what is known of parts of prompts that may crash upstreams.
+	Parts []poison.Evidence
 }
 
 // Running is the number of requests that the sender has at an upstream.
@@ -100,6 +103,7 @@
 	f.suspects.Do(table.Hold{}, func(_ table.Hold, s *suspects) {
 		s.expireBroken(now)
 		b.Crashes, s.unsent = s.unsent, nil
+		b.Parts = s.parts.Evidence(now, false)
 	})
 	return b
 }
@@ -112,9 +116,9 @@
 // ejected most upstreams is assumed to be partitioned itself.
 func (b Heartbeat) credible() bool { return 2*len(b.Ejections) <= b.UpstreamsInService }
 
-// applyHeartbeat applies a heartbeat and gathers it for the next digest. It returns a
+// applyHeartbeat applies a heartbeat and gathers it for the next digest. The reply is a
 // request for a snapshot if the router needs one, else nil.
-func (f *Fleet) applyHeartbeat(now time.Time, from Member, b Heartbeat) *Message {
+func (f *Fleet) applyHeartbeat(now time.Time, from Member, b Heartbeat) Effects {
 	counts := countsOf(b.Running)
 	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
 		for id := range counts {
@@ -124,14 +128,15 @@
 			s.load.ApplyPeer(now, from.ID, counts[id])
 		}
 	})
-	newParts := f.applyObservations(now, b)
+	newParts, changes := f.applyObservations(now, b)
 	f.digests.Do(table.Hold{}, func(_ table.Hold, d *digests) { d.toOthers.add(now, b, newParts) })
-	return f.snapshotRequest(now, from, b)
+	return Effects{Reply: f.snapshotRequest(now, from, b), PartChanges: changes}
 }
 
 // applyObservations applies what other routers have observed of upstreams, caches and
-// requests. It returns the cached parts that were not known.
-func (f *Fleet) applyObservations(now time.Time, b Heartbeat) []prefix.CachedPart {
+// requests. It returns the cached parts that were not known, and the changes of parts
+// under which requests are refused.
+func (f *Fleet) applyObservations(now time.Time, b Heartbeat) ([]prefix.CachedPart, []poison.Change) {
 	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
 		for _, r := range b.Results {
 			st.get(r.Upstream).health.ObserveRemote(now, r.Successes, r.Failures)
@@ -150,9 +155,11 @@
 			s.table.RecordCrash(now, c.Content, c.Process)
 		}
 	})
+	f.proveParts(b.CachedParts)
+	changes := f.mergeEvidence(now, b.Parts)
 	return table.Read(f.parts, table.Hold{}, func(m *prefix.Map) []prefix.CachedPart {
 		return m.AddFromPeer(now, b.CachedParts, f.maxCacheTokens())
-	})
+	}), changes
 }
 
 // snapshotRequest returns a request for a snapshot if the sender of a heartbeat or
--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -6,6 +6,7 @@
 	"github.com/go-faster/errors"
 
 	"camphorpulley.org/core"
+	"camphorpulley.org/core/poison"
 	"camphorpulley.org/core/prefix"
 	"camphorpulley.org/core/roster"
 	"camphorpulley.org/core/table"
@@ -20,6 +21,7 @@
 	Segment         *FeedSegment
 	Digest          *Digest
 	FullUpstream    *FullUpstream
+	PartEvidence    *PartEvidence
 }
 
 // Kind returns the name of the message's kind, for metrics; empty if it has no content.
@@ -39,6 +41,8 @@
 		return "digest"
 	case m.FullUpstream != nil:
 		return "full_upstream"
+	case m.PartEvidence != nil:
+		return "part_evidence"
 	}
 	return ""
 }
@@ -50,6 +54,9 @@
 	// Forward holds messages to other routers.
 	Forward []Envelope
 	Changes []roster.Change
+	// PartChanges are the parts of prompts from which on requests are refused, or no
+	// longer are.
+	PartChanges []poison.Change
 	// Version is that of the catalog that came into force; zero if none did.
 	Version uint64
 	// Errors are those of catalogs and entries that could not be parsed.
@@ -84,7 +91,7 @@
 	f.markMemberSeen(now, from)
 	switch {
 	case m.Heartbeat != nil:
-		return Effects{Reply: f.applyHeartbeat(now, from, *m.Heartbeat)}
+		return f.applyHeartbeat(now, from, *m.Heartbeat)
 	case m.SnapshotRequest != nil:
 		return Effects{Reply: &Message{Snapshot: f.snapshot(now, *m.SnapshotRequest)}}
 	case m.Snapshot != nil:
@@ -97,7 +104,9 @@
 		f.applyFullUpstream(now, *m.FullUpstream)
 		return Effects{Forward: f.passOn(now, from, m)}
 	case m.Digest != nil:
-		return Effects{Reply: f.applyDigest(now, from, *m.Digest)}
+		return f.applyDigest(now, from, *m.Digest)
+	case m.PartEvidence != nil:
+		return Effects{PartChanges: f.mergeEvidence(now, m.PartEvidence.Parts), Forward: f.passOn(now, from, m)}
 	}
 	return Effects{}
 }
@@ -150,6 +159,7 @@
 			return asList(r.PutUnconfirmed(now, *entry))
 		})...)
 	}
+	f.proveParts(s.CachedParts)
 	f.parts.Do(table.Hold{}, func(_ table.Hold, m *prefix.Map) { m.AddFromPeer(now, s.CachedParts, f.maxCacheTokens()) })
 	return e
 }
--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -104,6 +104,9 @@
 		"readiness":            cmdReadiness,
 		"catalog-version":      cmdCatalogVersion,
 		"break-connection":     cmdBreakConnection,
+		"answer":               cmdAnswer,
+		"refused-parts":        cmdRefusedParts,
+		"expire-parts":         cmdExpireParts,
 		"retries-at-most":      cmdRetriesAtMost,
 		"inventory-targets":    cmdInventoryTargets,
 		"retry-slack":          cmdRetrySlack,
@@ -470,7 +473,11 @@
 		s := &sentRequest{router: sim.routers[a[1]]}
 		sim.requests[name] = s
 		if s.request, s.refusal = s.router.Admit(sim.now, r); s.refusal == nil {
-			sim.choose(s)
+			var effects fleet.PartEffects
+			if _, s.refusal, effects = s.router.CheckParts(sim.now, s.request); s.refusal == nil {
+				sim.choose(s)
+			}
+			sim.spread(s.router, effects.Notify)
 		}
 	}
 }
@@ -604,9 +611,42 @@
 	s := sim.requests[a[0]]
 	s.router.FinishAttempt(sim.now, s.target, health.Broken, nil)
 	s.router.RecordBrokenConnection(sim.now, s.request, s.target)
+	sim.spread(s.router, s.router.RecordBreak(sim.now, s.request, s.target).Notify)
 	s.done = true
 }
 
+// answer NAME...: the answers to requests are under way.
+func cmdAnswer(_ *testscript.TestScript, sim *simulation, a []string) {
+	for _, name := range a {
+		s := sim.requests[name]
+		sim.spread(s.router, s.router.RecordAnswer(sim.now, s.request).Notify)
+	}
+}
+
+// refused-parts ROUTER COUNT: checks the number of parts under which a router refuses
+// requests.
+func cmdRefusedParts(ts *testscript.TestScript, sim *simulation, a []string) {
+	got := sim.routers[a[0]].RefusedParts()
+	if want, err := strconv.Atoi(a[1]); err != nil || got != want {
+		ts.Fatalf("parts refused at %s: got %d, want %s", a[0], got, a[1])
+	}
+}
+
+// expire-parts: all routers drop the parts that were not used for long.
+func cmdExpireParts(_ *testscript.TestScript, sim *simulation, _ []string) {
+	sim.each(nil, func(f *fleet.Fleet) { f.ExpireParts(sim.now) })
+}
+
+// spread sends a message of a router to all others, if there is one.
+func (sim *simulation) spread(from *fleet.Fleet, m *fleet.Message) {
+	if m == nil {
+		return
+	}
+	for _, e := range from.Spread(sim.now, *m) {
+		sim.deliver(string(from.Settings().ID), string(e.To), e.Message)
+	}
+}
+
 // retries-at-most MAX NAME...: checks how many retries the routers of these requests
 // permit together if each tries a hundred times for each request.
 func cmdRetriesAtMost(ts *testscript.TestScript, sim *simulation, a []string) {
@@ -720,8 +760,6 @@
 	running, err := strconv.Atoi(a[1])
 	ts.Check(err)
 	if full := r.router.RecordLoad(sim.now, r.target, load.Report{Running: running}); full != nil {
-		for _, e := range r.router.Spread(sim.now, *full) {
-			sim.deliver(string(r.router.Settings().ID), string(e.To), e.Message)
-		}
+		sim.spread(r.router, full)
 	}
 }
--- a/core/fleet/status.go
+++ b/core/fleet/status.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"camphorpulley.org/core"
@@ -27,6 +28,9 @@
 	EntriesAgeMS int64            `json:"known_ms"`
 	Peers        []PeerStatus     `json:"peers"`
 	Upstreams    []UpstreamStatus `json:"upstreams"`
+	// RefusedParts are the parts of prompts under which requests are refused, in
+	// hexadecimal as in the log.
+	RefusedParts []string `json:"refused"`
 }
 
 // PeerStatus is another router as this one sees it.
@@ -99,6 +103,9 @@
 			s.Upstreams[i].CachedTokens = m.UsedPartTokens(s.Upstreams[i].ID)
 		}
 	})
+	for _, id := range f.refusedParts() {
+		s.RefusedParts = append(s.RefusedParts, strconv.FormatUint(uint64(id), 16))
+	}
 	return s
 }
 
--- a/router/cluster/router.go
+++ b/router/cluster/router.go
@@ -74,6 +74,9 @@
 		{Name: "routers_known", Description: "routers that may exist", Read: func() int64 {
 			return int64(len(r.fleet.Members(time.Now())) + 1)
 		}},
+		{Name: "refused_parts", Description: "parts of prompts under which requests are refused, because they crash upstreams", Read: func() int64 {
+			return int64(r.fleet.RefusedParts())
+		}},
 		{Name: "job_panics", Description: "panics that ended a job or an attempt", Read: worker.Panics},
 		{Name: "log_lines_left_out", Description: "log lines over the budget of their kind", Read: logs.SuppressedLines},
 	}
@@ -153,9 +156,14 @@
 	}
 }
 
-// connSweepInterval is the time between two closings of unusable idle connections to
-// upstreams.
-const connSweepInterval = time.Second
+const (
+	// connSweepInterval is the time between two closings of unusable idle connections to
+	// upstreams.
+	connSweepInterval = time.Second
+	// partSweepInterval is the time between two removals of suspected parts of prompts
+	// that were not used for long.
+	partSweepInterval = 10 * time.Second
+)
 
 // startBackground starts the goroutines that run beside the requests: messages
 // between routers, feed readers, heartbeats, closing of idle connections,
@@ -184,6 +192,7 @@
 		worker.Sleep(ctx, wait)
 	})
 	r.scheduler.Every(ctx, connSweepInterval, func(context.Context) { r.pool.CloseUnusable(time.Now()) })
+	r.scheduler.Every(ctx, partSweepInterval, func(context.Context) { logPartChanges(r.log, "", r.fleet.ExpireParts(time.Now())) })
 	r.scheduler.Repeat(ctx, r.registrationStep(member))
 	if !r.settings.Router.FirstStart {
 		go r.fetchCacheInventories(ctx)
@@ -218,6 +227,7 @@
 	if e.Version > 0 {
 		r.log.Info("catalog_applied", zap.Uint64("version", e.Version), zap.String("sender", string(from.ID)))
 	}
+	logPartChanges(r.log, from.ID, e.PartChanges)
 	for _, fault := range e.Errors {
 		r.log.Warn("message_part_invalid", zap.String("sender", string(from.ID)), logs.Err(fault))
 	}
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -171,6 +171,9 @@
 	retryAfter := time.Duration(0)
 	if refusal.Certainty == core.NotRun && refusal.Status == http.StatusServiceUnavailable {
 		retryAfter = h.Fleet.RetryAfter()
+		if refusal.RetryAfter > 0 {
+			retryAfter = time.Duration(refusal.RetryAfter) * time.Second
+		}
 	}
 	h.Log.Warn("request_refused", zap.String("request", id), zap.Int("status", refusal.Status), zap.String("code", refusal.Code),
 		zap.String("certainty", refusal.Certainty.String()), zap.String("why", refusal.Message), zap.Duration("after", retryAfter))
--- a/router/gateway/script_test.go
+++ b/router/gateway/script_test.go
@@ -24,6 +24,7 @@
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/catalog"
 	"camphorpulley.org/core/fleet"
+	"camphorpulley.org/core/prefix"
 	"camphorpulley.org/core/retry"
 	"camphorpulley.org/core/roster"
 	"camphorpulley.org/router/gateway"
@@ -53,7 +54,7 @@
 			"body": with(cmdBody), "header": with(cmdHeader), "received": with(cmdReceived), "request-count": with(cmdRequestCount),
 			"cancel-request": with(cmdCancelRequest), "closed-connections": with(cmdClosedConnections), "stop-listening": with(cmdStopListening),
 			"response-incomplete": with(cmdResponseIncomplete), "set-closing": with(cmdSetClosing),
-			"set-timeout": with(cmdSetTimeout), "time-left": with(cmdTimeLeft),
+			"set-timeout": with(cmdSetTimeout), "set-parts": with(cmdSetParts), "time-left": with(cmdTimeLeft),
 			"respond-endless": with(cmdRespondEndless), "sent-at-most": with(cmdSentAtMost), "took-at-most": with(cmdTookAtMost),
 			"requests": with(cmdRequests), "heap-at-most": with(cmdHeapAtMost),
 		},
@@ -73,10 +74,12 @@
 	entries   []roster.Entry
 	// timeout is the time-out in milliseconds that callers send; empty sends none.
 	timeout string
-	status  int
-	header  http.Header
-	body    []byte
-	err     error
+	// parts are the parts of the prompt that callers send, one letter each.
+	parts  string
+	status int
+	header http.Header
+	body   []byte
+	err    error
 	// took is how long the last request took.
 	took time.Duration
 	// heap is the highest size of the heap in bytes during the verb requests.
@@ -132,7 +135,8 @@
 func (noMetrics) FirstByte(core.Pool, time.Duration) {}
 
 // headerCodec is the header codec of the tests. Callers send X-Id, X-Wait (the
-// time-out in milliseconds) and Last-Event-Id. Upstreams are sent X-Id, X-Left (the
+// time-out in milliseconds), X-Parts (the parts of the prompt, one letter each) and
+// Last-Event-Id. Upstreams are sent X-Id, X-Left (the
 // time left in milliseconds) and Last-Event-Id, and respond with X-Id, X-Signed and
 // X-Not-Run. Refusals carry Retry-After.
 type headerCodec struct{}
@@ -140,6 +144,9 @@
 func (headerCodec) ParseRequest(r *http.Request) gateway.RequestHeaders {
 	var headers gateway.RequestHeaders
 	headers.ID = r.Header.Get("X-Id")
+	for _, letter := range r.Header.Get("X-Parts") {
+		headers.Parts = append(headers.Parts, prefix.Part{ID: core.Digest(letter), Tokens: 1})
+	}
 	if ms, err := strconv.Atoi(r.Header.Get("X-Wait")); err == nil {
 		headers.Timeout = time.Duration(ms) * time.Millisecond
 	}
@@ -464,6 +471,7 @@
 	if f.timeout != "" {
 		r.Header.Set("X-Wait", f.timeout)
 	}
+	r.Header.Set("X-Parts", f.parts)
 	if after != "" {
 		r.Header.Set("Last-Event-Id", after)
 	}
@@ -479,6 +487,9 @@
 	_ = resp.Body.Close()
 }
 
+// set-parts PARTS: sets the parts of the prompt that callers send from now on.
+func cmdSetParts(_ *testscript.TestScript, f *fixture, a []string) { f.parts = a[0] }
+
 // set-timeout MS: sets the time-out that callers send from now on.
 func cmdSetTimeout(_ *testscript.TestScript, f *fixture, a []string) { f.timeout = a[0] }
 
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -271,11 +271,19 @@
 // that crashes as it begins to write may have sent one.
 const minEventsUnderWay = 2
 
+// underWay reports whether the answer is under way: more of it has arrived than an
+// engine sends that crashes as it begins to write.
+func (a *attempt) underWay() bool { return a.events >= minEventsUnderWay }
+
 // recordEvent counts an event. The first one shows that the engine has the prompt in its
 // cache.
 func (a *attempt) recordEvent() {
-	if a.events++; a.events == 1 {
+	a.events++
+	switch a.events {
+	case 1:
 		a.forwarder.Fleet.RecordPrefill(time.Now(), a.Request, a.target)
+	case minEventsUnderWay:
+		a.forwarder.applyPartEffects(a.ID, a.forwarder.Fleet.RecordAnswer(time.Now(), a.Request))
 	}
 }
 
--- a/router/relay/attempt_log.go
+++ b/router/relay/attempt_log.go
@@ -22,7 +22,7 @@
 		zap.Duration("took", took), zap.Int("load", t.Load), zap.Int("held", t.CachedTokens), zap.Int("prompt", t.SharedTokens),
 		zap.String("fetch", t.FetchFrom), zap.Int("candidates", t.CandidateCount), zap.Bool("rests", ejected), logs.Err(err),
 	}
-	if a.outcome == health.Broken && a.events < minEventsUnderWay && len(a.SharedParts) > 0 {
+	if a.outcome == health.Broken && !a.underWay() && len(a.SharedParts) > 0 {
 		fields = append(fields, zap.Strings("parts", partNames(a.SharedParts)))
 	}
 	a.forwarder.Log.Info("attempt_finished", fields...)
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -75,6 +75,8 @@
 	// streamStarted reports whether the header of a stream was sent to the caller.
 	// It stays false for buffered responses.
 	streamStarted bool
+	// probe reports whether the call tests a part of its prompt that may be deadly.
+	probe bool
 	// connectFailed reports whether a connection to an upstream couldn't be
 	// opened. Another data centre is then likely to be unreachable, so that later
 	// attempts at engines prefer the router's own.
@@ -100,6 +102,9 @@
 	s.sequence = answer.EventSequence{Last: c.LastEventID, HasLast: c.HasLastEventID}
 	for {
 		now := time.Now()
+		if refusal := s.checkParts(now); refusal != nil {
+			return s.fail(now, s.withCertainty(now, refusal))
+		}
 		target, refusal := s.chooseTarget(now)
 		if refusal != nil {
 			return s.fail(now, s.withCertainty(now, refusal))
@@ -176,9 +181,15 @@
 	f.Metrics.Ended(s.Pool.Name, a.outcome.String())
 	if a.outcome == health.Broken && a.sent {
 		f.Fleet.RecordBrokenConnection(now, s.Request, target)
+		if !a.underWay() {
+			f.applyPartEffects(s.ID, f.Fleet.RecordBreak(now, s.Request, target))
+		}
 	}
 	if err == nil {
 		f.Fleet.ClearSuspect(s.Request)
+		if !a.underWay() {
+			f.applyPartEffects(s.ID, f.Fleet.RecordAnswer(now, s.Request))
+		}
 	}
 	a.log(now.Sub(started), ejected, err)
 	return a.sent, err
--- a/router/wire/fleet.go
+++ b/router/wire/fleet.go
@@ -6,6 +6,7 @@
 	"camphorpulley.org/base/record"
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/fleet"
+	"camphorpulley.org/core/poison"
 	"camphorpulley.org/core/prefix"
 )
 
@@ -21,6 +22,22 @@
 	Segment         *fleetSegment         `cbor:"5,keyasint,omitempty"`
 	Digest          *fleetDigest          `cbor:"6,keyasint,omitempty"`
 	FullUpstream    *fleetFullUpstream    `cbor:"7,keyasint,omitempty"`
+	PartEvidence    []fleetEvidence       `cbor:"8,keyasint,omitempty"`
+}
+
+type fleetEvidence struct {
+	Part       core.Digest   `cbor:"1,keyasint"`
+	Strikes    []fleetStrike `cbor:"2,keyasint,omitempty"`
+	Probes     int           `cbor:"3,keyasint,omitempty"`
+	ProbeAgeMS int64         `cbor:"4,keyasint,omitempty"`
+	UsedAgeMS  int64         `cbor:"5,keyasint,omitempty"`
+}
+
+type fleetStrike struct {
+	Process string      `cbor:"1,keyasint"`
+	Request core.Digest `cbor:"2,keyasint,omitempty"`
+	AgeMS   int64       `cbor:"3,keyasint,omitempty"`
+	Cleared bool        `cbor:"4,keyasint,omitempty"`
 }
 
 type fleetFullUpstream struct {
@@ -61,6 +78,7 @@
 	CachedParts        []fleetCachedPart `cbor:"5,keyasint,omitempty"`
 	Crashes            []fleetCrash      `cbor:"6,keyasint,omitempty"`
 	Results            []fleetResults    `cbor:"8,keyasint,omitempty"`
+	Parts              []fleetEvidence   `cbor:"9,keyasint,omitempty"`
 }
 
 type fleetResults struct {
@@ -126,6 +144,9 @@
 	if b := m.Heartbeat; b != nil {
 		w.Heartbeat = encodeFleetHeartbeat(*b)
 	}
+	if p := m.PartEvidence; p != nil {
+		w.PartEvidence = encodeEvidence(p.Parts)
+	}
 	if s := m.Snapshot; s != nil {
 		w.Snapshot = &fleetSnapshot{Catalog: s.Catalog, Entries: encodeEntries(s.Entries), CachedParts: encodeCachedParts(s.CachedParts)}
 	}
@@ -152,6 +173,7 @@
 		CachedParts: encodeCachedParts(b.CachedParts),
 		Crashes:     lo.Map(b.Crashes, func(c fleet.Crash, _ int) fleetCrash { return fleetCrash(c) }),
 		Results:     lo.Map(b.Results, func(r fleet.ResultCount, _ int) fleetResults { return fleetResults(r) }),
+		Parts:       encodeEvidence(b.Parts),
 	}
 }
 
@@ -163,6 +185,7 @@
 		CachedParts: decodeCachedParts(b.CachedParts),
 		Crashes:     lo.Map(b.Crashes, func(c fleetCrash, _ int) fleet.Crash { return fleet.Crash(c) }),
 		Results:     lo.Map(b.Results, func(r fleetResults, _ int) fleet.ResultCount { return fleet.ResultCount(r) }),
+		Parts:       decodeEvidence(b.Parts),
 	}
 }
 
@@ -177,6 +200,9 @@
 	if b := w.Heartbeat; b != nil {
 		m.Heartbeat = decodeFleetHeartbeat(*b)
 	}
+	if len(w.PartEvidence) > 0 {
+		m.PartEvidence = &fleet.PartEvidence{Parts: decodeEvidence(w.PartEvidence)}
+	}
 	if s := w.Snapshot; s != nil {
 		m.Snapshot = &fleet.Snapshot{Catalog: s.Catalog, Entries: decodeEntries(s.Entries), CachedParts: decodeCachedParts(s.CachedParts)}
 	}
@@ -195,6 +221,24 @@
 	return m, nil
 }
 
+func encodeEvidence(all []poison.Evidence) []fleetEvidence {
+	return lo.Map(all, func(e poison.Evidence, _ int) fleetEvidence {
+		return fleetEvidence{
+			Part: e.Part, Probes: e.Probes, ProbeAgeMS: e.ProbeAgeMS, UsedAgeMS: e.UsedAgeMS,
+			Strikes: lo.Map(e.Strikes, func(s poison.Strike, _ int) fleetStrike { return fleetStrike(s) }),
+		}
+	})
+}
+
+func decodeEvidence(all []fleetEvidence) []poison.Evidence {
+	return lo.Map(all, func(e fleetEvidence, _ int) poison.Evidence {
+		return poison.Evidence{
+			Part: e.Part, Probes: e.Probes, ProbeAgeMS: e.ProbeAgeMS, UsedAgeMS: e.UsedAgeMS,
+			Strikes: lo.Map(e.Strikes, func(s fleetStrike, _ int) poison.Strike { return poison.Strike(s) }),
+		}
+	})
+}
+
 // encodeRecords leaves out the parsed entries: the receiver parses them from Source.
 func encodeRecords(all []fleet.Record) []fleetRecord {
 	return lo.Map(all, func(r fleet.Record, _ int) fleetRecord {
--- a/router/wire/fleet_test.go
+++ b/router/wire/fleet_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"camphorpulley.org/core/fleet"
+	"camphorpulley.org/core/poison"
 	"camphorpulley.org/core/prefix"
 )
 
@@ -17,14 +18,16 @@
 		CachedParts: []prefix.CachedPart{{Upstream: "u", Part: prefix.Part{ID: 9, Tokens: 10}, FromInventory: true}},
 		Crashes:     []fleet.Crash{{Content: 5, Process: "u/1"}},
 		Results:     []fleet.ResultCount{{Upstream: "u", Successes: 3, Failures: 1}},
+		Parts:       partEvidence,
 	}},
+	{PartEvidence: &fleet.PartEvidence{Parts: partEvidence}},
 	{Segment: &fleet.FeedSegment{From: 5, Next: 9, AgeMS: 12, Records: []fleet.Record{
 		{Offset: 5, Upstream: "u", Source: []byte("{}")}, {Offset: 7, Upstream: "v"},
 	}}},
 	{Digest: &fleet.Digest{
 		Heartbeat: fleet.Heartbeat{
 			Version: 3, UpstreamsInService: 2, Running: []fleet.Running{{Upstream: "u", Count: 4}}, Ejections: []fleet.Ejection{},
-			CachedParts: []prefix.CachedPart{}, Crashes: []fleet.Crash{}, Results: []fleet.ResultCount{},
+			CachedParts: []prefix.CachedPart{}, Crashes: []fleet.Crash{}, Results: []fleet.ResultCount{}, Parts: []poison.Evidence{},
 		},
 		Sources: []fleet.Source{{DataCentre: "b", Relay: "r2", AgeMS: 3}},
 		Members: []fleet.SeenMember{{Member: fleet.Member{ID: "r2", Address: "10.0.0.2:7340", DataCentre: "b", Incarnation: 8}, AgeMS: 4}},
@@ -37,6 +40,11 @@
 	}},
 }
 
+var partEvidence = []poison.Evidence{{
+	Part: 9, Probes: 1, ProbeAgeMS: 30, UsedAgeMS: 20,
+	Strikes: []poison.Strike{{Process: "u/1", Request: 4, AgeMS: 50}, {Process: "v/1", Request: 5, AgeMS: 60, Cleared: true}},
+}}
+
 // TestFleetMessages checks that each message is equal after encoding and decoding.
 func TestFleetMessages(t *testing.T) {
 	for _, want := range fleetMessages {
