End a long poll without a response within the recovery time

What callers saw: on the grown deployments requests were refused as an older configuration says, more than config_apply_ms after a newer one was acknowledged.

Cause: in fleets of more than eight routers a read of the operators' records waited 4 s and failed after 4.6 s without a response, which is longer than the time (4 s) after which routers must be up to date again. A change wakes the reads of all routers within 10 ms; if the store falls silent just then it loses all of the next ones, and no router is left that could tell the others.

--- a/router/cluster/feed_reader.go
+++ b/router/cluster/feed_reader.go
@@ -14,15 +14,13 @@
 )
 
 const (
-	// longPollWait is how long a read of the operators' feed waits for a new record.
-	// It is short enough that a connection that no longer responds is detected, by
-	// the call's timeout, within the 3 s in which a router must be up to date again.
-	longPollWait = 2 * time.Second
-	// longPollWaitLargeFleet replaces longPollWait once largeFleetRouters other
-	// routers are known: the first router to read a configuration sends it to the
-	// others.
-	longPollWaitLargeFleet = 4 * time.Second
-	largeFleetRouters      = 8
+	// minLongPollWait and maxLongPollWait bound how long a read of the operators' feed
+	// waits for a new record.
+	minLongPollWait = 200 * time.Millisecond
+	maxLongPollWait = 4 * time.Second
+	// retryReserve is the time that is left for the read after a long poll without a
+	// response.
+	retryReserve = 300 * time.Millisecond
 	// initialBackoff and maxBackoff bound the time between retries while the store
 	// is unavailable. initialBackoff is a few round trips; maxBackoff is less than
 	// the 1 s in which a router must be up to date again.
@@ -37,8 +35,8 @@
 	store Store
 	fleet *fleet.Fleet
 	log   *zap.Logger
-	// pollWait returns how long the store may hold a read until a record arrives.
-	pollWait func(now time.Time) time.Duration
+	// pollWait is how long the store may hold a read until a record arrives.
+	pollWait time.Duration
 
 	// next is the offset of the next record to read.
 	next uint64
@@ -83,7 +81,7 @@
 		f.next, f.synced = page.Next, true
 		return nil
 	}
-	wait := f.pollWait(time.Now())
+	wait := f.pollWait
 	if f.failedCalls > 0 {
 		// The first read after a failure must not wait for a new record, so that
 		// the recovery of the store is seen at once.
@@ -164,16 +162,12 @@
 	f.log.Info("datacentre_changed", zap.String("datacentre", string(dc)), zap.String("service", state))
 }
 
-// noWait is the pollWait of a reader that doesn't wait for new records, such as that
-// of the routers' feed, which is only read whole.
-func noWait(time.Time) time.Duration { return 0 }
-
-// waitByFleetSize returns a pollWait that is longer in large fleets.
-func waitByFleetSize(f *fleet.Fleet) func(time.Time) time.Duration {
-	return func(now time.Time) time.Duration {
-		if len(f.Members(now)) >= largeFleetRouters {
-			return longPollWaitLargeFleet
-		}
-		return longPollWait
-	}
+// longPollWait returns how long a read of the operators' feed may wait. A read that the
+// store lost during an outage gets no response, and may have been sent at the end of it
+// by all routers at once, so that none can tell the others of a new record. It must
+// fail, and the next one end, within the recovery time, by which routers are up to date
+// again.
+func longPollWait(recovery time.Duration) time.Duration {
+	wait := recovery - PollMargin - initialBackoff - retryReserve
+	return min(max(wait, minLongPollWait), maxLongPollWait)
 }
--- a/router/cluster/feed_reader_test.go
+++ b/router/cluster/feed_reader_test.go
@@ -47,15 +47,16 @@
 		{}, {Err: errors.New("read timed out")}, {Err: errors.New("read timed out")},
 		{Events: []Event{{Catalog: &catalog.Catalog{Version: 7}}}}, {},
 	}}
+	const pollWait = 2 * time.Second
 	tables := fleet.New(time.Now(), fleet.Settings{ID: "r1"})
 	r := &feedReader{
 		feed: OperatorFeed, store: store, fleet: tables, log: zap.NewNop(),
-		pollWait: waitByFleetSize(tables),
+		pollWait: pollWait,
 	}
 	for range 1 + len(store.reads) {
 		r.step(t.Context())
 	}
-	want := []time.Duration{longPollWait, longPollWait, 0, 0, longPollWait}
+	want := []time.Duration{pollWait, pollWait, 0, 0, pollWait}
 	for i, got := range store.waits {
 		if got != want[i] {
 			t.Errorf("wait of read %d: got %s, want %s", i, got, want[i])
@@ -65,3 +66,18 @@
 		t.Errorf("catalog after the recovery of the store: got %v, want version 7", got)
 	}
 }
+
+// TestPollEndsWithinRecovery guards against changes that are in force too late (CONFIG): a
+// long poll that the store lost at the end of an outage kept every router of a large fleet
+// from new configurations for longer than the time after which it must be up to date.
+func TestPollEndsWithinRecovery(t *testing.T) {
+	for _, recovery := range []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second, 5 * time.Second, 8 * time.Second} {
+		wait := longPollWait(recovery)
+		if got := wait + PollMargin + initialBackoff; got >= recovery {
+			t.Errorf("recovery time %s: got %s until the read after a lost one, want less", recovery, got)
+		}
+		if wait <= 0 {
+			t.Errorf("recovery time %s: got a wait of %s, want a positive one", recovery, wait)
+		}
+	}
+}
--- a/router/cluster/router.go
+++ b/router/cluster/router.go
@@ -203,7 +203,7 @@
 // upstreams' records in the store to the router's tables.
 func (r *Router) startFeedReaders(ctx context.Context) {
 	operators := &feedReader{
-		feed: OperatorFeed, store: r.adapter.Store, fleet: r.fleet, log: r.log, pollWait: waitByFleetSize(r.fleet),
+		feed: OperatorFeed, store: r.adapter.Store, fleet: r.fleet, log: r.log, pollWait: longPollWait(r.settings.Bounds.recovery()),
 	}
 	upstreams := &entryReader{
 		store: r.adapter.Store, fleet: r.fleet, log: r.log,
@@ -244,7 +244,7 @@
 func (r *Router) registrationStep(self fleet.Member) func(context.Context) {
 	registered := false
 	peers := &feedReader{
-		feed: RouterFeed, store: r.adapter.Store, fleet: r.fleet, log: r.log, pollWait: noWait,
+		feed: RouterFeed, store: r.adapter.Store, fleet: r.fleet, log: r.log,
 	}
 	return func(ctx context.Context) {
 		if !registered {
--- a/router/cluster/settings.go
+++ b/router/cluster/settings.go
@@ -57,10 +57,24 @@
 	// EvacuationMS is how long, in milliseconds, a data centre may still get work
 	// after it was taken out of service.
 	EvacuationMS int `ini:"evacuate" validate:"min=0"`
+	// RecoveryMS is how long, in milliseconds, after the end of a disturbance a router
+	// may take to be up to date again; zero stands for defaultRecovery.
+	RecoveryMS int `ini:"recover" validate:"min=0"`
 	// GraceSeconds is how long a router may take to shut down.
 	GraceSeconds float64 `ini:"grace" validate:"gt=0"`
 }
 
+// defaultRecovery applies to settings without a recovery time.
+const defaultRecovery = 3 * time.Second
+
+// recovery returns how long a router may take to be up to date again.
+func (b BoundsSection) recovery() time.Duration {
+	if b.RecoveryMS == 0 {
+		return defaultRecovery
+	}
+	return time.Duration(b.RecoveryMS) * time.Millisecond
+}
+
 // LogSection holds the settings of the log.
 type LogSection struct {
 	Level string `ini:"level" validate:"omitempty,oneof=debug info warn error"`
--- a/router/cluster/store.go
+++ b/router/cluster/store.go
@@ -69,14 +69,18 @@
 	return fmt.Sprintf("records of %s from offset %d on were dropped before this router received them", e.Feed, e.From)
 }
 
+// PollMargin is how much longer than its wait a call of Store.Since may take.
+const PollMargin = 600 * time.Millisecond
+
 // Store is the client of the service that holds the feeds.
 type Store interface {
 	// Newest returns the newest record of each key. Page.Next is the offset from
 	// which Since continues.
 	Newest(ctx context.Context, f Feed) (Page, error)
 	// Since returns the records from an offset on. If there are none it waits for
-	// the first, at most for wait. The error is a *GapError if the store no longer
-	// has the records.
+	// the first, at most for wait. A call that waits and gets no response fails by
+	// PollMargin after that. The error is a *GapError if the store no longer has the
+	// records.
 	Since(ctx context.Context, f Feed, from uint64, wait time.Duration) (Page, error)
 	// Register writes the record of a router; Deregister removes it.
 	Register(ctx context.Context, m fleet.Member) error
