Don't use entries of an earlier outage during a later one

Cause: an entry that expired during an outage of the store is used until two seconds after it, since its upstream may be alive. That it expired in an outage was kept, but not in which: in each later outage within a minute the upstream got requests again.

Change: outages are counted, and an entry is kept usable only for its own one.

--- a/core/roster/entry.go
+++ b/core/roster/entry.go
@@ -40,9 +40,10 @@
 	ColdUntil time.Time
 	// RemovedAt is when the entry was removed; zero if it was not.
 	RemovedAt time.Time
-	// RemovedInOutage is true if the entry disappeared while the store was
-	// unavailable or within RecoveryGrace after that, without draining first.
-	RemovedInOutage bool
+	// RemovedInOutage is the number of the store's outage during which, or within
+	// RecoveryGrace after which, the entry disappeared without draining first; zero if it
+	// did not.
+	RemovedInOutage int
 	// UnconfirmedSince is when another router sent the entry; zero once it was
 	// read from the store.
 	UnconfirmedSince time.Time
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -21,6 +21,9 @@
 	list []Upstream
 	// unavailable is true while the store doesn't answer.
 	unavailable bool
+	// outages is the number of the store's outages. One that begins within RecoveryGrace
+	// after another continues it.
+	outages int
 	// recoveredAt is when the store last answered again; zero before the first outage
 	// has ended.
 	recoveredAt time.Time
@@ -93,7 +96,9 @@
 		return Change{}, false
 	}
 	u.RemovedAt = now
-	u.RemovedInOutage = !u.Draining && r.storeUnreliable(now)
+	if !u.Draining && r.storeUnreliable(now) {
+		u.RemovedInOutage = r.outages
+	}
 	r.store(u)
 	return Change{ID: id, Kind: "removed"}, true
 }
@@ -122,8 +127,11 @@
 
 // SetStoreAvailable notes whether the store answers.
 func (r *Roster) SetStoreAvailable(now time.Time, answers bool) {
-	if answers && r.unavailable {
+	switch {
+	case answers && r.unavailable:
 		r.recoveredAt = now
+	case !answers && !r.storeUnreliable(now):
+		r.outages++
 	}
 	r.unavailable = !answers
 }
@@ -168,7 +176,8 @@
 	if u.Draining || !r.InService(u.DataCentre) {
 		return false
 	}
-	return u.RemovedAt.IsZero() || (u.RemovedInOutage && r.storeUnreliable(now))
+	// An entry that was lost in an earlier outage and didn't return after it is gone.
+	return u.RemovedAt.IsZero() || (u.RemovedInOutage > 0 && u.RemovedInOutage == r.outages && r.storeUnreliable(now))
 }
 
 // Get returns the upstream with the given id, if it is known.
