Count the delay of segments of the feed towards their age

Cause: routers read the upstreams' entries themselves when their view is too old. A segment from another router stated its age when it was sent, and what it then waited, on a link or at a relay, wasn't counted: the view looked newer than it was.

Change: messages state the time since the sender's start. The difference from the receiver's own is constant but for delays, so that no clocks are compared, and what exceeds the smallest one of the last 30 to 60 s counts as delay, also when the segment is passed on.

--- a/core/fleet/members.go
+++ b/core/fleet/members.go
@@ -30,6 +30,8 @@
 	lastSeen time.Time
 	// score is the rendezvous score for relayKey.
 	score uint64
+	// transit holds what is known of the delays of its messages.
+	transit transit
 }
 
 // members is the table of the other routers.
@@ -69,7 +71,10 @@
 	if refreshedAt.Before(old.refreshedAt) {
 		refreshedAt = old.refreshedAt
 	}
-	t.byID[m.ID] = member{Member: m, refreshedAt: refreshedAt, snapshotRequested: old.snapshotRequested, lastSeen: lastSeen, score: old.score}
+	if old.Incarnation != m.Incarnation {
+		old.transit = transit{}
+	}
+	t.byID[m.ID] = member{Member: m, refreshedAt: refreshedAt, snapshotRequested: old.snapshotRequested, lastSeen: lastSeen, score: old.score, transit: old.transit}
 }
 
 // markMemberSeen records that a message from a router has arrived.
--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -12,8 +12,11 @@
 	"camphorpulley.org/core/table"
 )
 
-// Message is a message between routers. Exactly one field is not nil.
+// Message is a message between routers. Exactly one of the pointers is not nil.
 type Message struct {
+	// SentMS is the time from the sender's start until it sent the message in
+	// milliseconds; zero if it isn't stated.
+	SentMS          int64
 	Handshake       *Member
 	Heartbeat       *Heartbeat
 	SnapshotRequest *SnapshotRequest
@@ -89,6 +92,7 @@
 // Receive applies a message from another router and returns its effects.
 func (f *Fleet) Receive(now time.Time, from Member, m Message) Effects {
 	f.markMemberSeen(now, from)
+	delayMS := f.recordTransit(now, from, m.SentMS)
 	switch {
 	case m.Heartbeat != nil:
 		return f.applyHeartbeat(now, from, *m.Heartbeat)
@@ -97,8 +101,10 @@
 	case m.Snapshot != nil:
 		return f.applySnapshot(now, *m.Snapshot)
 	case m.Segment != nil:
-		e := f.applyPeerSegment(now, *m.Segment)
-		e.Forward = f.passOn(now, from, m)
+		segment := *m.Segment
+		segment.AgeMS += delayMS
+		e := f.applyPeerSegment(now, segment)
+		e.Forward = f.passOn(now, from, Message{Segment: &segment})
 		return e
 	case m.FullUpstream != nil:
 		f.applyFullUpstream(now, *m.FullUpstream)
--- a/core/fleet/outgoing.go
+++ b/core/fleet/outgoing.go
@@ -42,19 +42,20 @@
 			*d = digests{}
 		}
 	})
-	all := addressed(neighbours, Message{Heartbeat: &heartbeat})
+	all := f.addressed(now, neighbours, Message{Heartbeat: &heartbeat})
 	if relay {
 		own := f.digestToOthers(now)
-		all = append(all, addressed(f.contacts(now), Message{Digest: &own})...)
+		all = append(all, f.addressed(now, f.contacts(now), Message{Digest: &own})...)
 		if others, ok := f.digestToLocal(now); ok {
-			all = append(all, addressed(neighbours, Message{Digest: &others})...)
+			all = append(all, f.addressed(now, neighbours, Message{Digest: &others})...)
 		}
 	}
 	return all, heartbeatInterval(len(neighbours))
 }
 
-// addressed returns a message to each of the routers.
-func addressed(to []core.RouterID, m Message) []Envelope {
+// addressed returns a message to each of the routers, stamped with the time.
+func (f *Fleet) addressed(now time.Time, to []core.RouterID, m Message) []Envelope {
+	m.SentMS = f.uptimeMS(now)
 	all := make([]Envelope, 0, len(to))
 	for _, id := range to {
 		all = append(all, Envelope{To: id, Message: m})
@@ -68,11 +69,11 @@
 	if from.DataCentre == f.settings.DataCentre {
 		return nil
 	}
-	return addressed(f.neighbours(now), m)
+	return f.addressed(now, f.neighbours(now), m)
 }
 
 // Spread returns a message that is to reach all other routers: to those of the data
 // centre, and to one in each other data centre, which passes it on.
 func (f *Fleet) Spread(now time.Time, m Message) []Envelope {
-	return append(addressed(f.neighbours(now), m), addressed(f.contacts(now), m)...)
+	return append(f.addressed(now, f.neighbours(now), m), f.addressed(now, f.contacts(now), m)...)
 }
--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -36,6 +36,9 @@
 	regions      map[core.DataCentre]string
 	// disconnected holds pairs of routers, the sender first, whose messages are lost.
 	disconnected map[[2]string]bool
+	// delayed holds pairs of routers, the sender first, whose messages wait in held.
+	delayed map[[2]string]bool
+	held    []heldMessage
 	// frozen holds the routers that neither send nor receive.
 	frozen map[string]bool
 	// crossings counts the messages between data centres.
@@ -44,6 +47,12 @@
 	slack     float64
 }
 
+// heldMessage is a message that is delivered late.
+type heldMessage struct {
+	from, to string
+	message  fleet.Message
+}
+
 // sentRequest is a request of a script.
 type sentRequest struct {
 	router  *fleet.Fleet
@@ -66,7 +75,7 @@
 			env.Values[simulationKey{}] = &simulation{
 				now: start, routers: map[string]*fleet.Fleet{}, entries: map[core.UpstreamID]roster.Entry{},
 				pendingReads: map[string]uint64{}, regions: map[core.DataCentre]string{},
-				disconnected: map[[2]string]bool{}, frozen: map[string]bool{}, requests: map[string]*sentRequest{}, slack: 56,
+				disconnected: map[[2]string]bool{}, delayed: map[[2]string]bool{}, frozen: map[string]bool{}, requests: map[string]*sentRequest{}, slack: 56,
 				catalog: catalog.Catalog{Pools: map[core.Pool]catalog.Pool{}},
 			}
 			return nil
@@ -93,6 +102,8 @@
 		"heartbeats":           cmdHeartbeats,
 		"disconnect":           cmdDisconnect,
 		"reconnect":            cmdReconnect,
+		"delay":                cmdDelay,
+		"deliver":              cmdDeliver,
 		"advance":              cmdAdvance,
 		"send":                 cmdSend,
 		"retry":                cmdRetry,
@@ -383,6 +394,21 @@
 // reconnect: no messages are lost.
 func cmdReconnect(_ *testscript.TestScript, sim *simulation, _ []string) { clear(sim.disconnected) }
 
+// delay FROM TO: messages from one router to another wait.
+func cmdDelay(_ *testscript.TestScript, sim *simulation, a []string) {
+	sim.delayed[[2]string{a[0], a[1]}] = true
+}
+
+// deliver: delivers the messages that wait, and delays no more.
+func cmdDeliver(_ *testscript.TestScript, sim *simulation, _ []string) {
+	clear(sim.delayed)
+	held := sim.held
+	sim.held = nil
+	for _, h := range held {
+		sim.deliver(h.from, h.to, h.message)
+	}
+}
+
 // heartbeats [ROUNDS]: the routers, or all but the frozen ones, send their periodic
 // messages, and reply. It takes heartbeatRounds rounds, or one, until each router knows
 // what any other one does.
@@ -433,6 +459,10 @@
 	if sim.disconnected[[2]string{from, to}] || sim.frozen[from] || sim.frozen[to] || sim.routers[to] == nil {
 		return
 	}
+	if sim.delayed[[2]string{from, to}] {
+		sim.held = append(sim.held, heldMessage{from, to, m})
+		return
+	}
 	if sim.routers[from].Settings().DataCentre != sim.routers[to].Settings().DataCentre {
 		sim.crossings++
 	}
--- /dev/null
+++ b/core/fleet/transit.go
@@ -0,0 +1,63 @@
+package fleet
+
+import (
+	"time"
+
+	"camphorpulley.org/core/table"
+)
+
+// The clocks of two routers can't be compared, but the difference between the time since
+// the sender's start at which a message was sent and the time at which it was received
+// is the same for all messages between them, except for their delays. What exceeds the
+// smallest recent difference is how much longer a message took than the quickest one.
+
+// transitWindow is the time for which a difference is kept at least: clocks drift apart.
+// It is also the longest delay that is reported.
+const transitWindow = 30 * time.Second
+
+// transit holds the smallest differences between the times at which the messages of one
+// process of a router were received and sent, in milliseconds. The zero value has none.
+type transit struct {
+	current, previous int64
+	// hasCurrent and hasPrevious report whether there is a difference of the current
+	// window, which began at startedAt, and of the one before.
+	hasCurrent, hasPrevious bool
+	startedAt               time.Time
+}
+
+// record adds a difference and returns by how much it exceeds the smallest one.
+func (t *transit) record(now time.Time, difference int64) int64 {
+	if age := now.Sub(t.startedAt); age >= transitWindow {
+		t.previous, t.hasPrevious = t.current, t.hasCurrent && age < 2*transitWindow
+		t.hasCurrent, t.startedAt = false, now
+	}
+	if !t.hasCurrent || difference < t.current {
+		t.current, t.hasCurrent = difference, true
+	}
+	smallest := t.current
+	if t.hasPrevious {
+		smallest = min(smallest, t.previous)
+	}
+	return min(difference-smallest, transitWindow.Milliseconds())
+}
+
+// uptimeMS returns the time since the router's start in milliseconds, at least one.
+func (f *Fleet) uptimeMS(now time.Time) int64 { return max(now.Sub(f.started).Milliseconds(), 1) }
+
+// recordTransit records a message that another router sent at a time since its start. It
+// returns how much longer the message took than the quickest recent one, in
+// milliseconds; zero if the message doesn't state when it was sent.
+func (f *Fleet) recordTransit(now time.Time, from Member, sentMS int64) int64 {
+	if sentMS <= 0 {
+		return 0
+	}
+	return table.Read(f.members, table.Hold{}, func(t *members) int64 {
+		m, ok := t.byID[from.ID]
+		if !ok {
+			return 0
+		}
+		delay := m.transit.record(now, f.uptimeMS(now)-sentMS)
+		t.byID[from.ID] = m
+		return delay
+	})
+}
--- a/router/wire/fleet.go
+++ b/router/wire/fleet.go
@@ -23,6 +23,7 @@
 	Digest          *fleetDigest          `cbor:"6,keyasint,omitempty"`
 	FullUpstream    *fleetFullUpstream    `cbor:"7,keyasint,omitempty"`
 	PartEvidence    []fleetEvidence       `cbor:"8,keyasint,omitempty"`
+	SentMS          int64                 `cbor:"9,keyasint,omitempty"`
 }
 
 type fleetEvidence struct {
@@ -140,7 +141,7 @@
 
 // EncodeFleetMessage encodes a message of package fleet.
 func EncodeFleetMessage(m fleet.Message) ([]byte, error) {
-	w := fleetMessage{Handshake: (*fleetMember)(m.Handshake), SnapshotRequest: (*fleetSnapshotRequest)(m.SnapshotRequest), FullUpstream: (*fleetFullUpstream)(m.FullUpstream)}
+	w := fleetMessage{SentMS: m.SentMS, Handshake: (*fleetMember)(m.Handshake), SnapshotRequest: (*fleetSnapshotRequest)(m.SnapshotRequest), FullUpstream: (*fleetFullUpstream)(m.FullUpstream)}
 	if b := m.Heartbeat; b != nil {
 		w.Heartbeat = encodeFleetHeartbeat(*b)
 	}
@@ -196,7 +197,7 @@
 	if err != nil {
 		return fleet.Message{}, err
 	}
-	m := fleet.Message{Handshake: (*fleet.Member)(w.Handshake), SnapshotRequest: (*fleet.SnapshotRequest)(w.SnapshotRequest), FullUpstream: (*fleet.FullUpstream)(w.FullUpstream)}
+	m := fleet.Message{SentMS: w.SentMS, Handshake: (*fleet.Member)(w.Handshake), SnapshotRequest: (*fleet.SnapshotRequest)(w.SnapshotRequest), FullUpstream: (*fleet.FullUpstream)(w.FullUpstream)}
 	if b := w.Heartbeat; b != nil {
 		m.Heartbeat = decodeFleetHeartbeat(*b)
 	}
--- a/router/wire/fleet_test.go
+++ b/router/wire/fleet_test.go
@@ -32,7 +32,7 @@
 		Sources: []fleet.Source{{DataCentre: "b", Relay: "r2", AgeMS: 3}},
 		Members: []fleet.SeenMember{{Member: fleet.Member{ID: "r2", Address: "10.0.0.2:7340", DataCentre: "b", Incarnation: 8}, AgeMS: 4}},
 	}},
-	{FullUpstream: &fleet.FullUpstream{Upstream: "u", Load: 17}},
+	{SentMS: 12, FullUpstream: &fleet.FullUpstream{Upstream: "u", Load: 17}},
 	{SnapshotRequest: &fleet.SnapshotRequest{Version: 2, WithCachedParts: true}},
 	{Snapshot: &fleet.Snapshot{
 		Catalog: []byte("c"), Entries: []fleet.EntryCopy{{Upstream: "u", Source: []byte("{}")}},
