Don't take comments, rejections and empty streams for answers

What callers could see: an engine that ends right after the header of a stream that has neither a length nor chunks gave them an empty stream that looked complete.

Cause: a stream whose connection ends between two events counts as complete, also before the first one. Such a stream, comments, and a rejection by an engine also counted as an answer on the parts of the prompt, which clears strikes against a deadly part.

Evidence: the script deadly-part-rejected got status 200 for a stream without an event; found while reading the change.

Change: a stream that ends with its connection before its first event has been broken off; only events that aren't empty, and complete successes, count as answers.

--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -27,7 +27,7 @@
 	// status and headers are those of the response; zero if there was none.
 	status  int
 	headers ResponseHeaders
-	// events is the number of events of a stream that have arrived.
+	// events is the number of events of a stream that have arrived, without empty ones.
 	events int
 	// outcome is what the fleet is told of the attempt.
 	outcome health.Outcome
@@ -226,6 +226,16 @@
 // upstream of a stream is alive.
 const aliveInterval = 50 * time.Millisecond
 
+// errNoEvents means that a stream that ends with its connection has ended before its
+// first event: the upstream may have ended.
+var errNoEvents = errors.New("the stream ended before its first event")
+
+// endsWithConnection reports whether the body of a response has neither a length nor
+// chunks.
+func endsWithConnection(resp *httpclient.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // errMissingEvents means that events of a stream were lost.
 var errMissingEvents = errors.New("events of the stream are missing")
 
@@ -242,14 +252,19 @@
 	for {
 		e, err := events.next()
 		if errors.Is(err, io.EOF) {
-			break
+			if a.events > 0 || !endsWithConnection(resp) {
+				break
+			}
+			err = errNoEvents
 		}
 		if now := time.Now(); err == nil && now.Sub(lastAlive) > aliveInterval {
 			lastAlive = now
 			a.forwarder.Fleet.MarkSeen(now, a.target)
 		}
 		if err == nil {
-			a.recordEvent()
+			if !e.empty {
+				a.recordEvent()
+			}
 			err = a.forwardEvent(resp, e)
 		}
 		if err != nil {
@@ -275,8 +290,8 @@
 // engine sends that crashes as it begins to write.
 func (a *attempt) underWay() bool { return a.events >= minEventsUnderWay }
 
-// recordEvent counts an event. The first one shows that the engine has the prompt in its
-// cache.
+// recordEvent counts an event that isn't empty. The first one shows that the engine has
+// the prompt in its cache.
 func (a *attempt) recordEvent() {
 	a.events++
 	switch a.events {
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -187,7 +187,7 @@
 	}
 	if err == nil {
 		f.Fleet.ClearSuspect(s.Request)
-		if !a.underWay() {
+		if !a.underWay() && a.status < http.StatusMultipleChoices {
 			f.applyPartEffects(s.ID, f.Fleet.RecordAnswer(now, s.Request))
 		}
 	}
