--- /dev/null
+++ b/router/relay/stream.go
@@ -0,0 +1,129 @@
+package relay
+
+import (
+	"io"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"camphorpulley.org/core/answer"
+	"camphorpulley.org/core/health"
+	"camphorpulley.org/router/httpclient"
+)
+
+// aliveInterval is the shortest time between two reports to the fleet that the
+// upstream of a stream is alive.
+const aliveInterval = 50 * time.Millisecond
+
+// errNoEvents means that a stream that ends with its connection has ended before its
+// first event: the upstream may have ended.
+var errNoEvents = errors.New("the stream ended before its first event")
+
+// endsWithConnection reports whether the body of a response has neither a length nor
+// chunks.
+func endsWithConnection(resp *httpclient.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
+// errMissingEvents means that events of a stream were lost.
+var errMissingEvents = errors.New("events of the stream are missing")
+
+// forwardStream passes on the events of a stream as they arrive.
+func (a *attempt) forwardStream(resp *httpclient.Response) error {
+	if a.headers.Encoded || !a.headers.Signed {
+		resp.Abort()
+		a.outcome = health.Failed
+		a.exchange.SetPhase(a.id, answer.Failed)
+		return errNotOriginal
+	}
+	events := newEventReader(resp)
+	var lastAlive time.Time
+	for {
+		e, err := events.next()
+		if errors.Is(err, io.EOF) {
+			if a.events > 0 || !endsWithConnection(resp) {
+				break
+			}
+			err = errNoEvents
+		}
+		if now := time.Now(); err == nil && now.Sub(lastAlive) > aliveInterval {
+			lastAlive = now
+			a.forwarder.Fleet.MarkSeen(now, a.target)
+		}
+		if err == nil {
+			if !e.empty {
+				a.recordEvent()
+			}
+			err = a.forwardEvent(resp, e)
+		}
+		if err != nil {
+			resp.Abort()
+			a.outcome = a.markFailed(err)
+			return err
+		}
+	}
+	if !a.streamStarted {
+		a.sendHeader(resp)
+	}
+	a.exchange.SetPhase(a.id, answer.Completed)
+	a.outcome = health.Good
+	resp.Release(time.Now(), a.forwarder.Conns)
+	return nil
+}
+
+// minEventsUnderWay is the number of events after which an answer is under way: an engine
+// that crashes as it begins to write may have sent one.
+const minEventsUnderWay = 2
+
+// underWay reports whether the answer is under way: more of it has arrived than an
+// engine sends that crashes as it begins to write.
+func (a *attempt) underWay() bool { return a.events >= minEventsUnderWay }
+
+// recordEvent counts an event that isn't empty. The first one shows that the engine has
+// the prompt in its cache.
+func (a *attempt) recordEvent() {
+	a.events++
+	switch a.events {
+	case 1:
+		a.forwarder.Fleet.RecordPrefill(time.Now(), a.Request, a.target)
+	case minEventsUnderWay:
+		a.forwarder.applyPartEffects(a.ID, a.forwarder.Fleet.RecordAnswer(time.Now(), a.Request))
+	}
+}
+
+// sendHeader sends the header of a stream to the caller. It reports the load
+// stated there to the fleet at once, rather than at the end of the stream.
+func (a *attempt) sendHeader(resp *httpclient.Response) {
+	a.streamStarted = true
+	a.writer.WriteHeader(resp.StatusCode, resp.Header, -1)
+	if a.headers.Load != nil {
+		if full := a.forwarder.Fleet.RecordLoad(time.Now(), a.target, *a.headers.Load); full != nil && a.forwarder.Notify != nil {
+			a.forwarder.Notify(*full)
+		}
+		a.headers.Load = nil
+	}
+}
+
+// forwardEvent passes on one event, unless the caller has received it before, and
+// extends the deadline for the next one. An empty event is no progress.
+func (a *attempt) forwardEvent(resp *httpclient.Response, e event) error {
+	if e.hasID {
+		switch a.sequence.Next(e.id) {
+		case answer.Drop:
+			return nil
+		case answer.Missing:
+			return errMissingEvents
+		case answer.Deliver:
+		}
+	}
+	if !a.streamStarted {
+		a.sendHeader(resp)
+	}
+	if err := a.writer.Write(e.raw); err != nil {
+		return &CallerWriteError{Cause: err}
+	}
+	if e.empty {
+		return nil
+	}
+	return resp.SetDeadline(a.NextEventDeadline(time.Now(), a.runs))
+}
