--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -11,6 +11,7 @@
 
 	"camphorpulley.org/core/fleet"
 	"camphorpulley.org/core/load"
+	"camphorpulley.org/core/statement"
 )
 
 // Call is an admitted request of a caller.
@@ -57,6 +58,8 @@
 	Encoded bool
 	// Load is the load that the upstream reports; nil if it reports none.
 	Load *load.Report
+	// Says is what the upstream says about itself.
+	Says statement.Answer
 }
 
 // HeaderCodec creates the headers of requests to upstreams and parses those of
