--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"syscall"
 	"time"
 
@@ -88,6 +89,34 @@
 	}
 }
 
+const (
+	// minLimitTime and maxLimitTime are the limits of the time for which a runner names a
+	// limit, maxLimitGap that of the time between the starts of two.
+	minLimitTime = 5 * time.Second
+	maxLimitTime = 9 * time.Second
+	maxLimitGap  = 3 * time.Second
+	// maxLimit is the highest limit in requests per second.
+	maxLimit = 8
+)
+
+// limitRunners lets random runners name limits for faultTime, and waits until none does.
+// It has random numbers of its own, so that the faults of a seed stay the same.
+func (s *soak) limitRunners(ctx context.Context, random *rand.Rand) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for deadline := time.Now().Add(s.faultTime); time.Now().Before(deadline) && ctx.Err() == nil; {
+		r, perSecond := s.pickRunner(random), float64(1+random.IntN(maxLimit))
+		duration := minLimitTime + time.Duration(random.Int64N(int64(maxLimitTime-minLimitTime)))
+		wg.Go(func() {
+			s.log.Info("limit_named", zap.String("part", r.ID), zap.Float64("limit", perSecond), zap.Duration("for", duration))
+			r.SetLimit(perSecond)
+			sleep(ctx, min(duration, time.Until(deadline.Add(settleTime/2))))
+			r.SetLimit(0)
+		})
+		sleep(ctx, time.Duration(random.Int64N(int64(maxLimitGap))))
+	}
+}
+
 // inject starts a fault, ends it after the duration, and records both in the
 // ledger.
 func (s *soak) inject(ctx context.Context, f fault, duration time.Duration, random *rand.Rand) {
--- a/lab/soak/ledger/ledger.go
+++ b/lab/soak/ledger/ledger.go
@@ -111,7 +111,9 @@
 	configs   []configuration
 	evacuated map[string]time.Time
 	// coldRuns holds the times of the last second's requests by cold runner.
-	coldRuns   map[string][]time.Time
+	coldRuns map[string][]time.Time
+	// limits holds the limits that runners name.
+	limits     map[string]*limit
 	violations []Violation
 	outcomes   map[string]int
 }
--- a/lab/soak/ledger/script_test.go
+++ b/lab/soak/ledger/script_test.go
@@ -33,7 +33,7 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"config": command(cmdConfig), "send": command(cmdSend), "run": command(cmdRun), "refuse": command(cmdRefuse),
 			"advance": command(cmdAdvance), "withdraw": command(cmdWithdraw), "evacuate": command(cmdEvacuate),
-			"begin-fault": command(cmdBeginFault), "end-fault": command(cmdEndFault), "violations": command(cmdViolations),
+			"begin-fault": command(cmdBeginFault), "end-fault": command(cmdEndFault), "violations": command(cmdViolations), "limit": command(cmdLimit), "arrive": command(cmdArrive), "told": command(cmdTold),
 		},
 	})
 }
@@ -126,3 +126,25 @@
 		ts.Fatalf("violations: got %v, want %v", violations, args)
 	}
 }
+
+// limit RUNNER PER-SECOND: the runner names a limit, or none if it is zero.
+func cmdLimit(ts *testscript.TestScript, s *scriptState, args []string) {
+	perSecond, err := strconv.ParseFloat(args[1], 64)
+	ts.Check(err)
+	s.ledger.SetLimit(s.now, args[0], perSecond)
+}
+
+// told ID RUNNER: the router of a request gets a response that names the runner's limit.
+func cmdTold(_ *testscript.TestScript, s *scriptState, args []string) {
+	s.ledger.RecordLimitTold(s.now, args[1], args[0])
+}
+
+// arrive ID RUNNER COUNT: a request reaches the runner some times, 100 ms apart.
+func cmdArrive(ts *testscript.TestScript, s *scriptState, args []string) {
+	count, err := strconv.Atoi(args[2])
+	ts.Check(err)
+	for range count {
+		s.now = s.now.Add(100 * time.Millisecond)
+		s.ledger.RecordArrival(s.now, args[1], args[0])
+	}
+}
--- a/lab/soak/runner/runner.go
+++ b/lab/soak/runner/runner.go
@@ -79,6 +79,9 @@
 
 	running atomic.Int64
 	mode    atomic.Int32
+	// limit is the limit that the runner names, in thousandths of a request per second;
+	// zero for none.
+	limit atomic.Int64
 	// mu guards the fields below.
 	mu          sync.Mutex
 	withdrawnAt time.Time
@@ -161,6 +164,13 @@
 // SetMode sets how the runner handles requests from now on.
 func (r *Runner) SetMode(m Mode) { r.mode.Store(int32(m)) }
 
+// SetLimit sets the limit in requests per second that the runner names in its responses;
+// zero for none.
+func (r *Runner) SetLimit(perSecond float64) {
+	r.ledger.SetLimit(time.Now(), r.ID, perSecond)
+	r.limit.Store(int64(perSecond * 1000))
+}
+
 // Drain writes the runner's entry as draining. The runner serves until Stop.
 func (r *Runner) Drain() {
 	r.mu.Lock()
@@ -224,6 +234,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if limit := r.limit.Load(); limit > 0 {
+		r.ledger.RecordArrival(time.Now(), r.ID, id)
+		w.Header().Set("Server-Limit", strconv.FormatFloat(float64(limit)/1000, 'f', -1, 64))
+		defer func() { r.ledger.RecordLimitTold(time.Now(), r.ID, id) }()
+	}
 	if r.running.Add(1) > int64(r.Slots) {
 		r.running.Add(-1)
 		w.Header().Set("Camphorpulley-Not-Executed", "1")
