Log when the store comes back from an older copy

The store states its era in each response; nothing read it, so that the log didn't show which history an offset belongs to. The readers now log store_restored. No decision uses it yet.

--- a/router/cluster/entry_reader.go
+++ b/router/cluster/entry_reader.go
@@ -29,6 +29,8 @@
 	// notifyPeers sends a segment, the records of a read, to the other routers.
 	notifyPeers func(fleet.FeedSegment)
 
+	// era is that of the store at the last read; zero if it states none.
+	era uint64
 	// failedReads counts the failed reads since the last successful one.
 	failedReads int
 }
@@ -76,6 +78,7 @@
 		if err != nil {
 			return err
 		}
+		e.recordEra(page.Era, page.Next)
 		e.logInvalid(page.Events)
 		found := lo.FilterMap(page.Events, func(ev Event, _ int) (roster.Entry, bool) {
 			return lo.FromPtr(ev.Entry), ev.Entry != nil
@@ -88,6 +91,7 @@
 	if err != nil {
 		return err
 	}
+	e.recordEra(page.Era, next)
 	e.logInvalid(page.Events)
 	changes, segment := e.fleet.ApplyRead(time.Now(), startedAt, fleet.FeedSegment{From: next, Next: page.Next, Records: toRecords(next, page.Events)})
 	logChanges(e.log, "", changes)
@@ -97,6 +101,15 @@
 	return nil
 }
 
+// recordEra records the era of the store, and logs a new one. Next is the offset of the
+// first record that was read.
+func (e *entryReader) recordEra(era, next uint64) {
+	if e.era != 0 && era != e.era {
+		e.log.Warn("store_restored", zap.String("feed", UpstreamFeed.String()), zap.Uint64("was", e.era), zap.Uint64("era", era), zap.Uint64("next", next))
+	}
+	e.era = era
+}
+
 // toRecords converts consecutive events of the upstreams' feed to fleet records.
 // From is the offset of the first.
 func toRecords(from uint64, events []Event) []fleet.Record {
--- a/router/cluster/feed_reader.go
+++ b/router/cluster/feed_reader.go
@@ -40,6 +40,8 @@
 
 	// next is the offset of the next record to read.
 	next uint64
+	// era is that of the store when next was read; zero if it states none.
+	era uint64
 	// synced is true once the whole feed was read, until there is a gap.
 	synced bool
 	// failedCalls counts the failed calls to the store, reads and registrations,
@@ -79,6 +81,7 @@
 		}
 		f.applySnapshot(time.Now(), page.Events)
 		f.next, f.synced = page.Next, true
+		f.recordEra(page.Era)
 		return nil
 	}
 	wait := f.pollWait
@@ -95,9 +98,18 @@
 		f.apply(time.Now(), e)
 	}
 	f.next = page.Next
+	f.recordEra(page.Era)
 	return nil
 }
 
+// recordEra records the era of the store, and logs a new one.
+func (f *feedReader) recordEra(era uint64) {
+	if f.era != 0 && era != f.era {
+		f.log.Warn("store_restored", zap.String("feed", f.feed.String()), zap.Uint64("was", f.era), zap.Uint64("era", era), zap.Uint64("next", f.next))
+	}
+	f.era = era
+}
+
 // recordFailure counts a failed call and logs the first one in a row.
 func (f *feedReader) recordFailure(err error) {
 	if f.failedCalls++; f.failedCalls == 1 {
--- a/router/cluster/store.go
+++ b/router/cluster/store.go
@@ -55,6 +55,9 @@
 	Events []Event
 	// Next is the offset from which to read on.
 	Next uint64
+	// Era is the number of the store's history: offsets of one era say nothing in another.
+	// Zero if the store states none.
+	Era uint64
 }
 
 // GapError reports that the store has dropped records that were not read yet.
