Read the store anew when it comes back from an older copy

Callers could be sent to an upstream that had said that it leaves (DRAIN), or be answered by an older configuration (CONFIG), until its next record.

Cause: a router reads on from its offset. If the new log has passed it, the store has no reason to refuse, and what stands before the offset is never read; and records that another router reads under lower offsets count as known. The class: a position without the history that it belongs to.

Change: each position has the era that the store states, and each segment that routers pass on. A batch of a new era makes a router read all; one of an ended era changes nothing. Entries that the copy lacks count as lost in an outage, so that their upstreams are used until they are written again. A read that doesn't follow what is known sends nothing to others.

--- a/core/feed/progress.go
+++ b/core/feed/progress.go
@@ -20,6 +20,9 @@
 type Progress struct {
 	// Synced is true once the whole feed was read.
 	Synced bool
+	// Era is the number of the store's history to which Next belongs: when the store comes
+	// back from an older copy, offsets are given out again. Zero if it isn't known.
+	Era uint64
 	// Next is the offset of the next record that the router needs.
 	Next uint64
 	// KnownUntil is the time up to which the router knows the feed.
@@ -31,20 +34,32 @@
 	readStart time.Time
 }
 
-// Reset notes that the router has read the whole feed up to the offset next, in
+// Reset notes that the router has read the whole feed up to the offset next of an era, in
 // a read that started at start.
-func (p *Progress) Reset(next uint64, start time.Time) {
-	*p = Progress{Synced: true, Next: next, KnownUntil: start, readStart: start}
+func (p *Progress) Reset(era, next uint64, start time.Time) {
+	*p = Progress{Synced: true, Era: era, Next: next, KnownUntil: start, readStart: start}
 }
 
+// Outdated reports whether something that was read in an era belongs to an earlier one than
+// what the router knows.
+func (p *Progress) Outdated(era uint64) bool { return era != 0 && era < p.Era }
+
+// Newer reports whether it belongs to a later one.
+func (p *Progress) Newer(era uint64) bool { return p.Era != 0 && era > p.Era }
+
 // MarkUnsynced notes that the store dropped records before they were read, so that
 // the whole feed has to be read again.
 func (p *Progress) MarkUnsynced() { p.Synced = false }
 
-// CheckContinuity reports whether the router is synced and a batch, which begins at
-// the offset from and ends before next, leaves no gap after the known records. If
-// not, it notes that records were missed.
-func (p *Progress) CheckContinuity(from, next uint64) bool {
+// CheckContinuity reports whether the router is synced and a batch of an era, which begins
+// at the offset from and ends before next, leaves no gap after the known records. If not,
+// it notes that records were missed, or, if the era is new, that the whole feed has to be
+// read. A batch of an earlier era is to be dropped before.
+func (p *Progress) CheckContinuity(era, from, next uint64) bool {
+	if p.Newer(era) {
+		p.MarkUnsynced()
+		return false
+	}
 	if p.Synced && from <= p.Next {
 		return true
 	}
--- a/core/feed/script_test.go
+++ b/core/feed/script_test.go
@@ -13,6 +13,8 @@
 	now             time.Time
 	progress        Progress
 	reader, failing bool
+	// era is that of the batches.
+	era uint64
 }
 
 type routerKey struct{}
@@ -31,10 +33,12 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			// read-all NEXT: the router reads the whole feed, which ends before NEXT.
 			"read-all": with(func(ts *testscript.TestScript, r *router, a []string) {
-				r.progress.Reset(offset(ts, a[0]), r.now)
+				r.progress.Reset(r.era, offset(ts, a[0]), r.now)
 			}),
 			"read":    with(func(ts *testscript.TestScript, r *router, a []string) { batch(ts, r, a, true) }),
 			"receive": with(func(ts *testscript.TestScript, r *router, a []string) { batch(ts, r, a, false) }),
+			// era N: the era of the store from which the next batches are read.
+			"era": with(func(ts *testscript.TestScript, r *router, a []string) { r.era = offset(ts, a[0]) }),
 			// drop-records: the store drops records that were not read.
 			"drop-records": with(func(_ *testscript.TestScript, r *router, _ []string) { r.progress.MarkUnsynced() }),
 			// role reader|other: whether the router is one of the readers.
@@ -69,7 +73,7 @@
 // store, or receives it from another router that has just read it.
 func batch(ts *testscript.TestScript, r *router, a []string, fromStore bool) {
 	from, next := offset(ts, a[0]), offset(ts, a[1])
-	if r.progress.CheckContinuity(from, next) {
+	if !r.progress.Outdated(r.era) && r.progress.CheckContinuity(r.era, from, next) {
 		r.progress.Advance(next, r.now, fromStore)
 	}
 }
--- a/core/fleet/feed.go
+++ b/core/fleet/feed.go
@@ -27,8 +27,9 @@
 // FeedSegment is a contiguous segment of the upstreams' feed. Records that change
 // nothing may be omitted.
 type FeedSegment struct {
+	// Era is the era of the store in which the segment was read; zero if it isn't known.
 	// From is the offset of the first record, Next that of the record after the last.
-	From, Next uint64
+	Era, From, Next uint64
 	// AgeMS is the time from the start of the read until the segment was sent, in
 	// milliseconds.
 	AgeMS   int64
@@ -90,27 +91,39 @@
 }
 
 // ApplyFullRead replaces the roster by all entries in the store, from a read that
-// started at the given time. Next is the offset of the first record after them.
-func (f *Fleet) ApplyFullRead(now, startedAt time.Time, next uint64, entries []roster.Entry) []roster.Change {
+// started at the given time. Next is the offset of the first record after them, in an era
+// of the store. If the store has come back from an older copy, entries that it lacks count
+// as lost in an outage. A read of an earlier era than what is known changes nothing.
+func (f *Fleet) ApplyFullRead(now, startedAt time.Time, era, next uint64, entries []roster.Entry) []roster.Change {
 	var changes []roster.Change
 	f.feed.Do(table.Hold{}, func(held table.Hold, p *feed.Progress) {
-		f.roster.Do(held, func(_ table.Hold, u *upstreams) { u.roster.SetStoreAvailable(now, true) })
+		if p.Outdated(era) {
+			return
+		}
+		f.roster.Do(held, func(_ table.Hold, u *upstreams) {
+			if p.Newer(era) {
+				u.roster.SetStoreAvailable(now, false)
+			}
+			u.roster.SetStoreAvailable(now, true)
+		})
 		changes = f.changeRoster(now, held, func(r *roster.Roster) []roster.Change { return r.ReplaceAll(now, entries) })
-		p.Reset(next, startedAt)
+		p.Reset(era, next, startedAt)
 	})
 	return changes
 }
 
 // ApplyRead applies a segment that the router itself has read, from a read that
 // started at the given time. It returns the changes and the segment to send to the
-// other routers; nil if the router is not a reader and its view was not too old.
+// other routers; nil if the router is not a reader and its view was not too old, or if the
+// segment doesn't follow what is known.
 func (f *Fleet) ApplyRead(now, startedAt time.Time, r FeedSegment) ([]roster.Change, *FeedSegment) {
 	sends := f.isReader(now)
 	var changes []roster.Change
-	segment := FeedSegment{From: r.From, Next: r.Next, AgeMS: now.Sub(startedAt).Milliseconds()}
+	segment := FeedSegment{Era: r.Era, From: r.From, Next: r.Next, AgeMS: now.Sub(startedAt).Milliseconds()}
 	f.feed.Do(table.Hold{}, func(held table.Hold, p *feed.Progress) {
 		sends = sends || p.Stale(now, f.feedTiming())
-		if !p.CheckContinuity(r.From, r.Next) {
+		if p.Outdated(r.Era) || !p.CheckContinuity(r.Era, r.From, r.Next) {
+			sends = false
 			return
 		}
 		// Records before p.Next came from another reader, which sends them itself.
@@ -124,8 +137,8 @@
 }
 
 // applyPeerSegment applies a segment that another router has read. If it leaves a gap
-// after the known records, its entries are applied as unconfirmed, and the router
-// reads the store itself.
+// after the known records, or belongs to a new era of the store, its entries are applied as
+// unconfirmed, and the router reads the store itself. One of an earlier era changes nothing.
 func (f *Fleet) applyPeerSegment(now time.Time, r FeedSegment) Effects {
 	var e Effects
 	for i, rec := range r.Records {
@@ -139,7 +152,10 @@
 	}
 	startedAt := agoMS(now, r.AgeMS)
 	f.feed.Do(table.Hold{}, func(held table.Hold, p *feed.Progress) {
-		if p.CheckContinuity(r.From, r.Next) {
+		if p.Outdated(r.Era) {
+			return
+		}
+		if p.CheckContinuity(r.Era, r.From, r.Next) {
 			e.Changes, _ = f.applyRecords(now, startedAt, held, p, r, false)
 			return
 		}
--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -28,9 +28,11 @@
 	routers map[string]*fleet.Fleet
 	order   []string
 	catalog catalog.Catalog
-	// log holds the records of the store of upstreams, entries the newest entry of each
-	// upstream.
+	// log holds the records of the store of upstreams in its era, texts all entries that
+	// were ever written, and entries the newest one of each upstream.
 	log     []fleet.Record
+	era     uint64
+	texts   []roster.Entry
 	entries map[core.UpstreamID]roster.Entry
 	// pendingReads holds by router the offset of a read that has begun.
 	pendingReads map[string]uint64
@@ -77,7 +79,7 @@
 			env.Values[simulationKey{}] = &simulation{
 				now: start, routers: map[string]*fleet.Fleet{}, entries: map[core.UpstreamID]roster.Entry{},
 				pendingReads: map[string]uint64{}, regions: map[core.DataCentre]string{},
-				disconnected: map[[2]string]bool{}, delayed: map[[2]string]bool{}, frozen: map[string]bool{}, requests: map[string]*sentRequest{}, slack: 56,
+				disconnected: map[[2]string]bool{}, delayed: map[[2]string]bool{}, frozen: map[string]bool{}, requests: map[string]*sentRequest{}, slack: 56, era: 1,
 				catalog: catalog.Catalog{Pools: map[core.Pool]catalog.Pool{}},
 			}
 			return nil
@@ -139,6 +141,7 @@
 		"most-within":          cmdMostWithin,
 		"limited":              cmdLimited,
 		"retry-after":          cmdRetryAfter,
+		"restore-store":        cmdRestoreStore,
 	}
 	wrapped := map[string]func(*testscript.TestScript, bool, []string){}
 	for name, run := range all {
@@ -208,7 +211,7 @@
 		sim.order = append(sim.order, a[0])
 	}
 	sim.routers[a[0]] = f
-	f.ApplyFullRead(sim.now, sim.now, uint64(len(sim.log)), lo.Values(sim.entries))
+	f.ApplyFullRead(sim.now, sim.now, sim.era, uint64(len(sim.log)), lo.Values(sim.entries))
 	if _, unlisted := option(a, "unlisted"); unlisted {
 		return
 	}
@@ -286,20 +289,21 @@
 	r := fleet.Record{Offset: uint64(len(sim.log)), Upstream: core.UpstreamID(id), Entry: e}
 	delete(sim.entries, r.Upstream)
 	if e != nil {
-		r.Source = []byte(strconv.Itoa(len(sim.log)))
+		r.Source = []byte(strconv.Itoa(len(sim.texts)))
 		e.Source = r.Source
+		sim.texts = append(sim.texts, *e)
 		sim.entries[r.Upstream] = *e
 	}
 	sim.log = append(sim.log, r)
 }
 
-// written returns the entry whose text is an index into the log.
+// written returns the entry whose text is an index into those ever written.
 func (sim *simulation) written(text []byte) roster.Entry {
 	i, err := strconv.Atoi(string(text))
-	if err != nil || i >= len(sim.log) || sim.log[i].Entry == nil {
+	if err != nil || i >= len(sim.texts) {
 		return roster.Entry{}
 	}
-	return *sim.log[i].Entry
+	return sim.texts[i]
 }
 
 // read lets routers, or all, read the store's log, and returns the segments that they
@@ -312,7 +316,15 @@
 			next = offset
 			delete(sim.pendingReads, string(f.Settings().ID))
 		}
-		r := fleet.FeedSegment{From: next, Next: uint64(len(sim.log)), Records: slices.Clone(sim.log[next:])}
+		if next > uint64(len(sim.log)) {
+			// The store doesn't have the offset.
+			f.MarkRecordsMissed()
+		}
+		if _, synced := f.ReadOffset(); !synced {
+			f.ApplyFullRead(sim.now, sim.now, sim.era, uint64(len(sim.log)), lo.Values(sim.entries))
+			return
+		}
+		r := fleet.FeedSegment{Era: sim.era, From: next, Next: uint64(len(sim.log)), Records: slices.Clone(sim.log[next:])}
 		if _, segment := f.ApplyRead(sim.now, sim.now, r); segment != nil {
 			segments[string(f.Settings().ID)] = *segment
 		}
@@ -329,7 +341,7 @@
 func cmdReadNothing(_ *testscript.TestScript, sim *simulation, a []string) {
 	f := sim.routers[a[0]]
 	next, _ := f.ReadOffset()
-	f.ApplyRead(sim.now, sim.now, fleet.FeedSegment{From: next, Next: next})
+	f.ApplyRead(sim.now, sim.now, fleet.FeedSegment{Era: sim.era, From: next, Next: next})
 }
 
 // read [ROUTER...]: routers, or all, read the store and send nothing.
@@ -932,3 +944,19 @@
 		ts.Fatalf("request %s: got refusal %v, want one with a return within %s to %s", a[0], r.refusal, least, most)
 	}
 }
+
+// restore-store COUNT: the store comes back from a copy of its first COUNT records. What
+// was written later is lost, and the next records get the same offsets.
+func cmdRestoreStore(ts *testscript.TestScript, sim *simulation, a []string) {
+	count, err := strconv.Atoi(a[0])
+	ts.Check(err)
+	sim.era++
+	sim.log = slices.Clone(sim.log[:count])
+	clear(sim.entries)
+	for _, r := range sim.log {
+		delete(sim.entries, r.Upstream)
+		if r.Entry != nil {
+			sim.entries[r.Upstream] = *r.Entry
+		}
+	}
+}
--- a/lab/fleet/simulation.go
+++ b/lab/fleet/simulation.go
@@ -149,7 +149,7 @@
 			entries = append(entries, u.entry)
 		}
 	}
-	r.fleet.ApplyFullRead(sim.now, sim.now, 0, entries)
+	r.fleet.ApplyFullRead(sim.now, sim.now, 0, 0, entries)
 }
 
 // readCheckInterval is how often a router checks whether it is to read the store.
--- a/router/cluster/entry_reader.go
+++ b/router/cluster/entry_reader.go
@@ -83,7 +83,7 @@
 		found := lo.FilterMap(page.Events, func(ev Event, _ int) (roster.Entry, bool) {
 			return lo.FromPtr(ev.Entry), ev.Entry != nil
 		})
-		logChanges(e.log, "", e.fleet.ApplyFullRead(time.Now(), startedAt, page.Next, found))
+		logChanges(e.log, "", e.fleet.ApplyFullRead(time.Now(), startedAt, page.Era, page.Next, found))
 		e.log.Info("feed_read", zap.String("feed", UpstreamFeed.String()), zap.Int("records", len(page.Events)))
 		return nil
 	}
@@ -93,7 +93,7 @@
 	}
 	e.recordEra(page.Era, next)
 	e.logInvalid(page.Events)
-	changes, segment := e.fleet.ApplyRead(time.Now(), startedAt, fleet.FeedSegment{From: next, Next: page.Next, Records: toRecords(next, page.Events)})
+	changes, segment := e.fleet.ApplyRead(time.Now(), startedAt, fleet.FeedSegment{Era: page.Era, From: next, Next: page.Next, Records: toRecords(next, page.Events)})
 	logChanges(e.log, "", changes)
 	if segment != nil {
 		e.notifyPeers(*segment)
@@ -104,7 +104,10 @@
 // recordEra records the era of the store, and logs a new one. Next is the offset of the
 // first record that was read.
 func (e *entryReader) recordEra(era, next uint64) {
-	if e.era != 0 && era != e.era {
+	if era <= e.era {
+		return
+	}
+	if e.era != 0 {
 		e.log.Warn("store_restored", zap.String("feed", UpstreamFeed.String()), zap.Uint64("was", e.era), zap.Uint64("era", era), zap.Uint64("next", next))
 	}
 	e.era = era
--- a/router/cluster/entry_reader_test.go
+++ b/router/cluster/entry_reader_test.go
@@ -44,7 +44,7 @@
 	entry := roster.Entry{ID: "u2", Pool: "p", Address: "127.0.0.1:2", Source: []byte("text")}
 	store := &scriptedStore{reads: []scriptedRead{{Events: []Event{{Entry: &entry}}}, {Events: []Event{{RemovedUpstream: "u2"}}}}}
 	reader, other := newFleet("r1"), newFleet("r2")
-	other.ApplyFullRead(time.Now(), time.Now(), 1, nil)
+	other.ApplyFullRead(time.Now(), time.Now(), 0, 1, nil)
 	var sent []fleet.FeedSegment
 	e := &entryReader{store: store, fleet: reader, log: zap.NewNop(), notifyPeers: func(s fleet.FeedSegment) { sent = append(sent, s) }}
 	e.step(t.Context())
--- a/router/cluster/feed_reader.go
+++ b/router/cluster/feed_reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -51,6 +52,17 @@
 	outOfService map[core.DataCentre]bool
 }
 
+// eraError reports a response of the store that belongs to an earlier era than the one
+// that is known.
+type eraError struct {
+	Got, Known uint64
+}
+
+// Error implements error.
+func (e *eraError) Error() string {
+	return fmt.Sprintf("response of the store's era %d, which has ended; era %d is known", e.Got, e.Known)
+}
+
 // step reads once. After a gap in the feed, the next step reads the whole feed;
 // after a failure, step waits.
 func (f *feedReader) step(ctx context.Context) {
@@ -79,9 +91,11 @@
 		if err != nil {
 			return err
 		}
+		if _, err := f.recordEra(page.Era); err != nil {
+			return err
+		}
 		f.applySnapshot(time.Now(), page.Events)
 		f.next, f.synced = page.Next, true
-		f.recordEra(page.Era)
 		return nil
 	}
 	wait := f.pollWait
@@ -94,20 +108,37 @@
 	if err != nil {
 		return err
 	}
+	isNew, err := f.recordEra(page.Era)
+	if err != nil {
+		return err
+	}
+	if isNew {
+		// The offset belongs to the history that the store has lost.
+		f.synced = false
+		return nil
+	}
 	for _, e := range page.Events {
 		f.apply(time.Now(), e)
 	}
 	f.next = page.Next
-	f.recordEra(page.Era)
 	return nil
 }
 
-// recordEra records the era of the store, and logs a new one.
-func (f *feedReader) recordEra(era uint64) {
-	if f.era != 0 && era != f.era {
-		f.log.Warn("store_restored", zap.String("feed", f.feed.String()), zap.Uint64("was", f.era), zap.Uint64("era", era), zap.Uint64("next", f.next))
+// recordEra records the era of a response, and reports whether it is a new one: the store
+// has come back from an older copy. It returns an *eraError if the era has ended.
+func (f *feedReader) recordEra(era uint64) (isNew bool, err error) {
+	known := f.era
+	if era == 0 || era == known {
+		return false, nil
+	}
+	if era < known {
+		return false, &eraError{Got: era, Known: known}
+	}
+	if f.era = era; known == 0 {
+		return false, nil
 	}
-	f.era = era
+	f.log.Warn("store_restored", zap.String("feed", f.feed.String()), zap.Uint64("was", known), zap.Uint64("era", era), zap.Uint64("next", f.next))
+	return true, nil
 }
 
 // recordFailure counts a failed call and logs the first one in a row.
--- a/router/cluster/feed_reader_test.go
+++ b/router/cluster/feed_reader_test.go
@@ -18,24 +18,39 @@
 	Wait   time.Duration
 	Err    error
 	Events []Event
+	Era    uint64
 }
 
 // scriptedStore takes the results of Since from a list and records the wait of each
-// call. Newest returns no events.
+// call. Newest returns the results of another list, or no events if it is empty.
 type scriptedStore struct {
-	reads []scriptedRead
-	waits []time.Duration
+	reads  []scriptedRead
+	waits  []time.Duration
+	newest []scriptedRead
+	// registrations is the number of calls of Register.
+	registrations int
 }
 
-func (s *scriptedStore) Newest(context.Context, Feed) (Page, error) { return Page{Next: 1}, nil }
+func (s *scriptedStore) Newest(context.Context, Feed) (Page, error) {
+	if len(s.newest) == 0 {
+		return Page{Next: 1}, nil
+	}
+	read := s.newest[0]
+	s.newest = s.newest[1:]
+	return Page{Events: read.Events, Next: 1, Era: read.Era}, read.Err
+}
 
 func (s *scriptedStore) Since(_ context.Context, _ Feed, from uint64, wait time.Duration) (Page, error) {
 	read := s.reads[len(s.waits)]
 	s.waits = append(s.waits, wait)
-	return Page{Events: read.Events, Next: from + uint64(len(read.Events))}, read.Err
+	return Page{Events: read.Events, Next: from + uint64(len(read.Events)), Era: read.Era}, read.Err
+}
+
+func (s *scriptedStore) Register(context.Context, fleet.Member) error {
+	s.registrations++
+	return nil
 }
 
-func (s *scriptedStore) Register(context.Context, fleet.Member) error    { return nil }
 func (s *scriptedStore) Deregister(context.Context, core.RouterID) error { return nil }
 
 // TestFeedReadDoesNotWaitAfterFailure guards against a delayed recovery: a long
@@ -81,3 +96,27 @@
 		}
 	}
 }
+
+// catalogEvent returns the record of a configuration.
+func catalogEvent(version uint64) Event { return Event{Catalog: &catalog.Catalog{Version: version}} }
+
+// TestRestoredStoreIsReadWhole guards against a confirmed configuration that isn't in force
+// in time (CONFIG): after the store had come back from an older copy, its new log had passed
+// the offset of a router, which got no error, and missed the records before the offset. A
+// late response of the lost history changes nothing.
+func TestRestoredStoreIsReadWhole(t *testing.T) {
+	store := &scriptedStore{
+		newest: []scriptedRead{{Era: 1, Events: []Event{catalogEvent(7)}}, {Era: 2, Events: []Event{catalogEvent(9)}}},
+		reads:  []scriptedRead{{Era: 1}, {Era: 2, Events: []Event{{}}}, {Era: 1, Events: []Event{catalogEvent(11)}}, {Era: 2}},
+	}
+	tables := fleet.New(time.Now(), fleet.Settings{ID: "r1"})
+	r := &feedReader{
+		feed: OperatorFeed, store: store, fleet: tables, log: zap.NewNop(),
+	}
+	for i, want := range []uint64{7, 7, 7, 9, 9, 9} {
+		r.step(t.Context())
+		if got := tables.CatalogVersion(); got != want {
+			t.Fatalf("version after step %d: got %d, want %d", i+1, got, want)
+		}
+	}
+}
--- a/router/gateway/script_test.go
+++ b/router/gateway/script_test.go
@@ -321,7 +321,7 @@
 	f.entries = append(f.entries, roster.Entry{
 		ID: core.UpstreamID(a[0]), Pool: "p", DataCentre: dc, Address: ln.Addr().String(),
 	})
-	f.fleet.ApplyFullRead(time.Now(), time.Now(), 0, f.entries)
+	f.fleet.ApplyFullRead(time.Now(), time.Now(), 0, 0, f.entries)
 }
 
 // stop-listening UPSTREAM: makes the upstream refuse new connections.
--- a/router/wire/fleet.go
+++ b/router/wire/fleet.go
@@ -147,6 +147,7 @@
 	Next    uint64        `cbor:"2,keyasint"`
 	AgeMS   int64         `cbor:"3,keyasint,omitempty"`
 	Records []fleetRecord `cbor:"4,keyasint,omitempty"`
+	Era     uint64        `cbor:"5,keyasint,omitempty"`
 }
 
 type fleetRecord struct {
@@ -186,7 +187,7 @@
 		w.Snapshot = &fleetSnapshot{Catalog: s.Catalog, Entries: encodeEntries(s.Entries), CachedParts: encodeCachedParts(s.CachedParts)}
 	}
 	if r := m.Segment; r != nil {
-		w.Segment = &fleetSegment{From: r.From, Next: r.Next, AgeMS: r.AgeMS, Records: encodeRecords(r.Records)}
+		w.Segment = &fleetSegment{Era: r.Era, From: r.From, Next: r.Next, AgeMS: r.AgeMS, Records: encodeRecords(r.Records)}
 	}
 	if d := m.Digest; d != nil {
 		w.Digest = &fleetDigest{
@@ -251,7 +252,7 @@
 		m.Snapshot = &fleet.Snapshot{Catalog: s.Catalog, Entries: decodeEntries(s.Entries), CachedParts: decodeCachedParts(s.CachedParts)}
 	}
 	if r := w.Segment; r != nil {
-		m.Segment = &fleet.FeedSegment{From: r.From, Next: r.Next, AgeMS: r.AgeMS, Records: decodeRecords(r.Records)}
+		m.Segment = &fleet.FeedSegment{Era: r.Era, From: r.From, Next: r.Next, AgeMS: r.AgeMS, Records: decodeRecords(r.Records)}
 	}
 	if d := w.Digest; d != nil {
 		m.Digest = &fleet.Digest{
--- a/router/wire/fleet_test.go
+++ b/router/wire/fleet_test.go
@@ -25,7 +25,7 @@
 	{QuotaRequest: &fleet.QuotaRequest{Limit: limitReport, Count: 2, Preferred: true}},
 	{QuotaGrant: &fleet.QuotaGrant{Limit: limitReport, Count: 2, RetryMS: 40, Preferred: true}},
 	{PartEvidence: &fleet.PartEvidence{Parts: partEvidence}},
-	{Segment: &fleet.FeedSegment{From: 5, Next: 9, AgeMS: 12, Records: []fleet.Record{
+	{Segment: &fleet.FeedSegment{Era: 2, From: 5, Next: 9, AgeMS: 12, Records: []fleet.Record{
 		{Offset: 5, Upstream: "u", Source: []byte("{}")}, {Offset: 7, Upstream: "v"},
 	}}},
 	{Digest: &fleet.Digest{
