--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -97,8 +97,12 @@
 // Snapshot holds the data that a router needs to serve without the store.
 type Snapshot struct {
 	// Catalog is the text of the catalog; empty if the requester's is as new.
-	Catalog     []byte
+	Catalog []byte
+	// Entries are those of the upstreams in use and of those that drain. Removed are the
+	// last ones of upstreams that are gone: the copy from which a store has come back may
+	// still hold them, or an older one of an upstream that drains.
 	Entries     []EntryCopy
+	Removed     []EntryCopy
 	CachedParts []prefix.CachedPart
 }
 
@@ -158,8 +162,12 @@
 	}
 	f.roster.Do(table.Hold{}, func(_ table.Hold, u *upstreams) {
 		for _, up := range u.roster.All() {
-			if u.roster.AcceptsWork(now, up) {
-				s.Entries = append(s.Entries, EntryCopy{Upstream: up.ID, Source: up.Source})
+			copied := EntryCopy{Upstream: up.ID, Source: up.Source}
+			switch {
+			case u.roster.AcceptsWork(now, up), up.Draining && up.RemovedAt.IsZero():
+				s.Entries = append(s.Entries, copied)
+			case !up.RemovedAt.IsZero() && up.RemovedInOutage == 0:
+				s.Removed = append(s.Removed, copied)
 			}
 		}
 	})
@@ -190,6 +198,16 @@
 			return asList(r.PutUnconfirmed(now, *entry))
 		})...)
 	}
+	for _, copied := range s.Removed {
+		entry, err := f.parseEntry(copied.Upstream, copied.Source)
+		if err != nil {
+			e.Errors = append(e.Errors, err)
+			continue
+		}
+		e.Changes = append(e.Changes, f.changeRoster(now, table.Hold{}, func(r *roster.Roster) []roster.Change {
+			return asList(r.RemoveEntry(now, *entry))
+		})...)
+	}
 	f.proveParts(s.CachedParts)
 	f.parts.Do(table.Hold{}, func(_ table.Hold, m *prefix.Map) { m.AddFromPeer(now, s.CachedParts, f.maxCacheTokens()) })
 	return e
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -103,6 +103,22 @@
 	return Change{ID: id, Kind: "removed"}, true
 }
 
+// RemoveEntry marks an upstream as removed whose last entry another router has sent. It
+// returns false if that changes nothing: the entry of the roster is a later one, or is
+// already removed. If the upstream is unknown, the entry is kept, so that a copy of it in the
+// store doesn't bring the upstream back.
+func (r *Roster) RemoveEntry(now time.Time, e Entry) (Change, bool) {
+	old, known := r.byID[e.ID]
+	if !known {
+		r.store(Upstream{Entry: e, RemovedAt: now})
+		return Change{}, false
+	}
+	if old.StartedMS > e.StartedMS || (old.StartedMS == e.StartedMS && old.Sequence > e.Sequence) {
+		return Change{}, false
+	}
+	return r.Remove(now, e.ID)
+}
+
 // ReplaceAll applies a complete read of the store: it puts all entries and removes
 // those of the roster that are not among them.
 func (r *Roster) ReplaceAll(now time.Time, entries []Entry) []Change {
--- a/router/wire/fleet.go
+++ b/router/wire/fleet.go
@@ -165,6 +165,7 @@
 	Catalog     []byte            `cbor:"1,keyasint,omitempty"`
 	Entries     []fleetEntry      `cbor:"2,keyasint,omitempty"`
 	CachedParts []fleetCachedPart `cbor:"3,keyasint,omitempty"`
+	Removed     []fleetEntry      `cbor:"4,keyasint,omitempty"`
 }
 
 // EncodeFleetMessage encodes a message of package fleet.
@@ -184,7 +185,7 @@
 		w.PartEvidence = encodeEvidence(p.Parts)
 	}
 	if s := m.Snapshot; s != nil {
-		w.Snapshot = &fleetSnapshot{Catalog: s.Catalog, Entries: encodeEntries(s.Entries), CachedParts: encodeCachedParts(s.CachedParts)}
+		w.Snapshot = &fleetSnapshot{Catalog: s.Catalog, Entries: encodeEntries(s.Entries), Removed: encodeEntries(s.Removed), CachedParts: encodeCachedParts(s.CachedParts)}
 	}
 	if r := m.Segment; r != nil {
 		w.Segment = &fleetSegment{Era: r.Era, From: r.From, Next: r.Next, AgeMS: r.AgeMS, Records: encodeRecords(r.Records)}
@@ -249,7 +250,7 @@
 		m.PartEvidence = &fleet.PartEvidence{Parts: decodeEvidence(w.PartEvidence)}
 	}
 	if s := w.Snapshot; s != nil {
-		m.Snapshot = &fleet.Snapshot{Catalog: s.Catalog, Entries: decodeEntries(s.Entries), CachedParts: decodeCachedParts(s.CachedParts)}
+		m.Snapshot = &fleet.Snapshot{Catalog: s.Catalog, Entries: decodeEntries(s.Entries), Removed: decodeEntries(s.Removed), CachedParts: decodeCachedParts(s.CachedParts)}
 	}
 	if r := w.Segment; r != nil {
 		m.Segment = &fleet.FeedSegment{Era: r.Era, From: r.From, Next: r.Next, AgeMS: r.AgeMS, Records: decodeRecords(r.Records)}
--- a/router/wire/fleet_test.go
+++ b/router/wire/fleet_test.go
@@ -40,6 +40,7 @@
 	{SnapshotRequest: &fleet.SnapshotRequest{Version: 2, WithCachedParts: true}},
 	{Snapshot: &fleet.Snapshot{
 		Catalog: []byte("c"), Entries: []fleet.EntryCopy{{Upstream: "u", Source: []byte("{}")}},
+		Removed:     []fleet.EntryCopy{{Upstream: "v", Source: []byte("{}")}},
 		CachedParts: []prefix.CachedPart{{Upstream: "u", Part: prefix.Part{ID: 9, Tokens: 10}}},
 	}},
 }
