Keep evacuations and registrations that a restored store lacks

After the store has come back from an older copy, a data centre could be in service again although operators had taken it out (EVAC), until they write that again; and a router whose registration was lost stayed unknown to those that start later, so that each took too large a share of the rates of cold upstreams and of retries.

A data centre that was out stays so for the recovery time after a restore, then all records are read once more. Routers register and read the list again.

--- a/router/cluster/feed_reader.go
+++ b/router/cluster/feed_reader.go
@@ -50,6 +50,14 @@
 	failedCalls int
 	// outOfService holds the data centres that operators have taken out of service.
 	outOfService map[core.DataCentre]bool
+	// restoreGrace is how long after the store has come back from an older copy what it
+	// lacks may still be written again. Until confirmAt, data centres stay out of service
+	// that the copy has in service; then the whole feed is read once more. confirmAt is
+	// zero if nothing waits for that.
+	restoreGrace time.Duration
+	confirmAt    time.Time
+	// restored is called when the store has come back from an older copy; it may be nil.
+	restored func()
 }
 
 // eraError reports a response of the store that belongs to an earlier era than the one
@@ -86,12 +94,16 @@
 // read reads the whole feed if the reader has a gap or has read nothing, and
 // otherwise the records from the next offset on, and applies them.
 func (f *feedReader) read(ctx context.Context) error {
+	now := time.Now()
+	if !f.confirmAt.IsZero() && now.After(f.confirmAt) {
+		f.synced, f.confirmAt = false, time.Time{}
+	}
 	if !f.synced {
 		page, err := f.store.Newest(ctx, f.feed)
 		if err != nil {
 			return err
 		}
-		if _, err := f.recordEra(page.Era); err != nil {
+		if _, err := f.recordEra(time.Now(), page.Era); err != nil {
 			return err
 		}
 		f.applySnapshot(time.Now(), page.Events)
@@ -108,7 +120,7 @@
 	if err != nil {
 		return err
 	}
-	isNew, err := f.recordEra(page.Era)
+	isNew, err := f.recordEra(time.Now(), page.Era)
 	if err != nil {
 		return err
 	}
@@ -126,7 +138,7 @@
 
 // recordEra records the era of a response, and reports whether it is a new one: the store
 // has come back from an older copy. It returns an *eraError if the era has ended.
-func (f *feedReader) recordEra(era uint64) (isNew bool, err error) {
+func (f *feedReader) recordEra(now time.Time, era uint64) (isNew bool, err error) {
 	known := f.era
 	if era == 0 || era == known {
 		return false, nil
@@ -138,6 +150,10 @@
 		return false, nil
 	}
 	f.log.Warn("store_restored", zap.String("feed", f.feed.String()), zap.Uint64("was", known), zap.Uint64("era", era), zap.Uint64("next", f.next))
+	f.confirmAt = now.Add(f.restoreGrace)
+	if f.restored != nil {
+		f.restored()
+	}
 	return true, nil
 }
 
@@ -158,9 +174,11 @@
 }
 
 // applySnapshot applies the newest record of each key and forgets the data centres
-// that were out of service before.
+// that were out of service before, unless an older copy of the store may lack them.
 func (f *feedReader) applySnapshot(now time.Time, events []Event) {
-	f.outOfService = map[core.DataCentre]bool{}
+	if f.confirmAt.IsZero() || f.outOfService == nil {
+		f.outOfService = map[core.DataCentre]bool{}
+	}
 	for _, e := range events {
 		f.apply(now, e)
 	}
--- a/router/cluster/feed_reader_test.go
+++ b/router/cluster/feed_reader_test.go
@@ -110,8 +110,9 @@
 		reads:  []scriptedRead{{Era: 1}, {Era: 2, Events: []Event{{}}}, {Era: 1, Events: []Event{catalogEvent(11)}}, {Era: 2}},
 	}
 	tables := fleet.New(time.Now(), fleet.Settings{ID: "r1"})
+	notified := 0
 	r := &feedReader{
-		feed: OperatorFeed, store: store, fleet: tables, log: zap.NewNop(),
+		feed: OperatorFeed, store: store, fleet: tables, log: zap.NewNop(), restoreGrace: time.Hour, restored: func() { notified++ },
 	}
 	for i, want := range []uint64{7, 7, 7, 9, 9, 9} {
 		r.step(t.Context())
@@ -119,4 +120,53 @@
 			t.Fatalf("version after step %d: got %d, want %d", i+1, got, want)
 		}
 	}
+	if notified != 1 {
+		t.Errorf("notifications of the restored store: got %d, want 1", notified)
+	}
+}
+
+// TestRestoredStoreKeepsEvacuation guards against requests to a data centre that is out of
+// service (EVAC): the copy from which the store comes back may lack the record that has
+// taken it out, until that is written again. After the grace, what the store says holds.
+func TestRestoredStoreKeepsEvacuation(t *testing.T) {
+	const grace = 50 * time.Millisecond
+	store := &scriptedStore{
+		newest: []scriptedRead{{Era: 1, Events: []Event{{OutOfService: "b"}}}, {Era: 2}, {Era: 2}},
+		reads:  []scriptedRead{{Era: 2}, {Era: 2}, {Era: 2}},
+	}
+	r := &feedReader{
+		feed: OperatorFeed, store: store, fleet: fleet.New(time.Now(), fleet.Settings{ID: "r1"}), log: zap.NewNop(), restoreGrace: grace,
+	}
+	for range 4 {
+		r.step(t.Context())
+		if !r.outOfService["b"] {
+			t.Fatal("data centre b: got in service after the store was restored, want out of service")
+		}
+	}
+	time.Sleep(2 * grace)
+	r.step(t.Context())
+	if r.outOfService["b"] {
+		t.Error("data centre b: got out of service after the grace, want in service as the store says")
+	}
+}
+
+// TestRestoredStoreGetsRegistration guards against routers that don't know each other after
+// the store has come back from an older copy: those that start later read no record of one
+// whose registration was lost, and each takes too large a share of what is shared.
+func TestRestoredStoreGetsRegistration(t *testing.T) {
+	store := &scriptedStore{}
+	r := &Router{
+		adapter: Adapter{Store: store}, fleet: fleet.New(time.Now(), fleet.Settings{ID: "r1"}), log: zap.NewNop(), storeRestored: newSignal(),
+	}
+	step := r.registrationStep(fleet.Member{ID: "r1"})
+	step(t.Context())
+	if store.registrations != 1 {
+		t.Fatalf("registrations at first: got %d, want 1", store.registrations)
+	}
+	r.storeRestored.notify()
+	step(t.Context())
+	step(t.Context())
+	if store.registrations != 2 {
+		t.Errorf("registrations after the store was restored: got %d, want 2", store.registrations)
+	}
 }
--- a/router/cluster/router.go
+++ b/router/cluster/router.go
@@ -37,6 +37,8 @@
 	metrics      *metrics.Metrics
 	scheduler    worker.Scheduler
 	shuttingDown atomic.Bool
+	// storeRestored is notified when the store has come back from an older copy.
+	storeRestored signal
 	// lastReadiness is the fleet.Readiness at the load balancer's last check.
 	lastReadiness atomic.Value
 }
@@ -47,7 +49,7 @@
 func Run(p daemon.Process, s Settings, a Adapter) error {
 	now := time.Now()
 	p.Log = p.Log.With(zap.String("router", s.Router.ID))
-	r := &Router{settings: s, log: p.Log, adapter: a, fleet: fleet.New(now, s.fleetSettings(now, a)), pool: &httpclient.Pool{}}
+	r := &Router{settings: s, log: p.Log, adapter: a, fleet: fleet.New(now, s.fleetSettings(now, a)), pool: &httpclient.Pool{}, storeRestored: newSignal()}
 	r.lastReadiness.Store(fleet.Unconfigured)
 	instruments, err := metrics.New(r.gauges()...)
 	if err != nil {
@@ -208,6 +210,7 @@
 func (r *Router) startFeedReaders(ctx context.Context) {
 	operators := &feedReader{
 		feed: OperatorFeed, store: r.adapter.Store, fleet: r.fleet, log: r.log, pollWait: longPollWait(r.settings.Bounds.recovery()),
+		restoreGrace: r.settings.Bounds.recovery(), restored: r.storeRestored.notify,
 	}
 	upstreams := &entryReader{
 		store: r.adapter.Store, fleet: r.fleet, log: r.log,
@@ -248,7 +251,8 @@
 // registrationStep returns the body of the registration loop: it writes the
 // router's record to the store, retrying until that succeeds, and then reads the
 // records of the other routers once. Later it only waits: routers learn of new
-// ones from their heartbeats.
+// ones from their heartbeats. When the store has come back from an older copy, which
+// may lack the router's record, it does both again.
 func (r *Router) registrationStep(self fleet.Member) func(context.Context) {
 	registered := false
 	peers := &feedReader{
@@ -267,7 +271,9 @@
 			peers.step(ctx)
 			return
 		}
-		<-ctx.Done()
+		if r.storeRestored.wait(ctx) {
+			registered, peers.synced = false, false
+		}
 	}
 }
 
