Restore the soak's store from older copies

It now comes back from copies of 1 to 8 s, with an era; what was lost is written again within a second.

--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -89,6 +89,42 @@
 	}
 }
 
+const (
+	// minCopyAge and maxCopyAge are the limits of the age of the copy from which the store
+	// comes back, maxStoreOutage that of the time for which it is away before.
+	minCopyAge     = time.Second
+	maxCopyAge     = 8 * time.Second
+	maxStoreOutage = 2 * time.Second
+	// maxRewriteTime is how long after that what it lacks may take to be written again.
+	maxRewriteTime = time.Second
+	// maxRestoreGap bounds the time before a restore.
+	maxRestoreGap = 6 * time.Second
+)
+
+// restoreStore brings the store back from older copies during faultTime. It has random
+// numbers of its own, so that the faults of a seed stay the same.
+func (s *soak) restoreStore(ctx context.Context, random *rand.Rand) {
+	for deadline := time.Now().Add(s.faultTime); ; {
+		sleep(ctx, time.Duration(random.Int64N(int64(maxRestoreGap))))
+		if s.plannedOnly || ctx.Err() != nil || !time.Now().Before(deadline) {
+			return
+		}
+		age := minCopyAge + time.Duration(random.Int64N(int64(maxCopyAge-minCopyAge)))
+		recordEnd := s.ledger.BeginFault(time.Now(), ledger.StoreComponent, false)
+		s.store.SetFault(store.NoResponse)
+		sleep(ctx, time.Duration(random.Int64N(int64(maxStoreOutage))))
+		writeAgain := s.store.Restore(age, routerTopic)
+		s.store.SetFault(store.NoFault)
+		s.log.Info("store_restored", zap.Duration("age", age))
+		sleep(ctx, time.Duration(random.Int64N(int64(maxRewriteTime))))
+		writeAgain()
+		recordEnd(time.Now())
+	}
+}
+
+// routerTopic is the store's topic of the routers' own records.
+const routerTopic = "keyed.routers"
+
 const (
 	// minLimitTime and maxLimitTime are the limits of the time for which a runner names a
 	// limit, maxLimitGap that of the time between the starts of two.
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -231,6 +231,7 @@
 	sleep(ctx, settleTime)
 	recordStartupEnd(time.Now())
 	s.wg.Go(func() { s.limitRunners(ctx, rand.New(rand.NewPCG(s.seed, 2<<32))) })
+	s.wg.Go(func() { s.restoreStore(ctx, rand.New(rand.NewPCG(s.seed, 3<<32))) })
 	s.injectFaults(ctx, rand.New(rand.NewPCG(s.seed, 1<<32)))
 	sleep(ctx, settleTime)
 	s.checkRecovery(ctx)
--- a/lab/soak/store/store.go
+++ b/lab/soak/store/store.go
@@ -54,13 +54,16 @@
 type record struct {
 	key   string
 	value []byte
+	at    time.Time
 }
 
 // Store is a store in memory. The zero value is empty.
 type Store struct {
 	mu     sync.Mutex
 	topics map[string][]record
-	fault  Fault
+	// restores is the number of times that the store has come back from an older copy.
+	restores int
+	fault    Fault
 }
 
 // SetFault applies a fault in place of the previous one. NoFault ends it.
@@ -84,7 +87,56 @@
 	if s.topics == nil {
 		s.topics = map[string][]record{}
 	}
-	s.topics[topic] = append(s.topics[topic], record{key: key, value: value})
+	s.topics[topic] = append(s.topics[topic], record{key: key, value: value, at: time.Now()})
+}
+
+// Restore brings the store back from a copy of some time ago: what was written later is
+// lost, and its offsets are given out again. It returns a function that writes the newest
+// lost record of each key again, in the topics that are not the routers' own.
+func (s *Store) Restore(age time.Duration, ownTopic string) (writeAgain func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.restores++
+	copiedAt := time.Now().Add(-age)
+	lost := map[string][]record{}
+	for topic, all := range s.topics {
+		kept := slices.IndexFunc(all, func(r record) bool { return r.at.After(copiedAt) })
+		if kept < 0 {
+			continue
+		}
+		if topic != ownTopic {
+			lost[topic] = slices.Clone(all[kept:])
+		}
+		s.topics[topic] = slices.Clone(all[:kept])
+	}
+	return func() {
+		for topic, all := range lost {
+			s.putNewest(topic, all)
+		}
+	}
+}
+
+// putNewest appends the newest of the records of each key, unless one was written since.
+func (s *Store) putNewest(topic string, all []record) {
+	newest := map[string]record{}
+	for _, r := range all {
+		newest[r.key] = r
+	}
+	present, _ := s.readFrom(topic, 0)
+	for _, r := range present {
+		if r.at.After(newest[r.key].at) {
+			delete(newest, r.key)
+		}
+	}
+	for _, r := range newest {
+		s.Put(topic, r.key, r.value)
+	}
+}
+
+func (s *Store) era() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.restores + 1
 }
 
 // readFrom returns the records of a topic from an offset on, and the topic's end
@@ -98,6 +150,7 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Store-Era", strconv.Itoa(s.era()))
 	switch s.currentFault() {
 	case NoResponse:
 		for s.currentFault() == NoResponse && r.Context().Err() == nil {
@@ -156,6 +209,10 @@
 	wait, _ := strconv.Atoi(q.Get("wait_ms"))
 	deadline := time.Now().Add(time.Duration(wait) * time.Millisecond)
 	records, end := s.readFrom(q.Get("topic"), from)
+	if from > end {
+		w.WriteHeader(http.StatusGone)
+		return
+	}
 	for len(records) == 0 && time.Now().Before(deadline) && r.Context().Err() == nil {
 		time.Sleep(pollInterval)
 		records, end = s.readFrom(q.Get("topic"), from)
