--- a/core/fleet/feed.go
+++ b/core/fleet/feed.go
@@ -42,7 +42,8 @@
 	Upstream core.UpstreamID
 	// Source is the text of the entry; empty if it was removed.
 	Source []byte
-	// Entry is the parsed text; nil if the entry was removed or can't be parsed.
+	// Entry is the parsed text; nil if the entry was removed or can't be parsed. A record
+	// whose text can't be parsed changes nothing.
 	Entry *roster.Entry
 }
 
@@ -93,8 +94,9 @@
 // ApplyFullRead replaces the roster by all entries in the store, from a read that
 // started at the given time. Next is the offset of the first record after them, in an era
 // of the store. If the store has come back from an older copy, entries that it lacks count
-// as lost in an outage. A read of an earlier era than what is known changes nothing.
-func (f *Fleet) ApplyFullRead(now, startedAt time.Time, era, next uint64, entries []roster.Entry) []roster.Change {
+// as lost in an outage. A read of an earlier era than what is known changes nothing. The
+// upstreams whose entry is invalid stay as they are.
+func (f *Fleet) ApplyFullRead(now, startedAt time.Time, era, next uint64, entries []roster.Entry, invalid ...core.UpstreamID) []roster.Change {
 	var changes []roster.Change
 	f.feed.Do(table.Hold{}, func(held table.Hold, p *feed.Progress) {
 		if p.Outdated(era) {
@@ -106,7 +108,7 @@
 			}
 			u.roster.SetStoreAvailable(now, true)
 		})
-		changes = f.changeRoster(now, held, func(r *roster.Roster) []roster.Change { return r.ReplaceAll(now, entries) })
+		changes = f.changeRoster(now, held, func(r *roster.Roster) []roster.Change { return r.ReplaceAll(now, entries, invalid) })
 		p.Reset(era, next, startedAt)
 	})
 	return changes
@@ -179,7 +181,7 @@
 	var changes []roster.Change
 	var effective []Record
 	for _, rec := range r.Records {
-		if rec.Offset < p.Next {
+		if rec.Offset < p.Next || (rec.Entry == nil && len(rec.Source) > 0) {
 			continue
 		}
 		made := f.changeRoster(now, held, func(s *roster.Roster) []roster.Change {
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -120,10 +120,13 @@
 }
 
 // ReplaceAll applies a complete read of the store: it puts all entries and removes
-// those of the roster that are not among them.
-func (r *Roster) ReplaceAll(now time.Time, entries []Entry) []Change {
+// those of the roster that are not among them, except those whose entry is invalid.
+func (r *Roster) ReplaceAll(now time.Time, entries []Entry, invalid []core.UpstreamID) []Change {
 	var changes []Change
 	listed := make(map[core.UpstreamID]bool, len(entries))
+	for _, id := range invalid {
+		listed[id] = true
+	}
 	for _, e := range entries {
 		listed[e.ID] = true
 		if c, ok := r.Put(now, e); ok {
--- a/router/cluster/entry_reader.go
+++ b/router/cluster/entry_reader.go
@@ -83,7 +83,10 @@
 		found := lo.FilterMap(page.Events, func(ev Event, _ int) (roster.Entry, bool) {
 			return lo.FromPtr(ev.Entry), ev.Entry != nil
 		})
-		logChanges(e.log, "", e.fleet.ApplyFullRead(time.Now(), startedAt, page.Era, page.Next, found))
+		invalid := lo.FilterMap(page.Events, func(ev Event, _ int) (core.UpstreamID, bool) {
+			return ev.InvalidUpstream, ev.InvalidUpstream != ""
+		})
+		logChanges(e.log, "", e.fleet.ApplyFullRead(time.Now(), startedAt, page.Era, page.Next, found, invalid...))
 		e.log.Info("feed_read", zap.String("feed", UpstreamFeed.String()), zap.Int("records", len(page.Events)))
 		return nil
 	}
@@ -113,11 +116,14 @@
 	e.era = era
 }
 
-// toRecords converts consecutive events of the upstreams' feed to fleet records.
-// From is the offset of the first.
+// toRecords converts consecutive events of the upstreams' feed to fleet records, without
+// those that can't be parsed. From is the offset of the first event.
 func toRecords(from uint64, events []Event) []fleet.Record {
 	all := make([]fleet.Record, 0, len(events))
 	for i, ev := range events {
+		if ev.InvalidUpstream != "" {
+			continue
+		}
 		r := fleet.Record{Offset: from + uint64(i), Upstream: ev.RemovedUpstream, Entry: ev.Entry}
 		if ev.Entry != nil {
 			r.Upstream, r.Source = ev.Entry.ID, ev.Entry.Source
--- a/router/cluster/store.go
+++ b/router/cluster/store.go
@@ -32,7 +32,7 @@
 func (f Feed) String() string { return [...]string{"operators", "upstreams", "routers"}[f] }
 
 // Event is a parsed record of a feed. At most one field is set, but an upstream's
-// entry that can't be parsed has both RemovedUpstream and Err. An event without a
+// entry that can't be parsed has both InvalidUpstream and Err. An event without a
 // field set is ignored.
 type Event struct {
 	// Catalog is a new configuration.
@@ -44,6 +44,9 @@
 	// was removed.
 	Entry           *roster.Entry
 	RemovedUpstream core.UpstreamID
+	// InvalidUpstream is an upstream whose newest entry can't be parsed. It says nothing of
+	// the upstream: what the roster has of it stays.
+	InvalidUpstream core.UpstreamID
 	// Member is a router that has registered.
 	Member *fleet.Member
 	// Err is the reason why the record could not be parsed.
