Don't take a refusal without an id on a kept connection for this request's

Reported by other operators: a faulty upstream wrote an earlier refusal once more on a kept connection; clients were told 'not run, try again' for requests that had run (REFUSED), or these ran at a second upstream (TWICE).

It can happen here. Late copies were skipped if they state another id or are signed; a refusal without either was taken for the present request's, and the request, which was running, was declined and sent elsewhere. The script late-refusal failed before: status 503 with certainty not_run for a request whose answer followed, want 200.

If no answer follows, nothing is known, and nothing is said to be known.

--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -94,11 +94,11 @@
 
 // checkHeader parses the header of a response into a.headers. It returns a
 // *httpclient.MismatchedResponseError if the header states the id of another
-// request, or if it is a signed one without an id on a connection that has carried
-// earlier requests: it may be a late copy of their responses.
+// request, or if it states none on a connection that has carried earlier requests and is
+// signed or declines the request: it may be a late copy of their responses.
 func (a *attempt) checkHeader(status int, h http.Header) error {
 	a.headers = a.forwarder.HeaderCodec.ParseResponse(status, h)
-	anonymous := a.headers.RequestID == "" && a.headers.Signed && a.reusedConn
+	anonymous := a.headers.RequestID == "" && a.reusedConn && (a.headers.Signed || a.headers.NotRun)
 	if anonymous || (a.headers.RequestID != "" && a.headers.RequestID != a.ID) {
 		return &httpclient.MismatchedResponseError{Want: a.ID, Got: a.headers.RequestID}
 	}
