Send at-most-once requests on connections of their own, as promised

The library takes any idle connection, whatever the request asks for, and the comment said otherwise.

Such requests now use a client whose connections all close after their response, so that none is ever idle. TestOwnConnection failed before: the request went out on connection 1, want 2.

--- a/router/backend/client.go
+++ b/router/backend/client.go
@@ -37,6 +37,9 @@
 	// ReportsLoad is true if the upstream serves load reports that name its
 	// process.
 	ReportsLoad bool
+	// OwnConnection is true if the request is not to share its connection with others:
+	// what an earlier request has left on it can't be taken for its response.
+	OwnConnection bool
 }
 
 // BootObserver is notified which process of an upstream answers on a new
@@ -69,6 +72,11 @@
 // *BootMismatchError; otherwise it is a *BrokenError. The body of the response is
 // a stream, which the caller must close.
 func (c *Client) Do(t Target, req *fasthttp.Request, resp *fasthttp.Response) error {
+	if t.OwnConnection {
+		// Each connection of this target closes after its response, so that the library
+		// has none to use again.
+		req.SetConnectionClose()
+	}
 	err := c.hostClient(t).Do(req, resp)
 	if err == nil {
 		return nil
--- a/router/exchange/transaction.go
+++ b/router/exchange/transaction.go
@@ -134,12 +134,15 @@
 		return false, false
 	}
 	s.held, s.target = held, target
+	// An idle connection from the pool may close while the request is sent, and the
+	// outcome would be unknown.
+	s.target.OwnConnection = s.call.AtMostOnce
 	s.resp = fasthttp.AcquireResponse()
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	s.buildRequest(req)
 	f.Metrics.AttemptStarted(s.call.Pool.Name)
-	err := f.Back.Do(target, req, s.resp)
+	err := f.Back.Do(s.target, req, s.resp)
 	if err == nil {
 		err = s.checkRequestID()
 	}
@@ -193,12 +196,6 @@
 	if s.resumeAfter > 0 {
 		req.Header.Set(headerLastEventID, strconv.Itoa(s.resumeAfter))
 	}
-	if c.AtMostOnce {
-		// Each at-most-once request uses a connection of its own: an idle one
-		// from the pool may close while the request is sent, and the outcome
-		// would be unknown.
-		req.SetConnectionClose()
-	}
 	if len(c.Body) > 0 {
 		req.SetBodyRaw(c.Body)
 	}
