Continue a broken stream only with what continues it

Reported by other operators: a stream had begun and broke off, the next upstream answered with an error, and clients found the error's text in the middle of their stream, or the stream ended as if it were complete.

A stream goes on with a success of the same content type, whose events have numbers if the earlier ones had; anything else ends the attempt, and the next one, or the broken connection, follows.

--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -29,6 +29,9 @@
 	headers ResponseHeaders
 	// events is the number of events of a stream that have arrived, without empty ones.
 	events int
+	// resumed is true if the attempt is to continue a stream of which the caller has the
+	// header.
+	resumed bool
 	// outcome is what the fleet is told of the attempt.
 	outcome health.Outcome
 }
@@ -57,9 +60,13 @@
 	if a.headers.NotRun || a.headers.Misdirected {
 		return a.handleDeclined(resp)
 	}
-	if a.Route.Kind == catalog.Stream && resp.StatusCode == http.StatusOK {
+	a.resumed = a.streamStarted
+	if a.Route.Kind == catalog.Stream && resp.StatusCode == http.StatusOK && a.continues(resp) {
 		return a.forwardStream(resp)
 	}
+	if a.resumed {
+		return a.dropAnswer(resp)
+	}
 	return a.forwardBuffered(resp)
 }
 
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -76,9 +76,10 @@
 	tried     []core.UpstreamID
 	// runs is the number of attempts that an upstream may have run.
 	runs int
-	// streamStarted reports whether the header of a stream was sent to the caller.
-	// It stays false for buffered responses.
+	// streamStarted reports whether the header of a stream was sent to the caller, and
+	// contentType is the one that it states. It stays false for buffered responses.
 	streamStarted bool
+	contentType   string
 	// probe reports whether the call tests a part of its prompt that may be deadly.
 	probe bool
 	// connectFailed reports whether a connection to an upstream couldn't be
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -2,6 +2,8 @@
 
 import (
 	"io"
+	"net/http"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -28,6 +30,34 @@
 // errMissingEvents means that events of a stream were lost.
 var errMissingEvents = errors.New("events of the stream are missing")
 
+// errNotContinued means that the answer to a request that was to continue a stream is
+// something else: a failure, a rejection, another kind of body, or no further event.
+var errNotContinued = errors.New("the answer doesn't continue the stream")
+
+// continues reports whether a response may be passed on as a stream: nothing of one was sent
+// to the caller, or it states the same content type.
+func (a *attempt) continues(resp *httpclient.Response) bool {
+	return !a.streamStarted || mediaType(resp.Header) == a.contentType
+}
+
+// mediaType returns the content type without parameters, in lower case.
+func mediaType(h http.Header) string {
+	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
+// dropAnswer ends an attempt whose answer must not reach the caller, who has the beginning
+// of a stream.
+func (a *attempt) dropAnswer(resp *httpclient.Response) error {
+	resp.Abort()
+	a.outcome = health.Good
+	if resp.StatusCode >= http.StatusInternalServerError {
+		a.outcome = health.Failed
+	}
+	a.exchange.SetPhase(a.id, answer.Failed)
+	return errNotContinued
+}
+
 // forwardStream passes on the events of a stream as they arrive.
 func (a *attempt) forwardStream(resp *httpclient.Response) error {
 	if a.headers.Encoded || !a.headers.Signed {
@@ -41,10 +71,15 @@
 	for {
 		e, err := events.next()
 		if errors.Is(err, io.EOF) {
-			if a.events > 0 || !endsWithConnection(resp) {
-				break
+			switch {
+			case a.events == 0 && endsWithConnection(resp):
+				err = errNoEvents
+			case a.events == 0 && a.resumed:
+				return a.dropAnswer(resp)
 			}
-			err = errNoEvents
+		}
+		if errors.Is(err, io.EOF) {
+			break
 		}
 		if now := time.Now(); err == nil && now.Sub(lastAlive) > aliveInterval {
 			lastAlive = now
@@ -94,7 +129,7 @@
 // sendHeader sends the header of a stream to the caller. It reports the load
 // stated there to the fleet at once, rather than at the end of the stream.
 func (a *attempt) sendHeader(resp *httpclient.Response) {
-	a.streamStarted = true
+	a.streamStarted, a.contentType = true, mediaType(resp.Header)
 	a.writer.WriteHeader(resp.StatusCode, resp.Header, -1)
 	if a.headers.Load != nil {
 		if full := a.forwarder.Fleet.RecordLoad(time.Now(), a.target, *a.headers.Load); full != nil && a.forwarder.Notify != nil {
@@ -105,8 +140,12 @@
 }
 
 // forwardEvent passes on one event, unless the caller has received it before, and
-// extends the deadline for the next one. An empty event is no progress.
+// extends the deadline for the next one. An empty event is no progress. An event without a
+// number can't be placed in a stream that is resumed.
 func (a *attempt) forwardEvent(resp *httpclient.Response, e event) error {
+	if a.resumed && a.sequence.HasLast && !e.hasID && !e.empty {
+		return errNotContinued
+	}
 	if e.hasID {
 		switch a.sequence.Next(e.id) {
 		case answer.Drop:
