--- a/lab/engine/completions.go
+++ b/lab/engine/completions.go
@@ -53,6 +53,10 @@
 		time.Sleep(e.settings.RestartDelay + time.Second)
 		return errCrashed
 	}
+	if attempt := c.Get("X-Attempt"); g.faults.ErrorOnRetry != 0 && attempt != "" && attempt != "1" {
+		e.endGeneration(g, true)
+		return c.Status(g.faults.ErrorOnRetry).JSON(map[string]string{"error": errorOnRetryText})
+	}
 	if !r.Stream {
 		return e.respond(c, g)
 	}
@@ -61,6 +65,10 @@
 	return nil
 }
 
+// errorOnRetryText describes the error of faults.ErrorOnRetry. The empty line would end an
+// event of a stream.
+const errorOnRetryText = "no room\n\nleft"
+
 func (e *engine) startGeneration(c *fiber.Ctx, r request) generation {
 	prompt := promptBlocks(r.Messages)
 	g := generation{responseID: c.Get("X-Request-Id"), prompt: prompt}
--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -27,6 +27,9 @@
 	StallAfter int `json:"stall_after"`
 	// DuplicateEvents makes the engine send the event of every token twice.
 	DuplicateEvents bool `json:"repeat"`
+	// ErrorOnRetry is the status with which the engine responds, with a JSON body that
+	// describes an error, to each attempt of a request but the first; zero for none.
+	ErrorOnRetry int `json:"error_on_retry"`
 }
 
 // stats are the counters of an engine since the start of the program, except
--- a/router/exchange/events.go
+++ b/router/exchange/events.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"strconv"
 
@@ -184,6 +185,28 @@
 	return w.Flush()
 }
 
+// NotContinuedError reports a response that doesn't continue a broken stream: a failure, a
+// rejection or another kind of body.
+type NotContinuedError struct {
+	Status      int
+	ContentType string
+}
+
+// Error implements error.
+func (e *NotContinuedError) Error() string {
+	return fmt.Sprintf("response with status %d and content type %q doesn't continue the stream", e.Status, e.ContentType)
+}
+
+// readContinuation starts to read a response that is to continue the stream whose beginning
+// the caller has: a success of the same content type.
+func (r *Response) readContinuation() error {
+	head := r.state.resp
+	if status, contentType := head.StatusCode(), string(head.Header.ContentType()); status != r.Status || contentType != r.ContentType {
+		return &NotContinuedError{Status: status, ContentType: contentType}
+	}
+	return r.readFirstEvent()
+}
+
 // resume continues a broken stream: in the same upstream process after the last
 // event that was delivered, or else with another run of the request, if no
 // event was delivered or every run gives the same response.
@@ -198,7 +221,7 @@
 			s.log("stream_not_resumed", refusal)
 			return event{}, r.truncated()
 		}
-		if cause = r.readStart(); cause == nil {
+		if cause = r.readContinuation(); cause == nil {
 			return r.firstEvent, nil
 		}
 	}
