--- a/core/fleet/digest.go
+++ b/core/fleet/digest.go
@@ -216,7 +216,7 @@
 		}
 	})
 	d.Heartbeat.Version = f.CatalogVersion()
-	d.Heartbeat.Parts, d.Heartbeat.Limits = f.partEvidence(now), f.limitReports(now)
+	d.Heartbeat.Parts, d.Heartbeat.Statements = f.partEvidence(now), f.statementReports(now)
 	d.Heartbeat.UpstreamsInService = len(f.inService(now))
 	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
 		for id, s := range st.byID {
@@ -246,7 +246,7 @@
 		}
 	})
 	d.Heartbeat.UpstreamsInService = len(f.inService(now))
-	d.Heartbeat.Parts, d.Heartbeat.Limits = f.partEvidence(now), f.limitReports(now)
+	d.Heartbeat.Parts, d.Heartbeat.Statements = f.partEvidence(now), f.statementReports(now)
 	if withMembers {
 		d.Members = f.seenMembers(now, false)
 	}
--- a/core/fleet/heartbeat.go
+++ b/core/fleet/heartbeat.go
@@ -25,8 +25,8 @@
 	Crashes     []Crash
 	// Parts is what is known of parts of prompts that may crash upstreams.
 	Parts []poison.Evidence
-	// Limits is what is known of the limits of upstreams.
-	Limits []LimitReport
+	// Statements are what upstreams say about themselves.
+	Statements []StatementReport
 }
 
 // Running is the number of requests that the sender has at an upstream.
@@ -95,7 +95,7 @@
 			}
 		}
 	})
-	b.Limits = f.limitReports(now)
+	b.Statements = f.statementReports(now)
 	f.parts.Do(table.Hold{}, func(_ table.Hold, m *prefix.Map) {
 		for _, id := range dropped {
 			m.RemoveEngine(id)
--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -12,7 +12,7 @@
 	"camphorpulley.org/core/table"
 )
 
-// Message is a message between routers. Exactly one of the pointers, or Limits, is not nil.
+// Message is a message between routers. Exactly one of the pointers, or Statements, is not nil.
 type Message struct {
 	// SentMS is the time from the sender's start until it sent the message in
 	// milliseconds; zero if it isn't stated.
@@ -25,7 +25,7 @@
 	Digest          *Digest
 	FullUpstream    *FullUpstream
 	PartEvidence    *PartEvidence
-	Limits          []LimitReport
+	Statements      []StatementReport
 	QuotaRequest    *QuotaRequest
 	QuotaGrant      *QuotaGrant
 }
@@ -49,8 +49,8 @@
 		return "full_upstream"
 	case m.PartEvidence != nil:
 		return "part_evidence"
-	case len(m.Limits) > 0:
-		return "limits"
+	case len(m.Statements) > 0:
+		return "statements"
 	case m.QuotaRequest != nil:
 		return "quota_request"
 	case m.QuotaGrant != nil:
@@ -69,8 +69,8 @@
 	// PartChanges are the parts of prompts from which on requests are refused, or no
 	// longer are.
 	PartChanges []poison.Change
-	// LimitChanges are the limits of upstreams that have begun, changed or ended.
-	LimitChanges []LimitChange
+	// StatementChanges are the limits of upstreams that have begun, changed or ended.
+	StatementChanges []StatementChange
 	// QuotaFor is the limited upstream for which a response has come; empty if none has.
 	QuotaFor core.UpstreamID
 	// Version is that of the catalog that came into force; zero if none did.
@@ -112,9 +112,9 @@
 	delayMS := f.recordTransit(now, from, m.SentMS)
 	switch {
 	case m.Heartbeat != nil:
-		limits := f.mergeLimits(now, m.Heartbeat.Limits, delayMS)
+		changes := f.mergeStatements(now, m.Heartbeat.Statements, delayMS)
 		e := f.applyHeartbeat(now, from, *m.Heartbeat)
-		e.LimitChanges = limits
+		e.StatementChanges = changes
 		return e
 	case m.SnapshotRequest != nil:
 		return Effects{Reply: &Message{Snapshot: f.snapshot(now, *m.SnapshotRequest)}}
@@ -130,12 +130,12 @@
 		f.applyFullUpstream(now, *m.FullUpstream)
 		return Effects{Forward: f.passOn(now, from, m)}
 	case m.Digest != nil:
-		limits := f.mergeLimits(now, m.Digest.Heartbeat.Limits, delayMS)
+		changes := f.mergeStatements(now, m.Digest.Heartbeat.Statements, delayMS)
 		e := f.applyDigest(now, from, *m.Digest)
-		e.LimitChanges = limits
+		e.StatementChanges = changes
 		return e
-	case len(m.Limits) > 0:
-		return Effects{LimitChanges: f.mergeLimits(now, m.Limits, delayMS), Forward: f.passOn(now, from, m)}
+	case len(m.Statements) > 0:
+		return Effects{StatementChanges: f.mergeStatements(now, m.Statements, delayMS), Forward: f.passOn(now, from, m)}
 	case m.QuotaRequest != nil:
 		return f.grantQuota(now, *m.QuotaRequest, delayMS)
 	case m.QuotaGrant != nil:
--- a/core/fleet/quota.go
+++ b/core/fleet/quota.go
@@ -22,7 +22,7 @@
 // QuotaRequest asks an allotter for requests to a limited upstream.
 type QuotaRequest struct {
 	// Limit is what the sender knows of the limit.
-	Limit LimitReport
+	Limit StatementReport
 	// Count is the number of requests that the sender wants.
 	Count int
 	// Preferred is true if the upstream is the best one for the request, or the request
@@ -33,7 +33,7 @@
 // QuotaGrant is the response to a QuotaRequest.
 type QuotaGrant struct {
 	// Limit is what the allotter knows of the limit, which may have ended.
-	Limit LimitReport
+	Limit StatementReport
 	// Count is the number of requests that the receiver may send within quota.Lease.
 	Count int
 	// RetryMS is the time after which to ask again in milliseconds if Count is zero.
@@ -214,7 +214,7 @@
 		return false, nil
 	}
 	return false, &Envelope{To: s.allotment.allotter, Message: Message{SentMS: f.uptimeMS(now), QuotaRequest: &QuotaRequest{
-		Limit: limitReport(now, c.Upstream.ID, s.said), Count: s.purse.Demand(now), Preferred: c.WorthQuota,
+		Limit: statementReport(now, c.Upstream.ID, s.said), Count: s.purse.Demand(now), Preferred: c.WorthQuota,
 	}}}
 }
 
@@ -234,14 +234,14 @@
 
 // grantQuota responds to a QuotaRequest.
 func (f *Fleet) grantQuota(now time.Time, q QuotaRequest, delayMS int64) Effects {
-	e := Effects{LimitChanges: f.mergeLimits(now, []LimitReport{q.Limit}, delayMS)}
+	e := Effects{StatementChanges: f.mergeStatements(now, []StatementReport{q.Limit}, delayMS)}
 	f.updateAllotments(now, []core.UpstreamID{q.Limit.Upstream})
 	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
 		s := st.byID[q.Limit.Upstream]
 		if s == nil {
 			return
 		}
-		g := QuotaGrant{Limit: limitReport(now, q.Limit.Upstream, s.said), Preferred: q.Preferred}
+		g := QuotaGrant{Limit: statementReport(now, q.Limit.Upstream, s.said), Preferred: q.Preferred}
 		if s.limited(now, q.Limit.StartedMS) {
 			var retry time.Duration
 			g.Count, retry = s.bucket.Take(now, f.quotaRate(now, s), q.Count, q.Preferred)
@@ -255,7 +255,7 @@
 // applyGrant applies the response to a QuotaRequest. One that was on its way for longer
 // than quota.Lease grants nothing.
 func (f *Fleet) applyGrant(now time.Time, g QuotaGrant, delayMS int64) Effects {
-	e := Effects{LimitChanges: f.mergeLimits(now, []LimitReport{g.Limit}, delayMS), QuotaFor: g.Limit.Upstream}
+	e := Effects{StatementChanges: f.mergeStatements(now, []StatementReport{g.Limit}, delayMS), QuotaFor: g.Limit.Upstream}
 	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
 		s := st.byID[g.Limit.Upstream]
 		switch {
--- a/core/fleet/limit.go
+++ b/core/fleet/statement.go
@@ -8,10 +8,10 @@
 	"camphorpulley.org/core/table"
 )
 
-// LimitReport is what a router knows of the limit of an upstream's process. Heartbeats
+// StatementReport is what a router knows of the limit of an upstream's process. Heartbeats
 // and digests hold those that count, so that all routers keep to a limit that one of them
 // has heard of.
-type LimitReport struct {
+type StatementReport struct {
 	Upstream core.UpstreamID
 	// StartedMS identifies the process, as in its entry.
 	StartedMS int64
@@ -24,54 +24,54 @@
 	FirstAgeMS int64
 }
 
-// LimitChange is a limit that an upstream has begun to name, has changed, or no longer
+// StatementChange is a limit that an upstream has begun to name, has changed, or no longer
 // names.
-type LimitChange struct {
+type StatementChange struct {
 	Upstream core.UpstreamID
 	Limit    statement.Limit
 }
 
-// LimitEffects are the effects of what an upstream has said in an answer.
-type LimitEffects struct {
+// StatementEffects are the effects of what an upstream has said in an answer.
+type StatementEffects struct {
 	// Notify is a message for all other routers; nil if there is none.
 	Notify *Message
 	// Changes is empty if the limit is as before.
-	Changes []LimitChange
+	Changes []StatementChange
 }
 
-// limitNotifyInterval is the shortest time between two messages to all routers that an
+// statementNotifyInterval is the shortest time between two messages to all routers that an
 // upstream has changed its limit. The next heartbeat tells of what comes in between.
-const limitNotifyInterval = 100 * time.Millisecond
+const statementNotifyInterval = 100 * time.Millisecond
 
 // RecordStatement records what an upstream says about itself in an answer that has just
 // arrived.
-func (f *Fleet) RecordStatement(now time.Time, t Target, a statement.Answer) LimitEffects {
-	var e LimitEffects
+func (f *Fleet) RecordStatement(now time.Time, t Target, a statement.Answer) StatementEffects {
+	var e StatementEffects
 	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
 		s := st.get(t.ID)
 		before := s.said.Limit
 		if !s.said.Hear(now, t.StartedMS, a) {
 			return
 		}
-		e.Changes = []LimitChange{{Upstream: t.ID, Limit: s.said.Limit}}
-		if before.Named != s.said.Limit.Named || now.Sub(s.limitNotifiedAt) >= limitNotifyInterval {
-			s.limitNotifiedAt = now
-			e.Notify = &Message{Limits: []LimitReport{limitReport(now, t.ID, s.said)}}
+		e.Changes = []StatementChange{{Upstream: t.ID, Limit: s.said.Limit}}
+		if before.Named != s.said.Limit.Named || now.Sub(s.statementNotifiedAt) >= statementNotifyInterval {
+			s.statementNotifiedAt = now
+			e.Notify = &Message{Statements: []StatementReport{statementReport(now, t.ID, s.said)}}
 		}
 	})
 	return e
 }
 
-// limitReport returns a statement for other routers.
-func limitReport(now time.Time, id core.UpstreamID, s statement.Statement) LimitReport {
-	return LimitReport{
+// statementReport returns a statement for other routers.
+func statementReport(now time.Time, id core.UpstreamID, s statement.Statement) StatementReport {
+	return StatementReport{
 		Upstream: id, StartedMS: s.StartedMS, Named: s.Limit.Named, PerSecond: s.Limit.PerSecond,
 		AgeMS: now.Sub(s.HeardAt).Milliseconds(), FirstAgeMS: max(now.Sub(s.FirstAt).Milliseconds(), 0),
 	}
 }
 
 // statement returns the report as it was at its arrival.
-func (r LimitReport) statement(now time.Time) statement.Statement {
+func (r StatementReport) statement(now time.Time) statement.Statement {
 	s := statement.Statement{StartedMS: r.StartedMS, HeardAt: agoMS(now, r.AgeMS), FirstAt: agoMS(now, r.FirstAgeMS)}
 	if r.Named {
 		s.Limit = statement.NewLimit(r.PerSecond)
@@ -79,26 +79,26 @@
 	return s
 }
 
-// limitReports returns what other routers have to know of limits.
-func (f *Fleet) limitReports(now time.Time) []LimitReport {
-	return table.Read(f.states, table.Hold{}, func(st *states) []LimitReport {
-		var all []LimitReport
+// statementReports returns what other routers have to know of limits.
+func (f *Fleet) statementReports(now time.Time) []StatementReport {
+	return table.Read(f.states, table.Hold{}, func(st *states) []StatementReport {
+		var all []StatementReport
 		for id, s := range st.byID {
 			if s.said.Told(now) {
-				all = append(all, limitReport(now, id, s.said))
+				all = append(all, statementReport(now, id, s.said))
 			}
 		}
 		return all
 	})
 }
 
-// mergeLimits records the limits that another router knows, of upstreams that this one
+// mergeStatements records the limits that another router knows, of upstreams that this one
 // knows. The message was delayed by delayMS on its way.
-func (f *Fleet) mergeLimits(now time.Time, all []LimitReport, delayMS int64) []LimitChange {
+func (f *Fleet) mergeStatements(now time.Time, all []StatementReport, delayMS int64) []StatementChange {
 	if len(all) == 0 {
 		return nil
 	}
-	var changes []LimitChange
+	var changes []StatementChange
 	f.roster.Do(table.Hold{}, func(held table.Hold, u *upstreams) {
 		f.states.Do(held, func(_ table.Hold, st *states) {
 			for _, r := range all {
@@ -108,7 +108,7 @@
 					continue
 				}
 				if s := st.get(r.Upstream); s.said.Merge(now, reported) {
-					changes = append(changes, LimitChange{Upstream: r.Upstream, Limit: s.said.Limit})
+					changes = append(changes, StatementChange{Upstream: r.Upstream, Limit: s.said.Limit})
 				}
 			}
 		})
--- a/core/fleet/upstream_state.go
+++ b/core/fleet/upstream_state.go
@@ -28,10 +28,10 @@
 	// reachability is that of the upstream's data centre; nil until a request to the
 	// upstream has ended.
 	reachability *health.Reachability
-	// said is what the upstream's process has said about itself, limitNotifiedAt when
+	// said is what the upstream's process has said about itself, statementNotifiedAt when
 	// other routers were last told of its limit.
-	said            statement.Statement
-	limitNotifiedAt time.Time
+	said                statement.Statement
+	statementNotifiedAt time.Time
 	// allotment is who grants requests within the limit, bucket what this router may
 	// grant as the allotter, purse what it was granted.
 	allotment allotment
--- a/router/cluster/router.go
+++ b/router/cluster/router.go
@@ -235,7 +235,7 @@
 		r.log.Info("catalog_applied", zap.Uint64("version", e.Version), zap.String("sender", string(from.ID)))
 	}
 	logPartChanges(r.log, from.ID, e.PartChanges)
-	logLimitChanges(r.log, from.ID, e.LimitChanges)
+	logStatementChanges(r.log, from.ID, e.StatementChanges)
 	if e.QuotaFor != "" {
 		r.gateway.Forwarder.QuotaResponded(e.QuotaFor)
 	}
--- a/router/wire/fleet.go
+++ b/router/wire/fleet.go
@@ -24,12 +24,12 @@
 	FullUpstream    *fleetFullUpstream    `cbor:"7,keyasint,omitempty"`
 	PartEvidence    []fleetEvidence       `cbor:"8,keyasint,omitempty"`
 	SentMS          int64                 `cbor:"9,keyasint,omitempty"`
-	Limits          []fleetLimit          `cbor:"10,keyasint,omitempty"`
+	Statements      []fleetStatement      `cbor:"10,keyasint,omitempty"`
 	QuotaRequest    *fleetQuotaRequest    `cbor:"11,keyasint,omitempty"`
 	QuotaGrant      *fleetQuotaGrant      `cbor:"12,keyasint,omitempty"`
 }
 
-type fleetLimit struct {
+type fleetStatement struct {
 	Upstream  core.UpstreamID `cbor:"1,keyasint"`
 	StartedMS int64           `cbor:"2,keyasint,omitempty"`
 	Named     bool            `cbor:"3,keyasint,omitempty"`
@@ -40,16 +40,16 @@
 }
 
 type fleetQuotaRequest struct {
-	Limit     fleetLimit `cbor:"1,keyasint"`
-	Count     int        `cbor:"2,keyasint,omitempty"`
-	Preferred bool       `cbor:"3,keyasint,omitempty"`
+	Limit     fleetStatement `cbor:"1,keyasint"`
+	Count     int            `cbor:"2,keyasint,omitempty"`
+	Preferred bool           `cbor:"3,keyasint,omitempty"`
 }
 
 type fleetQuotaGrant struct {
-	Limit     fleetLimit `cbor:"1,keyasint"`
-	Count     int        `cbor:"2,keyasint,omitempty"`
-	RetryMS   int64      `cbor:"3,keyasint,omitempty"`
-	Preferred bool       `cbor:"4,keyasint,omitempty"`
+	Limit     fleetStatement `cbor:"1,keyasint"`
+	Count     int            `cbor:"2,keyasint,omitempty"`
+	RetryMS   int64          `cbor:"3,keyasint,omitempty"`
+	Preferred bool           `cbor:"4,keyasint,omitempty"`
 }
 
 type fleetEvidence struct {
@@ -106,7 +106,7 @@
 	Crashes            []fleetCrash      `cbor:"6,keyasint,omitempty"`
 	Results            []fleetResults    `cbor:"8,keyasint,omitempty"`
 	Parts              []fleetEvidence   `cbor:"9,keyasint,omitempty"`
-	Limits             []fleetLimit      `cbor:"10,keyasint,omitempty"`
+	Statements         []fleetStatement  `cbor:"10,keyasint,omitempty"`
 }
 
 type fleetResults struct {
@@ -171,12 +171,12 @@
 // EncodeFleetMessage encodes a message of package fleet.
 func EncodeFleetMessage(m fleet.Message) ([]byte, error) {
 	w := fleetMessage{SentMS: m.SentMS, Handshake: (*fleetMember)(m.Handshake), SnapshotRequest: (*fleetSnapshotRequest)(m.SnapshotRequest), FullUpstream: (*fleetFullUpstream)(m.FullUpstream)}
-	w.Limits = encodeLimits(m.Limits)
+	w.Statements = encodeStatements(m.Statements)
 	if q := m.QuotaRequest; q != nil {
-		w.QuotaRequest = &fleetQuotaRequest{Limit: fleetLimit(q.Limit), Count: q.Count, Preferred: q.Preferred}
+		w.QuotaRequest = &fleetQuotaRequest{Limit: fleetStatement(q.Limit), Count: q.Count, Preferred: q.Preferred}
 	}
 	if g := m.QuotaGrant; g != nil {
-		w.QuotaGrant = &fleetQuotaGrant{Limit: fleetLimit(g.Limit), Count: g.Count, RetryMS: g.RetryMS, Preferred: g.Preferred}
+		w.QuotaGrant = &fleetQuotaGrant{Limit: fleetStatement(g.Limit), Count: g.Count, RetryMS: g.RetryMS, Preferred: g.Preferred}
 	}
 	if b := m.Heartbeat; b != nil {
 		w.Heartbeat = encodeFleetHeartbeat(*b)
@@ -211,7 +211,7 @@
 		Crashes:     lo.Map(b.Crashes, func(c fleet.Crash, _ int) fleetCrash { return fleetCrash(c) }),
 		Results:     lo.Map(b.Results, func(r fleet.ResultCount, _ int) fleetResults { return fleetResults(r) }),
 		Parts:       encodeEvidence(b.Parts),
-		Limits:      encodeLimits(b.Limits),
+		Statements:  encodeStatements(b.Statements),
 	}
 }
 
@@ -224,7 +224,7 @@
 		Crashes:     lo.Map(b.Crashes, func(c fleetCrash, _ int) fleet.Crash { return fleet.Crash(c) }),
 		Results:     lo.Map(b.Results, func(r fleetResults, _ int) fleet.ResultCount { return fleet.ResultCount(r) }),
 		Parts:       decodeEvidence(b.Parts),
-		Limits:      decodeLimits(b.Limits),
+		Statements:  decodeStatements(b.Statements),
 	}
 }
 
@@ -236,12 +236,12 @@
 		return fleet.Message{}, err
 	}
 	m := fleet.Message{SentMS: w.SentMS, Handshake: (*fleet.Member)(w.Handshake), SnapshotRequest: (*fleet.SnapshotRequest)(w.SnapshotRequest), FullUpstream: (*fleet.FullUpstream)(w.FullUpstream)}
-	m.Limits = decodeLimits(w.Limits)
+	m.Statements = decodeStatements(w.Statements)
 	if q := w.QuotaRequest; q != nil {
-		m.QuotaRequest = &fleet.QuotaRequest{Limit: fleet.LimitReport(q.Limit), Count: q.Count, Preferred: q.Preferred}
+		m.QuotaRequest = &fleet.QuotaRequest{Limit: fleet.StatementReport(q.Limit), Count: q.Count, Preferred: q.Preferred}
 	}
 	if g := w.QuotaGrant; g != nil {
-		m.QuotaGrant = &fleet.QuotaGrant{Limit: fleet.LimitReport(g.Limit), Count: g.Count, RetryMS: g.RetryMS, Preferred: g.Preferred}
+		m.QuotaGrant = &fleet.QuotaGrant{Limit: fleet.StatementReport(g.Limit), Count: g.Count, RetryMS: g.RetryMS, Preferred: g.Preferred}
 	}
 	if b := w.Heartbeat; b != nil {
 		m.Heartbeat = decodeFleetHeartbeat(*b)
@@ -267,20 +267,20 @@
 	return m, nil
 }
 
-// encodeLimits and decodeLimits return nil for an empty list, since most messages have
+// encodeStatements and decodeStatements return nil for an empty list, since most messages have
 // none.
-func encodeLimits(all []fleet.LimitReport) []fleetLimit {
+func encodeStatements(all []fleet.StatementReport) []fleetStatement {
 	if len(all) == 0 {
 		return nil
 	}
-	return lo.Map(all, func(r fleet.LimitReport, _ int) fleetLimit { return fleetLimit(r) })
+	return lo.Map(all, func(r fleet.StatementReport, _ int) fleetStatement { return fleetStatement(r) })
 }
 
-func decodeLimits(all []fleetLimit) []fleet.LimitReport {
+func decodeStatements(all []fleetStatement) []fleet.StatementReport {
 	if len(all) == 0 {
 		return nil
 	}
-	return lo.Map(all, func(r fleetLimit, _ int) fleet.LimitReport { return fleet.LimitReport(r) })
+	return lo.Map(all, func(r fleetStatement, _ int) fleet.StatementReport { return fleet.StatementReport(r) })
 }
 
 func encodeEvidence(all []poison.Evidence) []fleetEvidence {
--- a/router/wire/fleet_test.go
+++ b/router/wire/fleet_test.go
@@ -19,11 +19,11 @@
 		Crashes:     []fleet.Crash{{Content: 5, Process: "u/1"}},
 		Results:     []fleet.ResultCount{{Upstream: "u", Successes: 3, Failures: 1}},
 		Parts:       partEvidence,
-		Limits:      []fleet.LimitReport{limitReport},
+		Statements:  []fleet.StatementReport{statementReport},
 	}},
-	{Limits: []fleet.LimitReport{limitReport, {Upstream: "v"}}},
-	{QuotaRequest: &fleet.QuotaRequest{Limit: limitReport, Count: 2, Preferred: true}},
-	{QuotaGrant: &fleet.QuotaGrant{Limit: limitReport, Count: 2, RetryMS: 40, Preferred: true}},
+	{Statements: []fleet.StatementReport{statementReport, {Upstream: "v"}}},
+	{QuotaRequest: &fleet.QuotaRequest{Limit: statementReport, Count: 2, Preferred: true}},
+	{QuotaGrant: &fleet.QuotaGrant{Limit: statementReport, Count: 2, RetryMS: 40, Preferred: true}},
 	{PartEvidence: &fleet.PartEvidence{Parts: partEvidence}},
 	{Segment: &fleet.FeedSegment{Era: 2, From: 5, Next: 9, AgeMS: 12, Records: []fleet.Record{
 		{Offset: 5, Upstream: "u", Source: []byte("{}")}, {Offset: 7, Upstream: "v"},
@@ -45,7 +45,7 @@
 	}},
 }
 
-var limitReport = fleet.LimitReport{Upstream: "u", StartedMS: 8, Named: true, PerSecond: 4.5, AgeMS: 20, FirstAgeMS: 300}
+var statementReport = fleet.StatementReport{Upstream: "u", StartedMS: 8, Named: true, PerSecond: 4.5, AgeMS: 20, FirstAgeMS: 300}
 
 var partEvidence = []poison.Evidence{{
 	Part: 9, Probes: 1, ProbeAgeMS: 30, UsedAgeMS: 20,
