Heed upstreams that leave or turn a router away for a time

A leaving one gets nothing more from any router: all are told at once and by heartbeats; only the last of a pool gets requests, for half of the drain time. Being turned away binds the router that was told alone; when all upstreams of a pool do it, callers are told at once when the first takes requests again, spread over a second.

The gateway scripts leaving and turned-away failed before (502 and 200, want 200 and 503).

--- a/core/fleet/admit.go
+++ b/core/fleet/admit.go
@@ -74,6 +74,7 @@
 	codeDeadlyPart   = "deadly_part"
 	codeNoUpstream   = "no_upstream"
 	codeLimited      = "upstreams_limited"
+	codeTurnedAway   = "upstreams_turn_away"
 )
 
 // Admit authenticates a request, selects its route and pool, sets its deadline and
--- a/core/fleet/candidates.go
+++ b/core/fleet/candidates.go
@@ -73,6 +73,7 @@
 			FailureRate: s.health.FailureRate(now), SameDataCentre: u.DataCentre == f.settings.DataCentre,
 			Score: chat.Score(r.AffinityKey, string(u.ID)), Draw: chat.Score(r.draw, string(u.ID)), state: s,
 			Excluded: s.excluded(now) || reach.Ejected(now), Limited: s.limited(now, u.StartedMS),
+			Leaving: s.said.Leaving(u.StartedMS), TurnedAwayFor: s.said.TurnedAwayFor(now, u.StartedMS),
 		}
 		if 2*all[i].CachedTokens >= prompt {
 			all[i].usefulTokens = all[i].CachedTokens
--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -62,7 +61,7 @@
 		all = f.candidates(now, st, r, eligible, cached)
 		bound := f.poolBound(now, st, pool)
 		st.setBound(r.Pool.Name, bound)
-		candidates := affordable(now, f.limitRamp(), r, len(tried) > 0, bound, all)
+		candidates := affordable(now, f.limitRamp(), r, len(tried) > 0, bound, willing(now, f.settings.Drain, all))
 		best, ask = firstWithQuota(candidates, func(left []Candidate) Candidate {
 			bound.mark(left)
 			st.setExpectedLoads(now, r.Pool.Name, peerAge, left)
@@ -71,10 +70,8 @@
 			}))
 		}, func(c Candidate) (bool, *Envelope) { return f.takeQuota(now, r, c) })
 		switch {
-		case best.state == nil && slices.ContainsFunc(all, func(c Candidate) bool { return c.Limited }):
-			refusal = st.limitRefusal(now, r, all, routers)
 		case best.state == nil:
-			refusal = noUpstream("the upstreams of the pool are warming up")
+			refusal = st.refuseChoice(now, r, all, routers)
 		case ask == nil:
 			best.state.load.Local++
 			if best.Upstream.Cold(now) {
--- a/core/fleet/fetch.go
+++ b/core/fleet/fetch.go
@@ -13,11 +13,11 @@
 // more, it is the engine with the highest rendezvous score among those with as much:
 // prompts that ran before the router started ran there. The address is empty if there
 // is neither. An engine may serve as a source while it drains, or after a contact
-// failure if it still runs.
+// failure if it still runs, but not while it has turned this router away.
 func (f *Fleet) fetchSource(now time.Time, r Request, chosen Candidate) string {
 	best := Candidate{CachedTokens: chosen.CachedTokens}
 	for _, c := range f.fetchCandidates(now, r) {
-		if c.Upstream.ID == chosen.Upstream.ID || c.Unreachable {
+		if c.Upstream.ID == chosen.Upstream.ID || c.Unreachable || c.TurnedAwayFor > 0 {
 			continue
 		}
 		if c.CachedTokens > best.CachedTokens || (c.CachedTokens == best.CachedTokens && c.Score > best.Score) {
@@ -45,7 +45,9 @@
 		}
 		f.states.Do(held, func(held table.Hold, st *states) {
 			for i, c := range all {
-				all[i].Unreachable = st.get(c.Upstream.ID).unreachable(now) || st.reach(c.Upstream.DataCentre).Partitioned(now)
+				s := st.get(c.Upstream.ID)
+				all[i].Unreachable = s.unreachable(now) || st.reach(c.Upstream.DataCentre).Partitioned(now)
+				all[i].TurnedAwayFor = s.said.TurnedAwayFor(now, c.Upstream.StartedMS)
 			}
 			f.parts.Do(held, func(_ table.Hold, m *prefix.Map) {
 				for i, c := range all {
--- a/core/fleet/inventory.go
+++ b/core/fleet/inventory.go
@@ -13,8 +13,8 @@
 
 // InventoryTargets returns the engines whose cache inventory the router should query
 // after its start: those for which it ranks first among the routers by rendezvous, so
-// that each engine is queried once when all routers start. Engines that limit their
-// requests are left out. It reports false until the router knows the catalog, the
+// that each engine is queried once when all routers start. Engines that leave, limit
+// their requests or have turned this router away are left out. It reports false until the router knows the catalog, the
 // upstreams and the other routers.
 func (f *Fleet) InventoryTargets(now time.Time) ([]roster.Upstream, bool) {
 	c := f.Catalog()
@@ -27,7 +27,7 @@
 		f.states.Do(held, func(_ table.Hold, st *states) {
 			engines = slices.DeleteFunc(slices.Clone(u.roster.All()), func(up roster.Upstream) bool {
 				return c.Pools[up.Pool].Engine == nil || !u.roster.AcceptsWork(now, up) || f.routersAhead(up.ID, routers) > 0 ||
-					st.get(up.ID).limited(now, up.StartedMS)
+					st.get(up.ID).wantsNoInventory(now, up.StartedMS)
 			})
 		})
 	})
@@ -52,3 +52,9 @@
 func (f *Fleet) RecordInventory(now time.Time, id core.UpstreamID, parts []prefix.Part) {
 	f.parts.Do(table.Hold{}, func(_ table.Hold, m *prefix.Map) { m.AddInventory(now, id, parts) })
 }
+
+// wantsNoInventory reports whether the process of an engine has said something for which it
+// isn't queried.
+func (s *state) wantsNoInventory(now time.Time, startedMS int64) bool {
+	return s.limited(now, startedMS) || s.said.Leaving(startedMS) || s.said.TurnedAwayFor(now, startedMS) > 0
+}
--- a/core/fleet/policy.go
+++ b/core/fleet/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"camphorpulley.org/core/roster"
 )
@@ -36,6 +37,10 @@
 	Excluded, Unreachable bool
 	// SameDataCentre is true if the upstream is in the router's own data centre.
 	SameDataCentre bool
+	// Leaving is true if the upstream's process has said that it leaves, TurnedAwayFor the
+	// time for which it wants nothing from this router.
+	Leaving       bool
+	TurnedAwayFor time.Duration
 	// Limited is true if the upstream keeps to a limit on its requests per second.
 	Limited bool
 	// WorthQuota is true if a limited upstream is to run the request rather than others.
--- a/core/fleet/quota.go
+++ b/core/fleet/quota.go
@@ -305,6 +305,19 @@
 	maxLimitRetry = 5 * time.Second
 )
 
+// refuseChoice returns the refusal of a request that none of the candidates may get.
+func (st *states) refuseChoice(now time.Time, r Request, all []Candidate, routers int) *core.Refusal {
+	switch {
+	case slices.ContainsFunc(all, func(c Candidate) bool { return c.Limited }):
+		return st.limitRefusal(now, r, all, routers)
+	case slices.ContainsFunc(all, func(c Candidate) bool { return c.TurnedAwayFor > 0 }):
+		return turnedAwayRefusal(r, all)
+	case slices.ContainsFunc(all, func(c Candidate) bool { return c.Leaving }):
+		return noUpstream("the upstreams of the pool are leaving")
+	}
+	return noUpstream("the upstreams of the pool are warming up")
+}
+
 // limitRefusal returns the refusal of a request that no upstream of the pool may get
 // because of the limits. The callers that a router refuses return one after the other, at
 // the rate that the pool's limits leave for each router.
--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -832,13 +832,20 @@
 	}
 }
 
-// says NAME LIMIT|none|unclear: the answer to a request states a limit of requests per
-// second, which the router tells the others.
+// says NAME LIMIT|none|unclear|leaving|retry-after DURATION: the answer to a request states
+// a limit of requests per second, that the upstream leaves, or that it wants nothing for a
+// time. The router tells the others.
 func cmdSays(ts *testscript.TestScript, sim *simulation, a []string) {
 	r := sim.requests[a[0]]
 	var said statement.Answer
 	switch a[1] {
 	case "none":
+	case "leaving":
+		said.Leaving = true
+	case "retry-after":
+		after, err := time.ParseDuration(a[2])
+		ts.Check(err)
+		said.RetryAfter = after
 	case "unclear":
 		said.Limit.Unclear = true
 	default:
--- a/core/fleet/statement.go
+++ b/core/fleet/statement.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"net/http"
+	"slices"
 	"time"
 
 	"camphorpulley.org/core"
@@ -18,17 +20,21 @@
 	// Named reports whether the process names a limit, PerSecond requests per second.
 	Named     bool
 	PerSecond float64
+	// Leaving reports whether the process has said that it leaves.
+	Leaving bool
 	// AgeMS is the time since the answer that said so, FirstAgeMS that since the process
 	// first named a limit, in milliseconds.
 	AgeMS      int64
 	FirstAgeMS int64
 }
 
-// StatementChange is a limit that an upstream has begun to name, has changed, or no longer
-// names.
+// StatementChange is what an upstream has begun to say about itself, has changed, or no
+// longer says.
 type StatementChange struct {
+	statement.Change
 	Upstream core.UpstreamID
-	Limit    statement.Limit
+	// Limit is the limit that it names now.
+	Limit statement.Limit
 }
 
 // StatementEffects are the effects of what an upstream has said in an answer.
@@ -50,11 +56,12 @@
 	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
 		s := st.get(t.ID)
 		before := s.said.Limit
-		if !s.said.Hear(now, t.StartedMS, a) {
+		change := s.said.Hear(now, t.StartedMS, a)
+		if change == (statement.Change{}) {
 			return
 		}
-		e.Changes = []StatementChange{{Upstream: t.ID, Limit: s.said.Limit}}
-		if before.Named != s.said.Limit.Named || now.Sub(s.statementNotifiedAt) >= statementNotifyInterval {
+		e.Changes = []StatementChange{{Change: change, Upstream: t.ID, Limit: s.said.Limit}}
+		if change.BeganLeaving || before.Named != s.said.Limit.Named || now.Sub(s.statementNotifiedAt) >= statementNotifyInterval {
 			s.statementNotifiedAt = now
 			e.Notify = &Message{Statements: []StatementReport{statementReport(now, t.ID, s.said)}}
 		}
@@ -65,7 +72,7 @@
 // statementReport returns a statement for other routers.
 func statementReport(now time.Time, id core.UpstreamID, s statement.Statement) StatementReport {
 	return StatementReport{
-		Upstream: id, StartedMS: s.StartedMS, Named: s.Limit.Named, PerSecond: s.Limit.PerSecond,
+		Upstream: id, StartedMS: s.StartedMS, Leaving: !s.LeavingAt.IsZero(), Named: s.Limit.Named, PerSecond: s.Limit.PerSecond,
 		AgeMS: now.Sub(s.HeardAt).Milliseconds(), FirstAgeMS: max(now.Sub(s.FirstAt).Milliseconds(), 0),
 	}
 }
@@ -73,6 +80,9 @@
 // statement returns the report as it was at its arrival.
 func (r StatementReport) statement(now time.Time) statement.Statement {
 	s := statement.Statement{StartedMS: r.StartedMS, HeardAt: agoMS(now, r.AgeMS), FirstAt: agoMS(now, r.FirstAgeMS)}
+	if r.Leaving {
+		s.LeavingAt = s.HeardAt
+	}
 	if r.Named {
 		s.Limit = statement.NewLimit(r.PerSecond)
 	}
@@ -107,8 +117,9 @@
 				if _, known := u.roster.Get(r.Upstream); !known || reported.Limit.Unclear {
 					continue
 				}
-				if s := st.get(r.Upstream); s.said.Merge(now, reported) {
-					changes = append(changes, StatementChange{Upstream: r.Upstream, Limit: s.said.Limit})
+				s := st.get(r.Upstream)
+				if change := s.said.Merge(now, reported); change != (statement.Change{}) {
+					changes = append(changes, StatementChange{Change: change, Upstream: r.Upstream, Limit: s.said.Limit})
 				}
 			}
 		})
@@ -128,3 +139,46 @@
 		return n
 	})
 }
+
+// willing returns the candidates without those that want no request: they have turned this
+// router away for a time, or leave. If nothing else is left, one that leaves gets requests
+// for lastResortFraction of the drain time after it was first heard to say so.
+func willing(now time.Time, drain time.Duration, all []Candidate) []Candidate {
+	if !slices.ContainsFunc(all, func(c Candidate) bool { return c.Leaving || c.TurnedAwayFor > 0 }) {
+		return all
+	}
+	wanted := func(lastResort bool) []Candidate {
+		return slices.DeleteFunc(slices.Clone(all), func(c Candidate) bool {
+			leaving := c.Leaving && (!lastResort || now.Sub(c.state.said.LeavingAt) > time.Duration(lastResortFraction*float64(drain)))
+			return c.TurnedAwayFor > 0 || leaving
+		})
+	}
+	if kept := wanted(false); len(kept) > 0 {
+		return kept
+	}
+	return wanted(true)
+}
+
+// lastResortFraction is the fraction of the drain time within which a leaving upstream still
+// gets requests if there is no other: the rest is for those that are on their way.
+const lastResortFraction = 0.5
+
+// maxSpread is the time over which callers are spread that return after upstreams have
+// turned routers away.
+const maxSpread = time.Second
+
+// turnedAwayRefusal returns the refusal of a request because all upstreams of the pool have
+// turned this router away. Callers may return once the first one takes requests again,
+// spread so that they don't come at the same time.
+func turnedAwayRefusal(r Request, all []Candidate) *core.Refusal {
+	earliest := statement.MaxRetryAfter
+	for _, c := range all {
+		if c.TurnedAwayFor > 0 {
+			earliest = min(earliest, c.TurnedAwayFor)
+		}
+	}
+	refusal := notRunRefusal(http.StatusServiceUnavailable, codeTurnedAway, "the upstreams of the pool have turned this router away")
+	spread := time.Duration(uint64(r.draw) % uint64(min(max(earliest, time.Millisecond), maxSpread)))
+	refusal.RetryAfter = (earliest + spread).Round(time.Millisecond)
+	return refusal
+}
--- a/core/fleet/status.go
+++ b/core/fleet/status.go
@@ -80,6 +80,7 @@
 	Degraded              Exclusion = "doubted"
 	Cold                  Exclusion = "cold"
 	Limited               Exclusion = "limited"
+	TurnedAway            Exclusion = "turned_away"
 )
 
 // Status returns the router's view of the fleet.
@@ -120,7 +121,7 @@
 			FailureRate: state.health.FailureRate(now), LastSeenAgoMS: millisSince(now, state.lastSeen),
 		}
 		switch {
-		case up.Draining:
+		case up.Draining, state.said.Leaving(up.StartedMS):
 			d.Exclusion = Draining
 		case !u.roster.InService(up.DataCentre):
 			d.Exclusion = DataCentreOut
@@ -132,6 +133,8 @@
 			case d.Exclusion != NotExcluded:
 			case up.Cold(now):
 				d.Exclusion, d.RemainingMS = Cold, up.ColdUntil.Sub(now).Milliseconds()
+			case state.said.TurnedAwayFor(now, up.StartedMS) > 0:
+				d.Exclusion, d.RemainingMS = TurnedAway, state.said.TurnedAwayFor(now, up.StartedMS).Milliseconds()
 			case state.limited(now, up.StartedMS):
 				d.Exclusion = Limited
 			}
--- a/core/statement/statement.go
+++ b/core/statement/statement.go
@@ -1,5 +1,6 @@
 // Package statement keeps what the process of an upstream says about itself in its
-// answers. A statement holds for that process alone, and only until a newer one.
+// answers: the limit of requests that it takes, that it leaves, that it wants nothing for a
+// time. A statement holds for that process alone, and only until a newer one.
 package statement
 
 import (
@@ -12,8 +13,17 @@
 // answer that says nothing.
 type Answer struct {
 	Limit Limit
+	// Leaving reports whether the upstream's process is about to end.
+	Leaving bool
+	// RetryAfter is the time for which the upstream, which has turned the request away,
+	// wants nothing from this router; zero if it states none.
+	RetryAfter time.Duration
 }
 
+// MaxRetryAfter is the longest time that counts for which an upstream may turn a router
+// away.
+const MaxRetryAfter = time.Hour
+
 // Limit is a number of requests per second that an upstream takes from all routers
 // together. The zero value is an upstream that names none.
 type Limit struct {
@@ -63,6 +73,20 @@
 	ChangedAt time.Time
 	// FirstAt is when the process first named a limit, as far as is known.
 	FirstAt time.Time
+	// LeavingAt is when the process was first heard to say that it leaves, by any router;
+	// zero if it hasn't. It doesn't take that back.
+	LeavingAt time.Time
+	// NotBefore is until when the process wants nothing from this router. Other routers
+	// aren't told of it.
+	NotBefore time.Time
+}
+
+// Change tells what an answer or a report has changed in a statement.
+type Change struct {
+	// LimitChanged is true if the limit has begun, changed or ended.
+	LimitChanged bool
+	// BeganLeaving is true if the process is now known to leave.
+	BeganLeaving bool
 }
 
 const (
@@ -76,35 +100,60 @@
 	endRepeatTime = 5 * time.Second
 )
 
-// Hear records what an answer says that has just arrived from a process. It reports
-// whether the limit has begun, changed or ended.
-func (s *Statement) Hear(now time.Time, startedMS int64, a Answer) bool {
+// Hear records what an answer says that has just arrived from a process. An answer of an
+// earlier process than the one that is known says nothing.
+func (s *Statement) Hear(now time.Time, startedMS int64, a Answer) Change {
 	if startedMS != s.StartedMS {
 		if startedMS < s.StartedMS {
-			return false
+			return Change{}
 		}
 		*s = Statement{StartedMS: startedMS}
 	}
-	if a.Limit.Unclear || now.Before(s.HeardAt) {
-		return false
+	if a.RetryAfter > 0 {
+		if until := now.Add(min(a.RetryAfter, MaxRetryAfter)); until.After(s.NotBefore) {
+			s.NotBefore = until
+		}
+	}
+	var c Change
+	if a.Leaving && s.LeavingAt.IsZero() {
+		s.LeavingAt, c.BeganLeaving = now, true
+	}
+	if !a.Limit.Unclear && !now.Before(s.HeardAt) {
+		c.LimitChanged = s.update(now, a.Limit, now, now)
 	}
-	return s.update(now, a.Limit, now, now)
+	return c
 }
 
-// Merge records what another router has heard. It reports whether the limit has begun,
-// changed or ended.
-func (s *Statement) Merge(now time.Time, o Statement) bool {
+// Merge records what another router has heard.
+func (s *Statement) Merge(now time.Time, o Statement) Change {
 	if o.StartedMS < s.StartedMS || o.HeardAt.After(now) || now.Sub(o.HeardAt) > ttl {
-		return false
+		return Change{}
 	}
 	if o.StartedMS > s.StartedMS {
 		*s = Statement{StartedMS: o.StartedMS}
 	}
+	var c Change
+	if !o.LeavingAt.IsZero() && s.LeavingAt.IsZero() {
+		s.LeavingAt, c.BeganLeaving = o.LeavingAt, true
+	}
 	newer := o.HeardAt.Sub(s.HeardAt)
-	if newer <= 0 || (newer <= echoMargin && o.Limit != s.Limit) {
-		return false
+	if newer > 0 && (newer > echoMargin || o.Limit == s.Limit) {
+		c.LimitChanged = s.update(now, o.Limit, o.HeardAt, o.FirstAt)
+	}
+	return c
+}
+
+// Leaving reports whether a process has said that it leaves.
+func (s Statement) Leaving(startedMS int64) bool {
+	return s.StartedMS == startedMS && !s.LeavingAt.IsZero()
+}
+
+// TurnedAwayFor returns for how long a process wants nothing from this router.
+func (s Statement) TurnedAwayFor(now time.Time, startedMS int64) time.Duration {
+	if s.StartedMS != startedMS {
+		return 0
 	}
-	return s.update(now, o.Limit, o.HeardAt, o.FirstAt)
+	return max(s.NotBefore.Sub(now), 0)
 }
 
 // update replaces the limit.
@@ -152,10 +201,10 @@
 // staleAfter is the age at which a statement is stale.
 const staleAfter = time.Second
 
-// Told reports whether other routers have to be told of the statement: it names a limit,
-// or one has ended recently.
+// Told reports whether other routers have to be told of the statement: the process leaves,
+// names a limit, or no longer does since a short time.
 func (s Statement) Told(now time.Time) bool {
-	if s.Limit.Named {
+	if s.Limit.Named || !s.LeavingAt.IsZero() {
 		return now.Sub(s.HeardAt) <= ttl
 	}
 	return !s.ChangedAt.IsZero() && now.Sub(s.ChangedAt) <= endRepeatTime
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -133,17 +133,28 @@
 	maxLimitGap  = 3 * time.Second
 	// maxLimit is the highest limit in requests per second.
 	maxLimit = 8
+	// shedEvery is how many runners name a limit for each one that turns requests away.
+	shedEvery = 3
 )
 
-// limitRunners lets random runners name limits for faultTime, and waits until none does.
-// It has random numbers of its own, so that the faults of a seed stay the same.
-func (s *soak) limitRunners(ctx context.Context, random *rand.Rand) {
+// letRunnersSpeak lets random runners name limits or turn requests away for faultTime, and
+// waits until none does. It has random numbers of its own, so that the faults of a seed stay
+// the same.
+func (s *soak) letRunnersSpeak(ctx context.Context, random *rand.Rand) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for deadline := time.Now().Add(s.faultTime); time.Now().Before(deadline) && ctx.Err() == nil; {
 		r, perSecond := s.pickRunner(random), float64(1+random.IntN(maxLimit))
 		duration := minLimitTime + time.Duration(random.Int64N(int64(maxLimitTime-minLimitTime)))
+		sheds := random.IntN(shedEvery) == 0
 		wg.Go(func() {
+			if sheds {
+				s.log.Info("sheds", zap.String("part", r.ID), zap.Duration("for", duration))
+				r.SetMode(runner.Shedding)
+				sleep(ctx, min(duration, time.Until(deadline.Add(settleTime/2))))
+				r.SetMode(runner.Healthy)
+				return
+			}
 			s.log.Info("limit_named", zap.String("part", r.ID), zap.Float64("limit", perSecond), zap.Duration("for", duration))
 			r.SetLimit(perSecond)
 			sleep(ctx, min(duration, time.Until(deadline.Add(settleTime/2))))
--- a/lab/soak/ledger/ledger.go
+++ b/lab/soak/ledger/ledger.go
@@ -112,8 +112,11 @@
 	evacuated map[string]time.Time
 	// coldRuns holds the times of the last second's requests by cold runner.
 	coldRuns map[string][]time.Time
-	// limits holds the limits that runners name.
+	// limits holds the limits that runners name, leaving when a router was told that a
+	// runner leaves, turnedAway for how long a runner has turned a router away.
 	limits     map[string]*limit
+	leaving    map[pair]time.Time
+	turnedAway map[pair]*turnedAway
 	violations []Violation
 	outcomes   map[string]int
 }
--- a/lab/soak/ledger/limit.go
+++ b/lab/soak/ledger/limit.go
@@ -40,13 +40,18 @@
 	}
 }
 
-// RecordArrival records that a request has reached a runner, and checks the limit that the
-// runner names. Those of routers with a fault within RecoveryTime don't count.
+// RecordArrival records that a request has reached a runner, and checks what the runner has
+// said: its limit, that it leaves, that it turns the router away. Requests of routers with a
+// fault within RecoveryTime don't count.
 func (l *Ledger) RecordArrival(now time.Time, runner, id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	named, q := l.limits[runner], l.requests[id]
-	if named == nil || q == nil {
+	if q == nil {
+		return
+	}
+	l.checkStatements(now, runner, q)
+	if named == nil {
 		return
 	}
 	toldAt, told := named.toldAt[q.Router]
--- a/lab/soak/ledger/script_test.go
+++ b/lab/soak/ledger/script_test.go
@@ -33,7 +33,7 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"config": command(cmdConfig), "send": command(cmdSend), "run": command(cmdRun), "refuse": command(cmdRefuse),
 			"advance": command(cmdAdvance), "withdraw": command(cmdWithdraw), "evacuate": command(cmdEvacuate),
-			"begin-fault": command(cmdBeginFault), "end-fault": command(cmdEndFault), "violations": command(cmdViolations), "limit": command(cmdLimit), "arrive": command(cmdArrive), "told": command(cmdTold),
+			"begin-fault": command(cmdBeginFault), "end-fault": command(cmdEndFault), "violations": command(cmdViolations), "limit": command(cmdLimit), "arrive": command(cmdArrive), "told": command(cmdTold), "leave": command(cmdLeave), "turn-away": command(cmdTurnAway), "restart": command(cmdRestart),
 		},
 	})
 }
@@ -148,3 +148,20 @@
 		s.ledger.RecordArrival(s.now, args[1], args[0])
 	}
 }
+
+// leave ID RUNNER: the router of a request gets a response which says that the runner leaves.
+func cmdLeave(_ *testscript.TestScript, s *scriptState, args []string) {
+	s.ledger.RecordLeavingTold(s.now, args[1], args[0])
+}
+
+// turn-away ID RUNNER DURATION: the runner turns the router of a request away for a time.
+func cmdTurnAway(ts *testscript.TestScript, s *scriptState, args []string) {
+	d, err := time.ParseDuration(args[2])
+	ts.Check(err)
+	s.ledger.RecordTurnedAway(s.now, args[1], args[0], d)
+}
+
+// restart ROUTER: the router starts again.
+func cmdRestart(_ *testscript.TestScript, s *scriptState, args []string) {
+	s.ledger.ForgetStatements(args[0])
+}
--- a/lab/soak/router.go
+++ b/lab/soak/router.go
@@ -105,7 +105,7 @@
 // supervise runs the process, restarts it whenever it exits, and kills it when ctx
 // ends. It returns an error if the log can't be opened or the process can't be
 // started.
-func (r *router) supervise(ctx context.Context, program string, unread bool, log *zap.Logger) error {
+func (r *router) supervise(ctx context.Context, program string, unread bool, log *zap.Logger, started func()) error {
 	out, err := r.openLog(unread)
 	if err != nil {
 		return err
@@ -114,6 +114,7 @@
 	for ctx.Err() == nil {
 		cmd := exec.Command(program, "run", r.settingsFile)
 		cmd.Stdout, cmd.Stderr = out, out
+		started()
 		if err := cmd.Start(); err != nil {
 			return err
 		}
--- a/lab/soak/runner/runner.go
+++ b/lab/soak/runner/runner.go
@@ -43,10 +43,14 @@
 	Dropping
 	// Hanging runs requests, doesn't respond, and later closes the connection.
 	Hanging
+	// Shedding turns requests away.
+	Shedding
 )
 
 // String returns the name of the mode for logs.
-func (m Mode) String() string { return [...]string{"healthy", "failing", "dropping", "hanging"}[m] }
+func (m Mode) String() string {
+	return [...]string{"healthy", "failing", "dropping", "hanging", "shedding"}[m]
+}
 
 const (
 	// degradedShare is the share of requests that fail in a mode other than
@@ -234,22 +238,46 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	r.ledger.RecordArrival(time.Now(), r.ID, id)
+	if r.isDraining() {
+		w.Header().Set("Server-Leaving", "1")
+		defer func() { r.ledger.RecordLeavingTold(time.Now(), r.ID, id) }()
+	}
 	if limit := r.limit.Load(); limit > 0 {
-		r.ledger.RecordArrival(time.Now(), r.ID, id)
 		w.Header().Set("Server-Limit", strconv.FormatFloat(float64(limit)/1000, 'f', -1, 64))
 		defer func() { r.ledger.RecordLimitTold(time.Now(), r.ID, id) }()
 	}
 	if r.running.Add(1) > int64(r.Slots) {
 		r.running.Add(-1)
-		w.Header().Set("Camphorpulley-Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		r.turnAway(w, id)
 		return
 	}
 	defer r.running.Add(-1)
+	if Mode(r.mode.Load()) == Shedding && rand.Float64() < degradedShare {
+		r.turnAway(w, id)
+		return
+	}
 	r.recordRun(id, q, string(body))
 	r.respond(w, q, id)
 }
 
+// turnAwayTime is for how long a runner that is full, or sheds, turns a router away.
+const turnAwayTime = 1500 * time.Millisecond
+
+// turnAway responds that the request has not run, and when the router may come back.
+func (r *Runner) turnAway(w http.ResponseWriter, id string) {
+	w.Header().Set("Camphorpulley-Not-Executed", "1")
+	w.Header().Set("Retry-After", strconv.FormatFloat(turnAwayTime.Seconds(), 'f', -1, 64))
+	w.WriteHeader(http.StatusServiceUnavailable)
+	r.ledger.RecordTurnedAway(time.Now(), r.ID, id, turnAwayTime)
+}
+
+func (r *Runner) isDraining() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.draining
+}
+
 // recordRun records in the ledger that the runner starts to run a request.
 func (r *Runner) recordRun(id string, q *http.Request, body string) {
 	now := time.Now()
@@ -271,14 +299,14 @@
 // plain body. A stream continues after the event in Last-Event-Id, if given.
 func (r *Runner) respond(w http.ResponseWriter, q *http.Request, id string) {
 	simulateWork()
-	if m := Mode(r.mode.Load()); m != Healthy && rand.Float64() < degradedShare {
+	if m := Mode(r.mode.Load()); m != Healthy && m != Shedding && rand.Float64() < degradedShare {
 		switch m {
 		case Dropping:
 			panic(http.ErrAbortHandler)
 		case Hanging:
 			time.Sleep(hangTime)
 			panic(http.ErrAbortHandler)
-		case Failing, Healthy:
+		default:
 		}
 		w.Header().Set("Camphorpulley-Response-Signature", "failed."+id)
 		w.WriteHeader(http.StatusInternalServerError)
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -118,7 +118,7 @@
 	}
 	for _, r := range s.routers {
 		s.wg.Go(func() {
-			if err := r.supervise(ctx, s.program, s.unreadLogs, s.log); err != nil {
+			if err := r.supervise(ctx, s.program, s.unreadLogs, s.log, func() { s.ledger.ForgetStatements(r.id) }); err != nil {
 				s.ledger.RecordViolation(time.Now(), "harness", "supervise router %s: %v", r.id, err)
 			}
 		})
@@ -230,7 +230,7 @@
 	}
 	sleep(ctx, settleTime)
 	recordStartupEnd(time.Now())
-	s.wg.Go(func() { s.limitRunners(ctx, rand.New(rand.NewPCG(s.seed, 2<<32))) })
+	s.wg.Go(func() { s.letRunnersSpeak(ctx, rand.New(rand.NewPCG(s.seed, 2<<32))) })
 	s.wg.Go(func() { s.restoreStore(ctx, rand.New(rand.NewPCG(s.seed, 3<<32))) })
 	s.injectFaults(ctx, rand.New(rand.NewPCG(s.seed, 1<<32)))
 	sleep(ctx, settleTime)
--- a/router/cluster/statement_log.go
+++ b/router/cluster/statement_log.go
@@ -7,9 +7,15 @@
 	"camphorpulley.org/core/fleet"
 )
 
-// logStatementChanges logs the limits of upstreams that another router has reported.
+// logStatementChanges logs what upstreams say about themselves as another router has
+// reported it.
 func logStatementChanges(log *zap.Logger, sender core.RouterID, changes []fleet.StatementChange) {
 	for _, c := range changes {
-		log.Info("limit_changed", zap.String("upstream", string(c.Upstream)), zap.String("limit", c.Limit.String()), zap.String("sender", string(sender)))
+		if c.BeganLeaving {
+			log.Info("upstream_leaving", zap.String("upstream", string(c.Upstream)), zap.String("sender", string(sender)))
+		}
+		if c.LimitChanged {
+			log.Info("limit_changed", zap.String("upstream", string(c.Upstream)), zap.String("limit", c.Limit.String()), zap.String("sender", string(sender)))
+		}
 	}
 }
--- a/router/gateway/script_test.go
+++ b/router/gateway/script_test.go
@@ -139,7 +139,8 @@
 // time-out in milliseconds), X-Parts (the parts of the prompt, one letter each) and
 // Last-Event-Id. Upstreams are sent X-Id, X-Left (the
 // time left in milliseconds) and Last-Event-Id, and respond with X-Id, X-Signed and
-// X-Not-Run, and X-Limit, a number of requests per second. Refusals carry Retry-After.
+// X-Not-Run, X-Leaving, X-Limit, a number of requests per second, and Retry-After, a number
+// of seconds. Refusals carry Retry-After.
 type headerCodec struct{}
 
 func (headerCodec) ParseRequest(r *http.Request) gateway.RequestHeaders {
@@ -176,6 +177,10 @@
 	if perSecond, err := strconv.ParseFloat(h.Get("X-Limit"), 64); err == nil {
 		says.Limit = statement.NewLimit(perSecond)
 	}
+	says.Leaving = h.Get("X-Leaving") != ""
+	if seconds, err := strconv.Atoi(h.Get("Retry-After")); err == nil {
+		says.RetryAfter = time.Duration(seconds) * time.Second
+	}
 	return relay.ResponseHeaders{
 		Says: says, RequestID: h.Get("X-Id"), Signed: h.Get("X-Signed") != "", NotRun: h.Get("X-Not-Run") != "" || status == http.StatusMisdirectedRequest,
 		Misdirected: status == http.StatusMisdirectedRequest, Encoded: h.Get("Content-Encoding") != "",
--- a/router/relay/quota.go
+++ b/router/relay/quota.go
@@ -48,6 +48,11 @@
 		f.Notify(*e.Notify)
 	}
 	for _, c := range e.Changes {
-		f.Log.Info("limit_changed", zap.String("upstream", string(c.Upstream)), zap.String("limit", c.Limit.String()), zap.String("request", a.ID))
+		if c.BeganLeaving {
+			f.Log.Info("upstream_leaving", zap.String("upstream", string(c.Upstream)), zap.String("request", a.ID))
+		}
+		if c.LimitChanged {
+			f.Log.Info("limit_changed", zap.String("upstream", string(c.Upstream)), zap.String("limit", c.Limit.String()), zap.String("request", a.ID))
+		}
 	}
 }
--- a/router/wire/fleet.go
+++ b/router/wire/fleet.go
@@ -34,6 +34,7 @@
 	StartedMS int64           `cbor:"2,keyasint,omitempty"`
 	Named     bool            `cbor:"3,keyasint,omitempty"`
 	PerSecond float64         `cbor:"4,keyasint,omitempty"`
+	Leaving   bool            `cbor:"7,keyasint,omitempty"`
 	AgeMS     int64           `cbor:"5,keyasint,omitempty"`
 
 	FirstAgeMS int64 `cbor:"6,keyasint,omitempty"`
--- a/router/wire/fleet_test.go
+++ b/router/wire/fleet_test.go
@@ -45,7 +45,7 @@
 	}},
 }
 
-var statementReport = fleet.StatementReport{Upstream: "u", StartedMS: 8, Named: true, PerSecond: 4.5, AgeMS: 20, FirstAgeMS: 300}
+var statementReport = fleet.StatementReport{Upstream: "u", StartedMS: 8, Named: true, PerSecond: 4.5, AgeMS: 20, FirstAgeMS: 300, Leaving: true}
 
 var partEvidence = []poison.Evidence{{
 	Part: 9, Probes: 1, ProbeAgeMS: 30, UsedAgeMS: 20,
