Reset the connection of a request that is given up

Cause: closing a connection leaves what waits in its send buffer to be delivered. Connections on which a request was given up, by its caller, its deadline or a broken response, are reset now; those of whole responses are closed as before. TestAbandonedRequestIsReset failed before for both the caller and the deadline: the upstream read the request to its end.

Not searched: links between routers, whose messages carry ages, and calls to the store that were given up.

--- a/router/httpclient/roundtrip.go
+++ b/router/httpclient/roundtrip.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -68,7 +69,7 @@
 // returned. The connection is closed when ctx ends, and after an error.
 func (c *Conn) Do(ctx context.Context, r Request, deadline time.Time, checkHead func(status int, h http.Header) error) (*Response, error) {
 	resp := &Response{conn: c, writeResult: make(chan error, 1)}
-	resp.detach = context.AfterFunc(ctx, func() { _ = c.Close() })
+	resp.detach = context.AfterFunc(ctx, c.reset)
 	if err := c.SetDeadline(deadline); err != nil {
 		resp.Abort()
 		return nil, wrap.Err(err, "set deadline")
@@ -155,10 +156,20 @@
 	return wrap.Err(resp.conn.SetDeadline(t), "set deadline")
 }
 
-// Abort closes the connection, whatever was read.
+// Abort resets the connection, whatever was read. What the upstream has not received yet of
+// the request is discarded.
 func (resp *Response) Abort() {
 	resp.detach()
-	_ = resp.conn.Close()
+	resp.conn.reset()
+}
+
+// reset closes the connection and discards what waits to be sent: a request that was given
+// up must not arrive once the path to the upstream is back.
+func (c *Conn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
 }
 
 // Release returns the connection to a pool if it can be used again: the request
@@ -171,10 +182,14 @@
 		written = err == nil
 	default:
 	}
-	if !resp.detach() || !resp.complete || !written || resp.Close || !isPersistent(resp.Header) {
+	if !resp.detach() || !resp.complete || !written {
 		resp.Abort()
 		return
 	}
+	if resp.Close || !isPersistent(resp.Header) {
+		_ = resp.conn.Close()
+		return
+	}
 	p.Put(now, resp.conn, keepAliveTimeout(resp.Header))
 }
 
