Bring a limit into force once, whoever hears of it when

A router that heard of a limit by its own requests long after the others, and grants requests for it, let up to three times the limit through again for the time in which limits come into force, since only its own first hearing counted. The earliest hearing that any router knows counts now; TestRampBeginsOnce failed before (12 a second, want 4). Ages that another router states are bounded, and an answer with a limit that is no number still tells that the upstream leaves.

--- a/core/fleet/statement.go
+++ b/core/fleet/statement.go
@@ -10,9 +10,9 @@
 	"camphorpulley.org/core/table"
 )
 
-// StatementReport is what a router knows of the limit of an upstream's process. Heartbeats
-// and digests hold those that count, so that all routers keep to a limit that one of them
-// has heard of.
+// StatementReport is what a router knows of what an upstream's process says about itself.
+// Heartbeats and digests hold those that count, so that all routers act on what one of them
+// has heard.
 type StatementReport struct {
 	Upstream core.UpstreamID
 	// StartedMS identifies the process, as in its entry.
@@ -41,7 +41,7 @@
 type StatementEffects struct {
 	// Notify is a message for all other routers; nil if there is none.
 	Notify *Message
-	// Changes is empty if the limit is as before.
+	// Changes is empty if the upstream says what it said before.
 	Changes []StatementChange
 }
 
@@ -69,11 +69,14 @@
 	return e
 }
 
+// maxReportAgeMS bounds the ages that a report may state.
+const maxReportAgeMS = int64(24 * time.Hour / time.Millisecond)
+
 // statementReport returns a statement for other routers.
 func statementReport(now time.Time, id core.UpstreamID, s statement.Statement) StatementReport {
 	return StatementReport{
 		Upstream: id, StartedMS: s.StartedMS, Leaving: !s.LeavingAt.IsZero(), Named: s.Limit.Named, PerSecond: s.Limit.PerSecond,
-		AgeMS: now.Sub(s.HeardAt).Milliseconds(), FirstAgeMS: max(now.Sub(s.FirstAt).Milliseconds(), 0),
+		AgeMS: max(now.Sub(s.HeardAt).Milliseconds(), 0), FirstAgeMS: max(now.Sub(s.FirstAt).Milliseconds(), 0),
 	}
 }
 
@@ -89,7 +92,7 @@
 	return s
 }
 
-// statementReports returns what other routers have to know of limits.
+// statementReports returns what other routers have to know of what upstreams say.
 func (f *Fleet) statementReports(now time.Time) []StatementReport {
 	return table.Read(f.states, table.Hold{}, func(st *states) []StatementReport {
 		var all []StatementReport
@@ -102,8 +105,8 @@
 	})
 }
 
-// mergeStatements records the limits that another router knows, of upstreams that this one
-// knows. The message was delayed by delayMS on its way.
+// mergeStatements records what another router knows of what upstreams say, of those that
+// this one knows. The message was delayed by delayMS on its way.
 func (f *Fleet) mergeStatements(now time.Time, all []StatementReport, delayMS int64) []StatementChange {
 	if len(all) == 0 {
 		return nil
@@ -112,7 +115,8 @@
 	f.roster.Do(table.Hold{}, func(held table.Hold, u *upstreams) {
 		f.states.Do(held, func(_ table.Hold, st *states) {
 			for _, r := range all {
-				r.AgeMS = max(r.AgeMS, 0) + delayMS
+				r.AgeMS = min(max(r.AgeMS, 0), maxReportAgeMS) + delayMS
+				r.FirstAgeMS = min(max(r.FirstAgeMS, 0), maxReportAgeMS) + delayMS
 				reported := r.statement(now)
 				if _, known := u.roster.Get(r.Upstream); !known || reported.Limit.Unclear {
 					continue
--- a/core/statement/statement.go
+++ b/core/statement/statement.go
@@ -118,7 +118,11 @@
 	if a.Leaving && s.LeavingAt.IsZero() {
 		s.LeavingAt, c.BeganLeaving = now, true
 	}
-	if !a.Limit.Unclear && !now.Before(s.HeardAt) {
+	switch {
+	case now.Before(s.HeardAt):
+	case a.Limit.Unclear:
+		s.HeardAt = now
+	default:
 		c.LimitChanged = s.update(now, a.Limit, now, now)
 	}
 	return c
@@ -136,6 +140,10 @@
 	if !o.LeavingAt.IsZero() && s.LeavingAt.IsZero() {
 		s.LeavingAt, c.BeganLeaving = o.LeavingAt, true
 	}
+	if o.Limit.Named && !s.FirstAt.IsZero() && o.FirstAt.Before(s.FirstAt) {
+		// This router has heard of the limit later than others.
+		s.FirstAt = o.FirstAt
+	}
 	newer := o.HeardAt.Sub(s.HeardAt)
 	if newer > 0 && (newer > echoMargin || o.Limit == s.Limit) {
 		c.LimitChanged = s.update(now, o.Limit, o.HeardAt, o.FirstAt)
