Report small changes of a limit by heartbeats alone

An upstream that names a slightly different limit in each answer would have made each router send a message to all others ten times a second, and log a line for each answer. A limit counts as changed when it begins, ends or differs by a tenth from what was last reported; others are told at once only when it begins, ends or falls by a quarter.

--- a/core/fleet/statement.go
+++ b/core/fleet/statement.go
@@ -46,7 +46,8 @@
 }
 
 // statementNotifyInterval is the shortest time between two messages to all routers that an
-// upstream has changed its limit. The next heartbeat tells of what comes in between.
+// upstream has lowered its limit. Heartbeats tell of what comes in between, and of limits
+// that have risen.
 const statementNotifyInterval = 100 * time.Millisecond
 
 // RecordStatement records what an upstream says about itself in an answer that has just
@@ -55,13 +56,14 @@
 	var e StatementEffects
 	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
 		s := st.get(t.ID)
-		before := s.said.Limit
+		before := s.said.Reported
 		change := s.said.Hear(now, t.StartedMS, a)
 		if change == (statement.Change{}) {
 			return
 		}
 		e.Changes = []StatementChange{{Change: change, Upstream: t.ID, Limit: s.said.Limit}}
-		if change.BeganLeaving || before.Named != s.said.Limit.Named || now.Sub(s.statementNotifiedAt) >= statementNotifyInterval {
+		began := change.BeganLeaving || before.Named != s.said.Limit.Named
+		if began || (s.said.Limit.Falls(before) && now.Sub(s.statementNotifiedAt) >= statementNotifyInterval) {
 			s.statementNotifiedAt = now
 			e.Notify = &Message{Statements: []StatementReport{statementReport(now, t.ID, s.said)}}
 		}
--- a/core/statement/statement.go
+++ b/core/statement/statement.go
@@ -59,6 +59,25 @@
 	return ""
 }
 
+// minChange is the fraction by which a limit must differ from another one to count as a
+// change: an upstream may name a slightly different one in each answer.
+const minChange = 0.1
+
+// differs reports whether the limit is named and the other one isn't, or the other way
+// round, or whether they differ by minChange.
+func (l Limit) differs(o Limit) bool {
+	return l.Named != o.Named || math.Abs(l.PerSecond-o.PerSecond) > minChange*o.PerSecond
+}
+
+// Falls reports whether the limit begins, ends, or is so much lower than the other one that
+// routers which don't know of it would soon exceed it.
+func (l Limit) Falls(o Limit) bool {
+	return l.Named != o.Named || l.PerSecond < fallFraction*o.PerSecond
+}
+
+// fallFraction is the fraction of a limit below which another one is much lower.
+const fallFraction = 0.75
+
 // Statement is the newest that is known of what a process of an upstream says. The zero
 // value is a process that has said nothing.
 type Statement struct {
@@ -69,8 +88,9 @@
 	// HeardAt is when the answer with the statement arrived at the router that got it.
 	HeardAt time.Time
 	// ChangedAt is when the limit last began, changed or ended; zero if none was ever
-	// named.
+	// named. Reported is the limit then.
 	ChangedAt time.Time
+	Reported  Limit
 	// FirstAt is when the process first named a limit, as far as is known.
 	FirstAt time.Time
 	// LeavingAt is when the process was first heard to say that it leaves, by any router;
@@ -83,7 +103,8 @@
 
 // Change tells what an answer or a report has changed in a statement.
 type Change struct {
-	// LimitChanged is true if the limit has begun, changed or ended.
+	// LimitChanged is true if the limit has begun or ended, or differs by minChange or more
+	// from the one at the change before.
 	LimitChanged bool
 	// BeganLeaving is true if the process is now known to leave.
 	BeganLeaving bool
@@ -166,13 +187,13 @@
 
 // update replaces the limit.
 func (s *Statement) update(now time.Time, l Limit, heardAt, firstAt time.Time) bool {
-	changed := l != s.Limit
+	changed := l.differs(s.Reported)
 	if l.Named && (s.FirstAt.IsZero() || firstAt.Before(s.FirstAt)) {
 		s.FirstAt = firstAt
 	}
 	s.Limit, s.HeardAt = l, heardAt
 	if changed {
-		s.ChangedAt = now
+		s.ChangedAt, s.Reported = now, l
 	}
 	return changed
 }
--- a/core/statement/statement_test.go
+++ b/core/statement/statement_test.go
@@ -55,3 +55,29 @@
 		t.Errorf("huge limit: got %g, want %g", got, MaxPerSecond)
 	}
 }
+
+// TestSmallChanges guards against messages to all routers, and log lines, for each answer of
+// an upstream that names a slightly different limit each time.
+func TestSmallChanges(t *testing.T) {
+	var s Statement
+	now, changes := start, 0
+	for i := range 100 {
+		now = now.Add(10 * time.Millisecond)
+		if s.Hear(now, 1, named(10+float64(i%2)/2)).LimitChanged {
+			changes++
+		}
+	}
+	if changes != 1 || s.Limit != NewLimit(10.5) {
+		t.Errorf("limits of 10 and 10.5 in turn: got %d changes and %s at last, want 1 and 10.5", changes, s.Limit)
+	}
+	// Small steps add up.
+	for i := range 20 {
+		now = now.Add(10 * time.Millisecond)
+		if s.Hear(now, 1, named(10-float64(i)/4)).LimitChanged {
+			changes++
+		}
+	}
+	if changes < 3 {
+		t.Errorf("a limit that falls to half in small steps: got %d changes, want some", changes-1)
+	}
+}
