--- a/core/fleet/heartbeat.go
+++ b/core/fleet/heartbeat.go
@@ -95,7 +95,7 @@
 			}
 		}
 	})
-	b.Statements = f.statementReports(now)
+	b.Statements = f.repeatedStatements(now)
 	f.parts.Do(table.Hold{}, func(_ table.Hold, m *prefix.Map) {
 		for _, id := range dropped {
 			m.RemoveEngine(id)
--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -104,6 +104,8 @@
 	Entries     []EntryCopy
 	Removed     []EntryCopy
 	CachedParts []prefix.CachedPart
+	// Statements are what upstreams say about themselves.
+	Statements []StatementReport
 }
 
 // Receive applies a message from another router and returns its effects.
@@ -119,7 +121,9 @@
 	case m.SnapshotRequest != nil:
 		return Effects{Reply: &Message{Snapshot: f.snapshot(now, *m.SnapshotRequest)}}
 	case m.Snapshot != nil:
-		return f.applySnapshot(now, *m.Snapshot)
+		e := f.applySnapshot(now, *m.Snapshot)
+		e.StatementChanges = f.mergeStatements(now, m.Snapshot.Statements, delayMS)
+		return e
 	case m.Segment != nil:
 		segment := *m.Segment
 		segment.AgeMS += delayMS
@@ -156,7 +160,7 @@
 
 // snapshot returns the reply to a request for a snapshot.
 func (f *Fleet) snapshot(now time.Time, w SnapshotRequest) *Snapshot {
-	s := &Snapshot{}
+	s := &Snapshot{Statements: f.statementReports(now)}
 	if c := f.Catalog(); c != nil && c.Version > w.Version {
 		s.Catalog = c.Source
 	}
--- a/core/fleet/statement.go
+++ b/core/fleet/statement.go
@@ -11,8 +11,8 @@
 )
 
 // StatementReport is what a router knows of what an upstream's process says about itself.
-// Heartbeats and digests hold those that count, so that all routers act on what one of them
-// has heard.
+// All are told at once, and snapshots, digests and now and then heartbeats repeat it, so that
+// all routers act on what one of them has heard.
 type StatementReport struct {
 	Upstream core.UpstreamID
 	// StartedMS identifies the process, as in its entry.
@@ -58,6 +58,7 @@
 		s := st.get(t.ID)
 		before := s.said.Reported
 		change := s.said.Hear(now, t.StartedMS, a)
+		s.heardItself = true
 		if change == (statement.Change{}) {
 			return
 		}
@@ -94,12 +95,40 @@
 	return s
 }
 
+const (
+	// relayRepeatInterval is the time between two heartbeats of a relay with the same
+	// statement, for routers that have missed the message about it.
+	relayRepeatInterval = time.Second
+	// hearerRepeatInterval is that of any other router that gets answers of the upstream,
+	// so that the relay knows that the statement still holds.
+	hearerRepeatInterval = 10 * time.Second
+)
+
 // statementReports returns what other routers have to know of what upstreams say.
 func (f *Fleet) statementReports(now time.Time) []StatementReport {
+	return f.reportsOf(now, func(*state) bool { return true })
+}
+
+// repeatedStatements returns the reports that the next heartbeat repeats.
+func (f *Fleet) repeatedStatements(now time.Time) []StatementReport {
+	relay := f.isRelay(now)
+	return f.reportsOf(now, func(s *state) bool {
+		age := now.Sub(s.statementRepeatedAt)
+		if age < relayRepeatInterval || (!relay && (!s.heardItself || age < hearerRepeatInterval)) {
+			return false
+		}
+		s.statementRepeatedAt, s.heardItself = now, false
+		return true
+	})
+}
+
+// reportsOf returns the reports that other routers have to know, of the upstreams for which
+// wanted returns true.
+func (f *Fleet) reportsOf(now time.Time, wanted func(*state) bool) []StatementReport {
 	return table.Read(f.states, table.Hold{}, func(st *states) []StatementReport {
 		var all []StatementReport
 		for id, s := range st.byID {
-			if s.said.Told(now) {
+			if s.said.Told(now) && wanted(s) {
 				all = append(all, statementReport(now, id, s.said))
 			}
 		}
--- a/core/fleet/upstream_state.go
+++ b/core/fleet/upstream_state.go
@@ -29,9 +29,12 @@
 	// upstream has ended.
 	reachability *health.Reachability
 	// said is what the upstream's process has said about itself, statementNotifiedAt when
-	// other routers were last told of its limit.
+	// other routers were last told of its limit at once, statementRepeatedAt when a
+	// heartbeat last held it. heardItself is true if this router has got an answer since.
 	said                statement.Statement
 	statementNotifiedAt time.Time
+	statementRepeatedAt time.Time
+	heardItself         bool
 	// allotment is who grants requests within the limit, bucket what this router may
 	// grant as the allotter, purse what it was granted.
 	allotment allotment
--- a/core/statement/statement.go
+++ b/core/statement/statement.go
@@ -228,7 +228,7 @@
 func (s Statement) Stale(now time.Time) bool { return now.Sub(s.HeardAt) > staleAfter }
 
 // staleAfter is the age at which a statement is stale.
-const staleAfter = time.Second
+const staleAfter = 3 * time.Second
 
 // Told reports whether other routers have to be told of the statement: the process leaves,
 // names a limit, or no longer does since a short time.
--- a/lab/fleet/report.go
+++ b/lab/fleet/report.go
@@ -10,8 +10,10 @@
 // figures are what a simulation counts after its warm-up.
 type figures struct {
 	attempts, declined, waited, refused, reads int
-	remoteBytes                                int
-	promptTokens, rereadTokens, fetchedTokens  int
+	// silent counts the requests for quota that got no response.
+	silent                                    int
+	remoteBytes                               int
+	promptTokens, rereadTokens, fetchedTokens int
 }
 
 // report holds the results of a simulation. Rates are per second.
@@ -26,6 +28,10 @@
 	// sent, Remote the mean between data centres.
 	Sent, Busiest, Remote float64
 	Fetched, Refused      float64
+	// Excess is the highest number of requests that a limited upstream got within four
+	// seconds, as a fraction of what is permitted; Used is what all of them got, as a
+	// fraction of their limits.
+	Excess, Used float64
 	// Reads is the number of reads of the store per second by all routers.
 	Reads float64
 }
@@ -50,6 +56,7 @@
 	r.Reread = ratio(sim.figures.rereadTokens, sim.figures.promptTokens)
 	r.Fetched = ratio(sim.figures.fetchedTokens, sim.figures.promptTokens)
 	r.Refused = ratio(sim.figures.refused, sim.requests)
+	r.Excess, r.Used = sim.limitFigures()
 	r.Reads = float64(sim.figures.reads) / (seconds + sim.scenario.Run.Warmup.Seconds())
 	return r
 }
@@ -68,6 +75,9 @@
 	for _, name := range names {
 		fmt.Fprintf(&b, " crowded_%s=%.4f", name, r.Crowded[name])
 	}
+	if r.Excess > 0 {
+		fmt.Fprintf(&b, " excess=%.3f used=%.3f", r.Excess, r.Used)
+	}
 	fmt.Fprintf(&b, " reread=%.4f fetched=%.4f sent=%.0f busiest=%.0f remote=%.0f reads=%.2f",
 		r.Reread, r.Fetched, r.Sent, r.Busiest, r.Remote, r.Reads)
 	return b.String()
@@ -85,6 +95,7 @@
 	}{
 		{"crowded", crowded, l.Crowded}, {"declined", r.Declined, l.Declined}, {"waiting", r.Waiting, l.Waiting}, {"refused", r.Refused, l.Refused}, {"reread", r.Reread, l.Reread},
 		{"sent", r.Sent, l.Sent}, {"busiest", r.Busiest, l.Busiest}, {"remote", r.Remote, l.Remote},
+		{"excess", r.Excess, l.Excess}, {"unused", 1 - r.Used, l.Unused},
 	}
 	var over []string
 	for _, c := range checks {
--- a/lab/fleet/request.go
+++ b/lab/fleet/request.go
@@ -110,6 +110,10 @@
 		sim.figures.refused++
 		return
 	}
+	if r.target.Ask != nil {
+		sim.askQuota(now, r)
+		return
+	}
 	u := sim.upstreams[r.target.ID]
 	there := sim.delay(r.router.member.DataCentre, u.entry.DataCentre)
 	sim.events.add(now.Add(there), func(at time.Time) { sim.reach(at, r, u, there) })
@@ -118,6 +122,7 @@
 // reach lets an upstream accept or decline an attempt.
 func (sim *simulation) reach(now time.Time, r *request, u *upstream, back time.Duration) {
 	pool := sim.pools[u.pool.Name]
+	sim.countLimited(now, u)
 	if sim.measuring() {
 		sim.figures.attempts++
 		pool.window.add(now, pool.crowded(u))
@@ -157,6 +162,7 @@
 			return
 		}
 		r.router.fleet.MarkSeen(at, r.target)
+		sim.answerLimit(at, r, u)
 		r.router.fleet.RecordPrefill(at, r.Request, r.target)
 		if report != nil {
 			if full := r.router.fleet.RecordLoad(at, r.target, *report); full != nil {
--- a/lab/fleet/scenario.go
+++ b/lab/fleet/scenario.go
@@ -47,6 +47,11 @@
 	Slow float64 `ini:"slow" validate:"min=0"`
 	// Tells is true if responses state the load.
 	Tells bool `ini:"tells"`
+	// Limited is the share of the upstreams that name a limit from LimitFrom on: Limit
+	// requests per second from all routers together.
+	Limited   float64       `ini:"limited" validate:"min=0,max=1"`
+	Limit     float64       `ini:"limit" validate:"min=0"`
+	LimitFrom time.Duration `ini:"limitfrom" validate:"min=0"`
 }
 
 // LoadSection describes requests of one kind.
@@ -94,6 +99,11 @@
 	Waiting  float64 `ini:"waiting" validate:"min=0,max=1"`
 	// Refused is the largest share of requests that routers may refuse.
 	Refused float64 `ini:"refused" validate:"min=0,max=1"`
+	// Excess is the highest number of requests that a limited upstream may get in four
+	// seconds, as a fraction of what is permitted: one and a half times its limit, and five
+	// more. Unused is the largest share of the limits that may stay unused.
+	Excess float64 `ini:"excess" validate:"min=0"`
+	Unused float64 `ini:"unused" validate:"min=0,max=1"`
 	// Sent is the mean number of bytes of control messages that a router may send in a
 	// second; Busiest is that of the busiest router, Remote the mean between data
 	// centres.
--- a/lab/fleet/simulation.go
+++ b/lab/fleet/simulation.go
@@ -39,6 +39,8 @@
 	stopped    bool
 	epoch      int
 	sent       int
+	// waiting holds by upstream what to do when quota is granted or denied.
+	waiting map[core.UpstreamID][]func(now time.Time)
 }
 
 // poolState is a pool with its upstreams.
@@ -93,6 +95,9 @@
 				ID: id, Pool: pool.Name, Address: string(id) + ":8000", DataCentre: dataCentre(i % sim.scenario.Fleet.DataCentres), Slots: p.Slots, StartedMS: 1,
 			}}
 			u.entry.Source = []byte(id)
+			if float64(i) < p.Limited*float64(p.Upstreams) {
+				u.limit = &limit{perSecond: p.Limit}
+			}
 			sim.upstreams[id], state.upstreams = u, append(state.upstreams, u)
 		}
 	}
@@ -110,10 +115,11 @@
 func (sim *simulation) startRouter(r *router) {
 	r.epoch++
 	r.stopped = false
+	r.waiting = map[core.UpstreamID][]func(time.Time){}
 	r.member.Incarnation = core.Incarnation(sim.now.UnixMilli())
 	r.fleet = fleet.New(sim.now, fleet.Settings{
 		ID: r.member.ID, Address: r.member.Address, DataCentre: r.member.DataCentre, Incarnation: r.member.Incarnation,
-		Retry: retry.Limits{Ratio: 0.2, Slack: 600, Window: 10 * time.Second}, MaxLoadFactor: 2, Drain: 4 * time.Second, Evacuation: 5 * time.Second,
+		Retry: retry.Limits{Ratio: 0.2, Slack: 600, Window: 10 * time.Second}, MaxLoadFactor: 2, Drain: 4 * time.Second, Evacuation: 5 * time.Second, LimitGrace: limitGrace,
 		ParseCatalog: func([]byte) (*catalog.Catalog, error) { return sim.catalog, nil },
 		ParseEntry: func(id core.UpstreamID, _ []byte) (roster.Entry, error) {
 			return sim.upstreams[id].entry, nil
@@ -214,6 +220,9 @@
 			return
 		}
 		effects := target.fleet.Receive(now, sender, received)
+		if effects.QuotaFor != "" {
+			target.wakeWaiting(now, effects.QuotaFor)
+		}
 		if effects.Reply != nil {
 			sim.post(target, sender.ID, *effects.Reply)
 		}
--- a/lab/fleet/upstream.go
+++ b/lab/fleet/upstream.go
@@ -17,6 +17,8 @@
 	running int
 	waiting []func(now time.Time)
 	cache   map[core.Digest]bool
+	// limit is the limit that the upstream names from a time on; nil if it names none.
+	limit *limit
 }
 
 // busy returns the number of requests that run or wait.
--- a/router/wire/fleet.go
+++ b/router/wire/fleet.go
@@ -167,6 +167,7 @@
 	Entries     []fleetEntry      `cbor:"2,keyasint,omitempty"`
 	CachedParts []fleetCachedPart `cbor:"3,keyasint,omitempty"`
 	Removed     []fleetEntry      `cbor:"4,keyasint,omitempty"`
+	Statements  []fleetStatement  `cbor:"5,keyasint,omitempty"`
 }
 
 // EncodeFleetMessage encodes a message of package fleet.
@@ -186,7 +187,7 @@
 		w.PartEvidence = encodeEvidence(p.Parts)
 	}
 	if s := m.Snapshot; s != nil {
-		w.Snapshot = &fleetSnapshot{Catalog: s.Catalog, Entries: encodeEntries(s.Entries), Removed: encodeEntries(s.Removed), CachedParts: encodeCachedParts(s.CachedParts)}
+		w.Snapshot = &fleetSnapshot{Catalog: s.Catalog, Entries: encodeEntries(s.Entries), Removed: encodeEntries(s.Removed), Statements: encodeStatements(s.Statements), CachedParts: encodeCachedParts(s.CachedParts)}
 	}
 	if r := m.Segment; r != nil {
 		w.Segment = &fleetSegment{Era: r.Era, From: r.From, Next: r.Next, AgeMS: r.AgeMS, Records: encodeRecords(r.Records)}
@@ -251,7 +252,7 @@
 		m.PartEvidence = &fleet.PartEvidence{Parts: decodeEvidence(w.PartEvidence)}
 	}
 	if s := w.Snapshot; s != nil {
-		m.Snapshot = &fleet.Snapshot{Catalog: s.Catalog, Entries: decodeEntries(s.Entries), Removed: decodeEntries(s.Removed), CachedParts: decodeCachedParts(s.CachedParts)}
+		m.Snapshot = &fleet.Snapshot{Catalog: s.Catalog, Entries: decodeEntries(s.Entries), Removed: decodeEntries(s.Removed), Statements: decodeStatements(s.Statements), CachedParts: decodeCachedParts(s.CachedParts)}
 	}
 	if r := w.Segment; r != nil {
 		m.Segment = &fleet.FeedSegment{Era: r.Era, From: r.From, Next: r.Next, AgeMS: r.AgeMS, Records: decodeRecords(r.Records)}
--- a/router/wire/fleet_test.go
+++ b/router/wire/fleet_test.go
@@ -41,6 +41,7 @@
 	{Snapshot: &fleet.Snapshot{
 		Catalog: []byte("c"), Entries: []fleet.EntryCopy{{Upstream: "u", Source: []byte("{}")}},
 		Removed:     []fleet.EntryCopy{{Upstream: "v", Source: []byte("{}")}},
+		Statements:  []fleet.StatementReport{statementReport},
 		CachedParts: []prefix.CachedPart{{Upstream: "u", Part: prefix.Part{ID: 9, Tokens: 10}}},
 	}},
 }
