--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -71,15 +71,13 @@
 	for {
 		e, err := events.next()
 		if errors.Is(err, io.EOF) {
-			switch {
-			case a.events == 0 && endsWithConnection(resp):
-				err = errNoEvents
-			case a.events == 0 && a.resumed:
+			if a.events == 0 && a.resumed && !endsWithConnection(resp) {
 				return a.dropAnswer(resp)
 			}
-		}
-		if errors.Is(err, io.EOF) {
-			break
+			if a.events > 0 || !endsWithConnection(resp) {
+				break
+			}
+			err = errNoEvents
 		}
 		if now := time.Now(); err == nil && now.Sub(lastAlive) > aliveInterval {
 			lastAlive = now
