--- a/lab/soak/router.go
+++ b/lab/soak/router.go
@@ -65,13 +65,31 @@
 	failedChecks int
 }
 
-// freeAddress returns a loopback address with a port that is free at present.
+const (
+	// Routers listen on ports from firstPort to lastPort, which are below those that the
+	// kernel gives to connections: a router that is down would lose a port from there.
+	firstPort = 20000
+	lastPort  = 32000
+	// portsPerProcess is by how much the first ports of two soaks differ that run at the
+	// same time.
+	portsPerProcess = 400
+)
+
+// nextPort is the offset of the next port to try from firstPort.
+var nextPort = os.Getpid() * portsPerProcess
+
+// freeAddress returns an address on which nothing listens, another one each time.
 func freeAddress() (string, error) {
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var err error
+	for range lastPort - firstPort {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort%(lastPort-firstPort))
+		nextPort++
+		var ln net.Listener
+		if ln, err = net.Listen("tcp4", address); err == nil {
+			return address, ln.Close()
+		}
 	}
-	return ln.Addr().String(), ln.Close()
+	return "", err
 }
 
 // newRouter chooses addresses for a router and writes its settings file.
