--- a/core/fleet/statement.go
+++ b/core/fleet/statement.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"net/http"
 	"slices"
 	"time"
 
@@ -197,23 +196,3 @@
 // lastResortFraction is the fraction of the drain time within which a leaving upstream still
 // gets requests if there is no other: the rest is for those that are on their way.
 const lastResortFraction = 0.5
-
-// maxSpread is the time over which callers are spread that return after upstreams have
-// turned routers away.
-const maxSpread = time.Second
-
-// turnedAwayRefusal returns the refusal of a request because all upstreams of the pool have
-// turned this router away. Callers may return once the first one takes requests again,
-// spread so that they don't come at the same time.
-func turnedAwayRefusal(r Request, all []Candidate) *core.Refusal {
-	earliest := statement.MaxRetryAfter
-	for _, c := range all {
-		if c.TurnedAwayFor > 0 {
-			earliest = min(earliest, c.TurnedAwayFor)
-		}
-	}
-	refusal := notRunRefusal(http.StatusServiceUnavailable, codeTurnedAway, "the upstreams of the pool have turned this router away")
-	spread := time.Duration(uint64(r.draw) % uint64(min(max(earliest, time.Millisecond), maxSpread)))
-	refusal.RetryAfter = (earliest + spread).Round(time.Millisecond)
-	return refusal
-}
--- a/router/wire/fleet.go
+++ b/router/wire/fleet.go
@@ -29,30 +29,6 @@
 	QuotaGrant      *fleetQuotaGrant      `cbor:"12,keyasint,omitempty"`
 }
 
-type fleetStatement struct {
-	Upstream  core.UpstreamID `cbor:"1,keyasint"`
-	StartedMS int64           `cbor:"2,keyasint,omitempty"`
-	Named     bool            `cbor:"3,keyasint,omitempty"`
-	PerSecond float64         `cbor:"4,keyasint,omitempty"`
-	Leaving   bool            `cbor:"7,keyasint,omitempty"`
-	AgeMS     int64           `cbor:"5,keyasint,omitempty"`
-
-	FirstAgeMS int64 `cbor:"6,keyasint,omitempty"`
-}
-
-type fleetQuotaRequest struct {
-	Limit     fleetStatement `cbor:"1,keyasint"`
-	Count     int            `cbor:"2,keyasint,omitempty"`
-	Preferred bool           `cbor:"3,keyasint,omitempty"`
-}
-
-type fleetQuotaGrant struct {
-	Limit     fleetStatement `cbor:"1,keyasint"`
-	Count     int            `cbor:"2,keyasint,omitempty"`
-	RetryMS   int64          `cbor:"3,keyasint,omitempty"`
-	Preferred bool           `cbor:"4,keyasint,omitempty"`
-}
-
 type fleetEvidence struct {
 	Part       core.Digest   `cbor:"1,keyasint"`
 	Strikes    []fleetStrike `cbor:"2,keyasint,omitempty"`
@@ -269,22 +245,6 @@
 	return m, nil
 }
 
-// encodeStatements and decodeStatements return nil for an empty list, since most messages have
-// none.
-func encodeStatements(all []fleet.StatementReport) []fleetStatement {
-	if len(all) == 0 {
-		return nil
-	}
-	return lo.Map(all, func(r fleet.StatementReport, _ int) fleetStatement { return fleetStatement(r) })
-}
-
-func decodeStatements(all []fleetStatement) []fleet.StatementReport {
-	if len(all) == 0 {
-		return nil
-	}
-	return lo.Map(all, func(r fleetStatement, _ int) fleet.StatementReport { return fleet.StatementReport(r) })
-}
-
 func encodeEvidence(all []poison.Evidence) []fleetEvidence {
 	return lo.Map(all, func(e poison.Evidence, _ int) fleetEvidence {
 		return fleetEvidence{
