--- a/core/fleet/admit.go
+++ b/core/fleet/admit.go
@@ -24,6 +24,9 @@
 	Parts []prefix.Part
 	// Timeout is the caller's time-out; zero if it set none.
 	Timeout time.Duration
+	// Resumes is the id of the request that brought the first event of the stream that the
+	// caller takes up; empty if it takes up none, or doesn't say which.
+	Resumes string
 	// Content is the digest of method, path and body.
 	Content core.Digest
 }
@@ -47,6 +50,9 @@
 	// Deadline is when the time-out of the caller or of the route expires, whichever is
 	// earlier.
 	Deadline time.Time
+	// Resumes is the id of the request that brought the first event of the stream that the
+	// caller takes up; empty if it takes up none, or doesn't say which.
+	Resumes string
 	// CatalogVersion is that of the catalog under which the request was admitted.
 	CatalogVersion uint64
 	// Asks is how often the request has asked for quota.
@@ -90,7 +96,7 @@
 	if !ok {
 		return Request{}, notRunRefusal(http.StatusNotFound, codeNoRoute, "no route has this host and path")
 	}
-	r := Request{ID: a.ID, Route: route, Content: a.Content, CatalogVersion: c.Version}
+	r := Request{ID: a.ID, Route: route, Content: a.Content, CatalogVersion: c.Version, Resumes: a.Resumes}
 	if c.Keys != nil && !route.Public {
 		if r.Account, ok = c.Keys[a.APIKey]; !ok {
 			return r, notRunRefusal(http.StatusUnauthorized, codeBadKey, "the API key is not known")
--- a/core/roster/entry.go
+++ b/core/roster/entry.go
@@ -12,6 +12,8 @@
 	Pool       core.Pool
 	Address    string
 	DataCentre core.DataCentre
+	// Release is the software release that the process runs; empty if it states none.
+	Release string
 	// StartedMS is the start time of the process, which identifies it, in
 	// milliseconds since the Unix epoch; zero if the upstream doesn't publish it.
 	StartedMS int64
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -45,6 +45,8 @@
 	// Kind is "new", "restarted", "returned", "confirmed", "updated", "draining"
 	// or "removed".
 	Kind string
+	// Release is the software release of the entry.
+	Release string
 	// NewProcess is true if the entry belongs to another process of the upstream,
 	// so that state kept for the previous one is no longer valid.
 	NewProcess bool
@@ -66,7 +68,7 @@
 		return Change{}, false
 	}
 	u := Upstream{Entry: e, ColdUntil: now.Add(e.ColdRemaining), UnconfirmedSince: unconfirmedSince}
-	change, changed := Change{ID: e.ID}, true
+	change, changed := Change{ID: e.ID, Release: e.Release}, true
 	switch {
 	case !known:
 		change.Kind, change.NewProcess = "new", true
@@ -100,7 +102,7 @@
 		u.RemovedInOutage = r.outages
 	}
 	r.store(u)
-	return Change{ID: id, Kind: "removed"}, true
+	return Change{ID: id, Kind: "removed", Release: u.Release}, true
 }
 
 // RemoveEntry marks an upstream as removed whose last entry another router has sent. It
--- a/router/cluster/entry_reader.go
+++ b/router/cluster/entry_reader.go
@@ -146,6 +146,6 @@
 // empty if they were read from the store.
 func logChanges(log *zap.Logger, sender core.RouterID, changes []roster.Change) {
 	for _, c := range changes {
-		log.Info("upstream_changed", zap.String("upstream", string(c.ID)), zap.String("change", c.Kind), zap.String("sender", string(sender)))
+		log.Info("upstream_changed", zap.String("upstream", string(c.ID)), zap.String("change", c.Kind), zap.String("release", c.Release), zap.String("sender", string(sender)))
 	}
 }
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -135,7 +135,7 @@
 	h.Metrics.Request(call.Pool.Name, outcome)
 	h.Metrics.FirstByte(call.Pool.Name, out.headerLatency)
 	h.Log.Info("request_finished", zap.String("request", call.ID), zap.String("route", call.Route.Name), zap.String("account", string(call.Account.Name)),
-		zap.String("pool", string(call.Pool.Name)), zap.Uint64("version", call.CatalogVersion), zap.String("outcome", outcome),
+		zap.String("pool", string(call.Pool.Name)), zap.Uint64("version", call.CatalogVersion), zap.String("resumes", call.Resumes), zap.String("outcome", outcome),
 		zap.Int("status", out.status), zap.Duration("first", out.headerLatency), zap.Duration("took", time.Since(out.arrived)), logs.Err(err))
 	if outcome == "broken" && out.headerWritten {
 		// The connection is closed so that the response doesn't look complete.
