--- a/router/gateway/script_test.go
+++ b/router/gateway/script_test.go
@@ -136,8 +136,8 @@
 func (noMetrics) FirstByte(core.Pool, time.Duration) {}
 
 // headerCodec is the header codec of the tests. Callers send X-Id, X-Wait (the
-// time-out in milliseconds), X-Parts (the parts of the prompt, one letter each) and
-// Last-Event-Id. Upstreams are sent X-Id, X-Left (the
+// time-out in milliseconds), X-Parts (the parts of the prompt, one letter each),
+// Last-Event-Id and Resumes. Upstreams are sent X-Id, X-Left (the
 // time left in milliseconds) and Last-Event-Id, and respond with X-Id, X-Signed and
 // X-Not-Run, X-Leaving, X-Limit, a number of requests per second, and Retry-After, a number
 // of seconds. Refusals carry Retry-After.
@@ -155,6 +155,7 @@
 	if n, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		headers.LastEventID, headers.HasLastEventID = n, true
 	}
+	headers.Resumes = r.Header.Get("Resumes")
 	return headers
 }
 
@@ -312,7 +313,8 @@
 	}
 }
 
-// upstream NAME [DC]: starts an upstream in a data centre, "a" by default.
+// upstream NAME [DC [RELEASE]]: starts an upstream in a data centre, "a" by default, whose
+// entry states a software release, by default none.
 func cmdUpstream(ts *testscript.TestScript, f *fixture, a []string) {
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	ts.Check(err)
@@ -323,8 +325,12 @@
 	if len(a) > 1 {
 		dc = core.DataCentre(a[1])
 	}
+	release := ""
+	if len(a) > 2 {
+		release = a[2]
+	}
 	f.entries = append(f.entries, roster.Entry{
-		ID: core.UpstreamID(a[0]), Pool: "p", DataCentre: dc, Address: ln.Addr().String(),
+		ID: core.UpstreamID(a[0]), Pool: "p", DataCentre: dc, Address: ln.Addr().String(), Release: release,
 	})
 	f.fleet.ApplyFullRead(time.Now(), time.Now(), 0, 0, f.entries)
 }
@@ -451,11 +457,10 @@
 	}
 }
 
-// request ROUTE METHOD ID [BODY|size=BYTES] [after=EVENT]: sends a caller's
+// request ROUTE METHOD ID [BODY|size=BYTES] [after=EVENT] [resumes=ID]: sends a caller's
 // request and waits for the response.
 func cmdRequest(ts *testscript.TestScript, f *fixture, a []string) {
-	body := ""
-	after := ""
+	body, after, resumes := "", "", ""
 	for _, arg := range a[3:] {
 		key, value, ok := strings.Cut(arg, "=")
 		switch {
@@ -465,15 +470,17 @@
 			body = strings.Repeat("x", n)
 		case ok && key == "after":
 			after = value
+		case ok && key == "resumes":
+			resumes = value
 		default:
 			body = strings.ReplaceAll(arg, `\r\n`, "\r\n")
 		}
 	}
-	f.send(ts, context.Background(), a, body, after)
+	f.send(ts, context.Background(), a, body, map[string]string{"Last-Event-Id": after, "Resumes": resumes})
 }
 
 // send sends a request and keeps its response for the verbs of the script.
-func (f *fixture) send(ts *testscript.TestScript, ctx context.Context, a []string, body, after string) {
+func (f *fixture) send(ts *testscript.TestScript, ctx context.Context, a []string, body string, fields map[string]string) {
 	r, err := http.NewRequestWithContext(ctx, a[1], f.server.URL+"/x?q=1", strings.NewReader(body))
 	ts.Check(err)
 	r.Host = a[0]
@@ -482,8 +489,10 @@
 		r.Header.Set("X-Wait", f.timeout)
 	}
 	r.Header.Set("X-Parts", f.parts)
-	if after != "" {
-		r.Header.Set("Last-Event-Id", after)
+	for name, value := range fields {
+		if value != "" {
+			r.Header.Set(name, value)
+		}
 	}
 	f.status, f.header, f.body = 0, nil, nil
 	sentAt := time.Now()
@@ -523,7 +532,7 @@
 	ts.Check(err)
 	ctx, cancel := context.WithTimeout(context.Background(), d)
 	defer cancel()
-	f.send(ts, ctx, a, "", "")
+	f.send(ts, ctx, a, "", nil)
 }
 
 // status WANT...: checks that the status of the last response, which must be complete, is
