Let streams go on only at the software release that began them

Cause: a choice that looks at what an upstream can do now, not at what the request has already become. The release in an upstream's entry was read nowhere, nor was the request that a caller names when it takes a stream up. Evidence: attempt_finished with the release: two attempts of one request at two releases, and taken-up streams whose first attempt was at another release. Change: core/lineage decides where a stream may go on. The router that begins a stream of a mixed pool tells three holders; one at which a caller takes it up asks them. Without a record, a single release in the time that a stream lasts is needed, known here or at a holder; otherwise the caller is refused as not run. A process that may have been replaced under its id takes up no streams.

--- a/core/fleet/admit.go
+++ b/core/fleet/admit.go
@@ -7,6 +7,7 @@
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/catalog"
 	"camphorpulley.org/core/chat"
+	"camphorpulley.org/core/lineage"
 	"camphorpulley.org/core/prefix"
 	"camphorpulley.org/core/retry"
 	"camphorpulley.org/core/roster"
@@ -27,6 +28,8 @@
 	// Resumes is the id of the request that brought the first event of the stream that the
 	// caller takes up; empty if it takes up none, or doesn't say which.
 	Resumes string
+	// TakesUp reports whether the caller takes up a stream of which it has received events.
+	TakesUp bool
 	// Content is the digest of method, path and body.
 	Content core.Digest
 }
@@ -53,6 +56,10 @@
 	// Resumes is the id of the request that brought the first event of the stream that the
 	// caller takes up; empty if it takes up none, or doesn't say which.
 	Resumes string
+	// TakesUp reports whether the caller takes up a stream of which it has received events.
+	TakesUp bool
+	// Origin is where the stream began that the request continues.
+	Origin lineage.Origin
 	// CatalogVersion is that of the catalog under which the request was admitted.
 	CatalogVersion uint64
 	// Asks is how often the request has asked for quota.
@@ -81,6 +88,9 @@
 	codeNoUpstream   = "no_upstream"
 	codeLimited      = "upstreams_limited"
 	codeTurnedAway   = "upstreams_turn_away"
+	// codeOriginUnknown and codeNoRelease refuse a stream that callers take up.
+	codeOriginUnknown = "stream_origin_unknown"
+	codeNoRelease     = "stream_release_gone"
 )
 
 // Admit authenticates a request, selects its route and pool, sets its deadline and
@@ -96,7 +106,7 @@
 	if !ok {
 		return Request{}, notRunRefusal(http.StatusNotFound, codeNoRoute, "no route has this host and path")
 	}
-	r := Request{ID: a.ID, Route: route, Content: a.Content, CatalogVersion: c.Version, Resumes: a.Resumes}
+	r := Request{ID: a.ID, Route: route, Content: a.Content, CatalogVersion: c.Version, Resumes: a.Resumes, TakesUp: a.TakesUp}
 	if c.Keys != nil && !route.Public {
 		if r.Account, ok = c.Keys[a.APIKey]; !ok {
 			return r, notRunRefusal(http.StatusUnauthorized, codeBadKey, "the API key is not known")
--- a/core/fleet/choice_refusal.go
+++ b/core/fleet/choice_refusal.go
@@ -20,6 +20,9 @@
 
 // refuseChoice returns the refusal of a request that none of the candidates may get.
 func (st *states) refuseChoice(now time.Time, r Request, all []Candidate, routers int) *core.Refusal {
+	if all = permitted(r, all); len(all) == 0 {
+		return releaseGone()
+	}
 	switch {
 	case slices.ContainsFunc(all, func(c Candidate) bool { return c.Limited }):
 		return st.limitRefusal(now, r, all, routers)
--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -24,6 +24,8 @@
 	Load, CachedTokens int
 	// SharedTokens is the number of tokens in the shared parts of the prompt.
 	SharedTokens int
+	// Certain reports whether the process at the address is known to be that of the entry.
+	Certain bool
 	// ChosenAt is when the target was chosen.
 	ChosenAt time.Time
 	// CandidateCount is the number of upstreams that were eligible.
@@ -46,6 +48,9 @@
 // limited ones at the limit that they name, and there are no others.
 func Choose[P Policy](now time.Time, f *Fleet, policy P, r Request, tried []core.UpstreamID) (Target, *core.Refusal) {
 	eligible, pool := f.eligible(now, r, tried)
+	if r.Origin.Begun && !r.Origin.Known {
+		return Target{}, originUnknown()
+	}
 	if len(eligible) == 0 {
 		return Target{}, noUpstream("no upstream of the pool is in service")
 	}
@@ -61,7 +66,7 @@
 		all = f.candidates(now, st, r, eligible, cached)
 		bound := f.poolBound(now, st, pool)
 		st.setBound(r.Pool.Name, bound)
-		candidates := affordable(now, f.limitRamp(), r, len(tried) > 0, bound, willing(now, f.settings.Drain, all))
+		candidates := affordable(now, f.limitRamp(), r, len(tried) > 0, bound, willing(now, f.settings.Drain, permitted(r, all)))
 		best, ask = firstWithQuota(candidates, func(left []Candidate) Candidate {
 			bound.mark(left)
 			st.setExpectedLoads(now, r.Pool.Name, peerAge, left)
@@ -82,7 +87,7 @@
 	if refusal != nil || ask != nil {
 		return Target{Upstream: best.Upstream, Ask: ask}, refusal
 	}
-	t := Target{Upstream: best.Upstream, Load: best.Load, CachedTokens: best.CachedTokens, SharedTokens: prefix.TotalTokens(r.SharedParts), ChosenAt: now, CandidateCount: len(all)}
+	t := Target{Upstream: best.Upstream, Load: best.Load, CachedTokens: best.CachedTokens, SharedTokens: prefix.TotalTokens(r.SharedParts), Certain: best.Certain, ChosenAt: now, CandidateCount: len(all)}
 	if r.Pool.Engine != nil && t.CachedTokens < t.SharedTokens {
 		t.FetchFrom = f.fetchSource(now, r, best)
 	}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/catalog"
 	"camphorpulley.org/core/feed"
+	"camphorpulley.org/core/lineage"
 	"camphorpulley.org/core/poison"
 	"camphorpulley.org/core/prefix"
 	"camphorpulley.org/core/retry"
@@ -63,6 +64,7 @@
 	states   *table.Cell[states]
 	parts    *table.Cell[prefix.Map]
 	suspects *table.Cell[suspects]
+	lineage  *table.Cell[lineage.Records]
 	digests  *table.Cell[digests]
 	budgets  *table.Cell[map[core.Pool]*retry.SharedBudget]
 }
@@ -102,6 +104,7 @@
 		states:   table.New(table.RankLoads, states{}),
 		parts:    table.New(table.RankParts, prefix.Map{}),
 		suspects: table.New(table.RankSuspects, suspects{brokenByAddress: map[string][]brokenConnection{}}),
+		lineage:  table.New(table.RankLineage, lineage.Records{}),
 		digests:  table.New(table.RankDigests, digests{}),
 		budgets:  table.New(table.RankBudgets, map[core.Pool]*retry.SharedBudget{}),
 	}
--- /dev/null
+++ b/core/fleet/lineage.go
@@ -0,0 +1,241 @@
+package fleet
+
+import (
+	"cmp"
+	"net/http"
+	"slices"
+	"time"
+
+	"camphorpulley.org/core"
+	"camphorpulley.org/core/catalog"
+	"camphorpulley.org/core/chat"
+	"camphorpulley.org/core/lineage"
+	"camphorpulley.org/core/roster"
+	"camphorpulley.org/core/table"
+)
+
+// A stream goes on only at the software release that began it. The router that begins one
+// knows it. While a pool has several releases, it also tells a few holders, chosen by
+// rendezvous over data centres, so that a caller that takes the stream up at any router
+// finds the release there, though the router that began it is gone.
+
+// StreamRecord is a lineage.Record for the holders of a stream.
+type StreamRecord struct {
+	Stream  core.Digest
+	Pool    core.Pool
+	Certain bool
+	Release string
+	// LeftMS is for how long callers may take the stream up, in milliseconds.
+	LeftMS int64
+}
+
+// OriginRequest asks a holder at which release a stream began.
+type OriginRequest struct {
+	Stream core.Digest
+	Pool   core.Pool
+	// LifeMS is how long streams of the route may last, in milliseconds.
+	LifeMS int64
+}
+
+// OriginReply is the response to an OriginRequest.
+type OriginReply struct {
+	Stream core.Digest
+	lineage.Testimony
+}
+
+const (
+	// holderCount is the number of routers that hold the record of a stream besides the one
+	// that has begun it.
+	holderCount = 3
+	// lifeMargin is how much longer than the time-out of its route a stream may last over
+	// its caller's tries, and clocks may differ.
+	lifeMargin = 5 * time.Second
+	// maxLife bounds the times that messages state.
+	maxLife = time.Hour
+)
+
+// streamLife returns how long after its beginning callers may take up a stream.
+func streamLife(r *catalog.Route) time.Duration { return effectiveTimeout(0, r.Timeout) + lifeMargin }
+
+// streamOf returns the key of a stream that a request has begun.
+func streamOf(requestID string) core.Digest { return chat.Key("", requestID, nil) }
+
+// TakesUpStream reports whether the caller has received events of a stream and takes it up.
+func (r Request) TakesUpStream() bool { return r.TakesUp && r.Route.Kind == catalog.Stream }
+
+// beginsStream reports whether callers may take up the stream that the request begins.
+func (r Request) beginsStream() bool {
+	return r.Route.Kind == catalog.Stream && r.Route.Deterministic && !r.Origin.Begun
+}
+
+// RecordBeginning records the release of an attempt that may begin a stream, before it is
+// sent, and returns the messages that tell its holders. There are none while the pool has
+// had a single release for as long as a stream lasts.
+func (f *Fleet) RecordBeginning(now time.Time, r Request, t Target) []Envelope {
+	if !r.beginsStream() {
+		return nil
+	}
+	record := lineage.Record{
+		Stream: streamOf(r.ID), Pool: r.Pool.Name, Certain: t.Certain, Release: t.Release, Until: now.Add(streamLife(r.Route)),
+	}
+	f.lineage.Do(table.Hold{}, func(_ table.Hold, l *lineage.Records) { l.Begin(now, record) })
+	return f.unsentRecords(now, func(p core.Pool) bool {
+		return p == r.Pool.Name && f.standing(now, p, streamLife(r.Route)).Standing != lineage.Uniform
+	})
+}
+
+// unsentRecords returns the messages with the records of the wanted pools that their holders
+// haven't been told.
+func (f *Fleet) unsentRecords(now time.Time, wanted func(core.Pool) bool) []Envelope {
+	unsent := table.Read(f.lineage, table.Hold{}, func(l *lineage.Records) []lineage.Record { return l.TakeUnsent(wanted) })
+	if len(unsent) == 0 {
+		return nil
+	}
+	members := f.Members(now)
+	byHolder := map[core.RouterID][]StreamRecord{}
+	for _, r := range unsent {
+		told := StreamRecord{Stream: r.Stream, Pool: r.Pool, Certain: r.Certain, Release: r.Release, LeftMS: r.Until.Sub(now).Milliseconds()}
+		for _, id := range f.holders(members, r.Stream) {
+			byHolder[id] = append(byHolder[id], told)
+		}
+	}
+	var all []Envelope
+	for id, records := range byHolder {
+		all = append(all, f.addressed(now, []core.RouterID{id}, Message{StreamRecords: records})...)
+	}
+	return all
+}
+
+// recordsOfMixedPools returns the messages with the records that were made while the
+// router believed that their pool has a single release.
+func (f *Fleet) recordsOfMixedPools(now time.Time) []Envelope {
+	c := f.Catalog()
+	if c == nil {
+		return nil
+	}
+	life := time.Duration(0)
+	for i := range c.Routes {
+		if r := &c.Routes[i]; r.Kind == catalog.Stream {
+			life = max(life, streamLife(r))
+		}
+	}
+	f.lineage.Do(table.Hold{}, func(_ table.Hold, l *lineage.Records) { l.Expire(now) })
+	return f.unsentRecords(now, func(p core.Pool) bool { return f.standing(now, p, life).Standing != lineage.Uniform })
+}
+
+// holders returns the routers that hold the record of a stream, without this one: the first
+// by rendezvous of the first data centres, then any others.
+func (f *Fleet) holders(members []Member, stream core.Digest) []core.RouterID {
+	type ranked struct {
+		Member
+		score uint64
+	}
+	all := make([]ranked, 0, len(members)+1)
+	for _, m := range append(slices.Clone(members), f.self()) {
+		all = append(all, ranked{m, chat.Score(stream, string(m.ID))})
+	}
+	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
+	seen := map[core.DataCentre]bool{}
+	var first, others []core.RouterID
+	for _, m := range all {
+		if seen[m.DataCentre] {
+			others = append(others, m.ID)
+			continue
+		}
+		seen[m.DataCentre] = true
+		first = append(first, m.ID)
+	}
+	chosen := append(first, others...)
+	chosen = chosen[:min(holderCount, len(chosen))]
+	return slices.DeleteFunc(chosen, func(id core.RouterID) bool { return id == f.settings.ID })
+}
+
+// standing returns what the router knows of the releases that a pool has had for a time.
+func (f *Fleet) standing(now time.Time, p core.Pool, life time.Duration) lineage.Testimony {
+	var releases []string
+	var lastStartMS int64
+	f.roster.Do(table.Hold{}, func(_ table.Hold, u *upstreams) {
+		releases, lastStartMS = u.roster.Releases(p, now.Add(-life))
+	})
+	switch {
+	case len(releases) > 1:
+		return lineage.Testimony{Standing: lineage.Mixed}
+	case len(releases) == 0:
+		return lineage.Testimony{}
+	case releases[0] == "":
+		// The upstreams state no releases.
+	case life > roster.RemovedRetention:
+		return lineage.Testimony{}
+	case now.Sub(f.started) < life && now.UnixMilli()-lastStartMS < life.Milliseconds():
+		// A process of another release may have been replaced before the router started.
+		return lineage.Testimony{}
+	}
+	return lineage.Testimony{Standing: lineage.Uniform, Release: releases[0]}
+}
+
+// testimony returns what the router knows of the beginning of a stream.
+func (f *Fleet) testimony(now time.Time, stream core.Digest, p core.Pool, life time.Duration) lineage.Testimony {
+	var record lineage.Record
+	var found bool
+	f.lineage.Do(table.Hold{}, func(_ table.Hold, l *lineage.Records) { record, found = l.Find(now, stream) })
+	if found {
+		return record.Testimony()
+	}
+	return f.standing(now, p, life)
+}
+
+// Testimony returns what the router itself knows of the beginning of the stream that a caller
+// takes up, and the requests to others that may know more; there are none if it has a
+// record.
+func (f *Fleet) Testimony(now time.Time, r Request) (lineage.Testimony, []Envelope) {
+	if r.Resumes == "" {
+		return f.standing(now, r.Pool.Name, streamLife(r.Route)), nil
+	}
+	stream, life := streamOf(r.Resumes), streamLife(r.Route)
+	t := f.testimony(now, stream, r.Pool.Name, life)
+	if t.Standing == lineage.Recorded {
+		return t, nil
+	}
+	var asks []Envelope
+	for _, id := range f.holders(f.Members(now), stream) {
+		m := Message{OriginRequest: &OriginRequest{Stream: stream, Pool: r.Pool.Name, LifeMS: life.Milliseconds()}}
+		asks = append(asks, f.addressed(now, []core.RouterID{id}, m)...)
+	}
+	return t, asks
+}
+
+// Stream returns the key under which other routers know the stream that the caller takes up.
+func (r Request) Stream() core.Digest { return streamOf(r.Resumes) }
+
+// keepRecords keeps the records of streams that another router has begun.
+func (f *Fleet) keepRecords(now time.Time, all []StreamRecord) {
+	f.lineage.Do(table.Hold{}, func(_ table.Hold, l *lineage.Records) {
+		for _, r := range all {
+			left := min(time.Duration(max(r.LeftMS, 0)), maxLife/time.Millisecond) * time.Millisecond
+			l.Keep(now, lineage.Record{Stream: r.Stream, Pool: r.Pool, Certain: r.Certain, Release: r.Release, Until: now.Add(left)})
+		}
+	})
+}
+
+// replyOrigin returns what the router knows of the beginning of a stream.
+func (f *Fleet) replyOrigin(now time.Time, q OriginRequest) *Message {
+	life := min(time.Duration(max(q.LifeMS, 0)), maxLife/time.Millisecond) * time.Millisecond
+	return &Message{OriginReply: &OriginReply{Stream: q.Stream, Testimony: f.testimony(now, q.Stream, q.Pool, life)}}
+}
+
+// permitted returns the candidates at which the stream of a request may begin or go on.
+func permitted(r Request, all []Candidate) []Candidate {
+	return slices.DeleteFunc(slices.Clone(all), func(c Candidate) bool { return !r.Origin.Permits(c.Upstream.Release, c.Certain) })
+}
+
+// originUnknown returns the refusal of a stream that callers take up, and of which no router
+// knows where it began.
+func originUnknown() *core.Refusal {
+	return notRunRefusal(http.StatusServiceUnavailable, codeOriginUnknown, "it is not known which software release began the stream")
+}
+
+// releaseGone returns the refusal of a stream because no upstream in service runs the release
+// that began it.
+func releaseGone() *core.Refusal {
+	return notRunRefusal(http.StatusServiceUnavailable, codeNoRelease, "no upstream of the pool runs the software release that began the stream")
+}
--- /dev/null
+++ b/core/fleet/lineage_verbs_test.go
@@ -0,0 +1,86 @@
+package fleet_test
+
+import (
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"camphorpulley.org/core"
+	"camphorpulley.org/core/fleet"
+	"camphorpulley.org/core/lineage"
+)
+
+// originTimeout is how long a router waits for what others know of a stream.
+const originTimeout = 60 * time.Millisecond
+
+// begin NAME...: requests whose attempts have been chosen are sent, and their callers get
+// the first events of streams.
+func cmdBegin(_ *testscript.TestScript, sim *simulation, a []string) {
+	for _, name := range a {
+		s := sim.requests[name]
+		sim.deliverAll(s.router, s.router.RecordBeginning(sim.now, s.request, s.target))
+		s.request.Origin = lineage.Origin{Begun: true, Known: s.target.Certain, Release: s.target.Release}
+	}
+}
+
+// take-up NAME ROUTER ROUTE STREAM: a caller takes up the stream that an earlier request has
+// begun at a router, which asks others where it began and chooses an upstream.
+func cmdTakeUp(_ *testscript.TestScript, sim *simulation, a []string) {
+	s := &sentRequest{router: sim.routers[a[1]]}
+	sim.requests[a[0]] = s
+	s.request, s.refusal = s.router.Admit(sim.now, fleet.CallerRequest{ID: a[0], Host: a[2], Path: "/", Resumes: a[3], TakesUp: true})
+	if s.refusal != nil {
+		return
+	}
+	own, asks := s.router.Testimony(sim.now, s.request)
+	all := []lineage.Testimony{own}
+	for _, e := range asks {
+		all = append(all, sim.askOrigin(s.router, e)...)
+	}
+	if len(all) <= len(asks) {
+		sim.now = sim.now.Add(originTimeout)
+	}
+	s.request.Origin = lineage.Judge(all...)
+	sim.choose(s)
+}
+
+// askOrigin returns what a router replies that is asked where a stream began; nothing if it
+// can't be reached.
+func (sim *simulation) askOrigin(from *fleet.Fleet, e fleet.Envelope) []lineage.Testimony {
+	self, to := string(from.Settings().ID), string(e.To)
+	if sim.disconnected[[2]string{self, to}] || sim.frozen[to] || sim.frozen[self] {
+		return nil
+	}
+	reply := sim.routers[to].Receive(sim.now, member(from), e.Message).Reply
+	origin := from.Receive(sim.now, member(sim.routers[to]), *reply).Origin
+	return []lineage.Testimony{origin.Testimony}
+}
+
+// deliverAll delivers messages of a router.
+func (sim *simulation) deliverAll(from *fleet.Fleet, all []fleet.Envelope) {
+	for _, e := range all {
+		sim.deliver(string(from.Settings().ID), string(e.To), e.Message)
+	}
+}
+
+// sent-release RELEASE NAME...: checks the release of the upstreams that requests were sent
+// to.
+func cmdSentRelease(ts *testscript.TestScript, sim *simulation, a []string) {
+	for _, name := range a[1:] {
+		s := sim.requests[name]
+		if s.refusal != nil || s.target.Release != a[0] {
+			ts.Fatalf("request %s: got release %q, refusal %v, want %s", name, s.target.Release, s.refusal, a[0])
+		}
+	}
+}
+
+// standing ROUTER STREAM POOL WANT: checks what a router replies to another one that asks
+// where a stream began, for streams that last 15 s.
+func cmdStanding(ts *testscript.TestScript, sim *simulation, a []string) {
+	f := sim.routers[a[0]]
+	q := fleet.OriginRequest{Stream: fleet.Request{Resumes: a[1]}.Stream(), Pool: core.Pool(a[2]), LifeMS: 15000}
+	reply := f.Receive(sim.now, fleet.Member{}, fleet.Message{OriginRequest: &q}).Reply
+	if got := reply.OriginReply.Standing.String(); got != a[3] {
+		ts.Fatalf("standing of %s: got %s, want %s", a[0], got, a[3])
+	}
+}
--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -12,7 +12,7 @@
 	"camphorpulley.org/core/table"
 )
 
-// Message is a message between routers. Exactly one of the pointers, or Statements, is not nil.
+// Message is a message between routers. Exactly one of the pointers and lists is not nil.
 type Message struct {
 	// SentMS is the time from the sender's start until it sent the message in
 	// milliseconds; zero if it isn't stated.
@@ -28,6 +28,9 @@
 	Statements      []StatementReport
 	QuotaRequest    *QuotaRequest
 	QuotaGrant      *QuotaGrant
+	StreamRecords   []StreamRecord
+	OriginRequest   *OriginRequest
+	OriginReply     *OriginReply
 }
 
 // Kind returns the name of the message's kind, for metrics; empty if it has no content.
@@ -55,6 +58,12 @@
 		return "quota_request"
 	case m.QuotaGrant != nil:
 		return "quota_grant"
+	case len(m.StreamRecords) > 0:
+		return "stream_records"
+	case m.OriginRequest != nil:
+		return "origin_request"
+	case m.OriginReply != nil:
+		return "origin_reply"
 	}
 	return ""
 }
@@ -73,6 +82,9 @@
 	StatementChanges []StatementChange
 	// QuotaFor is the limited upstream for which a response has come; empty if none has.
 	QuotaFor core.UpstreamID
+	// Origin is what another router knows of the beginning of a stream; nil if none has
+	// replied.
+	Origin *OriginReply
 	// Version is that of the catalog that came into force; zero if none did.
 	Version uint64
 	// Errors are those of catalogs and entries that could not be parsed.
@@ -144,6 +156,13 @@
 		return f.grantQuota(now, *m.QuotaRequest, delayMS)
 	case m.QuotaGrant != nil:
 		return f.applyGrant(now, *m.QuotaGrant, delayMS)
+	case len(m.StreamRecords) > 0:
+		f.keepRecords(now, m.StreamRecords)
+		return Effects{}
+	case m.OriginRequest != nil:
+		return Effects{Reply: f.replyOrigin(now, *m.OriginRequest)}
+	case m.OriginReply != nil:
+		return Effects{Origin: m.OriginReply}
 	case m.PartEvidence != nil:
 		return Effects{PartChanges: f.mergeEvidence(now, m.PartEvidence.Parts), Forward: f.passOn(now, from, m)}
 	}
--- a/core/fleet/outgoing.go
+++ b/core/fleet/outgoing.go
@@ -50,7 +50,7 @@
 			all = append(all, f.addressed(now, neighbours, Message{Digest: &others})...)
 		}
 	}
-	return all, heartbeatInterval(len(neighbours))
+	return append(all, f.recordsOfMixedPools(now)...), heartbeatInterval(len(neighbours))
 }
 
 // addressed returns a message to each of the routers, stamped with the time.
--- a/core/fleet/policy.go
+++ b/core/fleet/policy.go
@@ -41,6 +41,8 @@
 	// time for which it wants nothing from this router.
 	Leaving       bool
 	TurnedAwayFor time.Duration
+	// Certain is true if the process at the address is known to be that of the entry.
+	Certain bool
 	// Limited is true if the upstream keeps to a limit on its requests per second.
 	Limited bool
 	// WorthQuota is true if a limited upstream is to run the request rather than others.
--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -142,6 +142,10 @@
 		"limited":              cmdLimited,
 		"retry-after":          cmdRetryAfter,
 		"restore-store":        cmdRestoreStore,
+		"begin":                cmdBegin,
+		"take-up":              cmdTakeUp,
+		"sent-release":         cmdSentRelease,
+		"standing":             cmdStanding,
 	}
 	wrapped := map[string]func(*testscript.TestScript, bool, []string){}
 	for name, run := range all {
@@ -269,8 +273,9 @@
 	})
 }
 
-// upstream ID POOL DC [cold=D] [draining] [started=N] [sequence=N] [unread]: writes an
-// entry, which all routers read unless unread.
+// upstream ID POOL DC [cold=D] [draining] [started=N] [sequence=N] [release=R] [age=D]
+// [unread]: writes an entry; age is the time since the start of the process, instead of
+// started, which all routers read unless unread.
 func cmdUpstream(ts *testscript.TestScript, sim *simulation, a []string) {
 	_, draining := option(a, "draining")
 	e := roster.Entry{
@@ -278,6 +283,10 @@
 		StartedMS: int64(number(ts, a, "started")), Sequence: uint64(number(ts, a, "sequence")),
 		Draining: draining, ColdRemaining: duration(ts, a, "cold"),
 	}
+	e.Release, _ = option(a, "release")
+	if age, ok := option(a, "age"); ok && age != "" {
+		e.StartedMS = sim.now.Add(-duration(ts, a, "age")).UnixMilli()
+	}
 	sim.write(a[0], &e)
 	if _, unread := option(a, "unread"); !unread {
 		sim.read(nil)
--- a/core/fleet/upstream_state.go
+++ b/core/fleet/upstream_state.go
@@ -5,6 +5,7 @@
 
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/health"
+	"camphorpulley.org/core/lineage"
 	"camphorpulley.org/core/load"
 	"camphorpulley.org/core/quota"
 	"camphorpulley.org/core/ratelimit"
@@ -35,6 +36,8 @@
 	statementNotifiedAt time.Time
 	statementRepeatedAt time.Time
 	heardItself         bool
+	// doubt is the doubt whether the process is still the one of the entry.
+	doubt lineage.Doubt
 	// allotment is who grants requests within the limit, bucket what this router may
 	// grant as the allotter, purse what it was granted.
 	allotment allotment
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -19,6 +19,9 @@
 	outSince map[core.DataCentre]time.Time
 	// list caches the result of All. It is replaced, never modified.
 	list []Upstream
+	// replaced holds the processes whose entry that of another release has replaced, with
+	// the time as RemovedAt.
+	replaced []Upstream
 	// unavailable is true while the store doesn't answer.
 	unavailable bool
 	// outages is the number of the store's outages. One that begins within RecoveryGrace
@@ -34,9 +37,10 @@
 	// was lost in the outage may take to publish it again; the platform needs about
 	// two seconds.
 	RecoveryGrace = 2 * time.Second
-	// removedRetention is how long removed entries are kept, so that a delayed
-	// copy of an entry doesn't restore its upstream.
-	removedRetention = time.Minute
+	// RemovedRetention is how long removed entries are kept, so that a delayed
+	// copy of an entry doesn't restore its upstream, and so that the releases of a pool are
+	// known for that long.
+	RemovedRetention = time.Minute
 )
 
 // Change describes the effect of an entry on the roster.
@@ -72,8 +76,12 @@
 	switch {
 	case !known:
 		change.Kind, change.NewProcess = "new", true
-	case e.StartedMS != old.StartedMS || e.Address != old.Address:
+	case e.StartedMS != old.StartedMS || e.Address != old.Address || e.Release != old.Release:
 		change.Kind, change.NewProcess = "restarted", true
+		if e.Release != old.Release {
+			old.RemovedAt = now
+			r.replaced = append(r.replaced, old)
+		}
 	case !old.RemovedAt.IsZero():
 		change.Kind = "returned"
 	case confirmed && old.RemovedAt.IsZero():
@@ -163,20 +171,39 @@
 	return r.unavailable || (!r.recoveredAt.IsZero() && now.Sub(r.recoveredAt) < RecoveryGrace)
 }
 
-// PruneRemoved deletes entries that were removed longer than removedRetention ago and
+// PruneRemoved deletes entries that were removed longer than RemovedRetention ago and
 // returns their ids.
 func (r *Roster) PruneRemoved(now time.Time) []core.UpstreamID {
 	var dropped []core.UpstreamID
 	for id, u := range r.byID {
-		if !u.RemovedAt.IsZero() && now.Sub(u.RemovedAt) > removedRetention {
+		if !u.RemovedAt.IsZero() && now.Sub(u.RemovedAt) > RemovedRetention {
 			delete(r.byID, id)
 			r.list = nil
 			dropped = append(dropped, id)
 		}
 	}
+	r.replaced = slices.DeleteFunc(r.replaced, func(u Upstream) bool { return now.Sub(u.RemovedAt) > RemovedRetention })
 	return dropped
 }
 
+// Releases returns the software releases that upstreams of a pool run, or have run since a
+// time that is at most RemovedRetention ago, and the latest start of one of the processes
+// in milliseconds since the Unix epoch.
+func (r *Roster) Releases(p core.Pool, since time.Time) (releases []string, lastStartMS int64) {
+	for _, all := range [][]Upstream{r.All(), r.replaced} {
+		for _, u := range all {
+			if u.Pool != p || (!u.RemovedAt.IsZero() && u.RemovedAt.Before(since)) {
+				continue
+			}
+			lastStartMS = max(lastStartMS, u.StartedMS)
+			if !slices.Contains(releases, u.Release) {
+				releases = append(releases, u.Release)
+			}
+		}
+	}
+	return releases, lastStartMS
+}
+
 // SetOutOfService takes the given data centres out of service and all others
 // back into service.
 func (r *Roster) SetOutOfService(now time.Time, dataCentres map[core.DataCentre]bool) {
--- a/core/table/rank.go
+++ b/core/table/rank.go
@@ -21,6 +21,7 @@
 	RankParts                 // the cached parts of prompts
 	RankOrders                // the ledger of orders
 	RankSuspects              // the suspected poison requests
+	RankLineage               // where streams began
 	RankDigests               // what a relay has gathered for its next digests
 	RankBudgets               // the retry budgets
 	RankBurn                  // the counts for burn rates
--- a/router/cluster/router.go
+++ b/router/cluster/router.go
@@ -239,6 +239,9 @@
 	if e.QuotaFor != "" {
 		r.gateway.Forwarder.QuotaResponded(e.QuotaFor)
 	}
+	if e.Origin != nil {
+		r.gateway.Forwarder.OriginReplied(e.Origin.Stream, e.Origin.Testimony)
+	}
 	for _, fault := range e.Errors {
 		r.log.Warn("message_part_invalid", zap.String("sender", string(from.ID)), logs.Err(fault))
 	}
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -26,7 +26,7 @@
 )
 
 // RequestHeaders holds what a HeaderCodec has parsed from the header of a caller's
-// request. The Handler then sets Host, Path and Content.
+// request. The Handler then sets Host, Path, TakesUp and Content.
 type RequestHeaders struct {
 	fleet.CallerRequest
 	// LastEventID is the number of the last event that the caller has received.
@@ -100,6 +100,7 @@
 		h.refuse(w, headers.ID, "", refusal)
 		return
 	}
+	headers.TakesUp = headers.HasLastEventID || headers.Resumes != ""
 	headers.Content = contentDigest(r, headers, body)
 	request, refusal := h.Fleet.Admit(arrived, headers.CallerRequest)
 	if refusal != nil {
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -45,6 +45,7 @@
 		a.connectFailed = true
 		return err
 	}
+	a.recordBeginning()
 	a.sent = true
 	a.runs++
 	a.exchange.SetPhase(a.id, answer.Sent)
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -14,6 +14,7 @@
 	"camphorpulley.org/core/answer"
 	"camphorpulley.org/core/fleet"
 	"camphorpulley.org/core/health"
+	"camphorpulley.org/core/lineage"
 	"camphorpulley.org/router/httpclient"
 )
 
@@ -32,6 +33,8 @@
 	buffered atomic.Int64
 	// quotaWaiters holds by upstream the requests that wait for quota.
 	quotaWaiters waiters[core.UpstreamID]
+	// originReplies holds by stream the requests that wait for where it began.
+	originReplies inboxes[core.Digest, lineage.Testimony]
 }
 
 // Metrics counts attempts.
@@ -105,6 +108,9 @@
 func (f *Forwarder) Forward(ctx context.Context, c *Call, w ResponseWriter) error {
 	s := &callState{Call: c, forwarder: f, ctx: ctx, writer: w, exchange: c.NewExchange()}
 	s.sequence = answer.EventSequence{Last: c.LastEventID, HasLast: c.HasLastEventID}
+	if c.TakesUpStream() {
+		s.findOrigin(time.Now())
+	}
 	for {
 		now := time.Now()
 		if ctx.Err() != nil {
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -10,6 +10,7 @@
 
 	"camphorpulley.org/core/answer"
 	"camphorpulley.org/core/health"
+	"camphorpulley.org/core/lineage"
 	"camphorpulley.org/router/httpclient"
 )
 
@@ -128,6 +129,9 @@
 // stated there to the fleet at once, rather than at the end of the stream.
 func (a *attempt) sendHeader(resp *httpclient.Response) {
 	a.streamStarted, a.contentType = true, mediaType(resp.Header)
+	if !a.Origin.Begun {
+		a.Origin = lineage.Origin{Begun: true, Known: a.target.Certain, Release: a.target.Release}
+	}
 	a.writer.WriteHeader(resp.StatusCode, resp.Header, -1)
 	if a.headers.Load != nil {
 		if full := a.forwarder.Fleet.RecordLoad(time.Now(), a.target, *a.headers.Load); full != nil && a.forwarder.Notify != nil {
--- a/router/wire/fleet.go
+++ b/router/wire/fleet.go
@@ -27,6 +27,9 @@
 	Statements      []fleetStatement      `cbor:"10,keyasint,omitempty"`
 	QuotaRequest    *fleetQuotaRequest    `cbor:"11,keyasint,omitempty"`
 	QuotaGrant      *fleetQuotaGrant      `cbor:"12,keyasint,omitempty"`
+	StreamRecords   []fleetStreamRecord   `cbor:"13,keyasint,omitempty"`
+	OriginRequest   *fleetOriginRequest   `cbor:"14,keyasint,omitempty"`
+	OriginReply     *fleetOriginReply     `cbor:"15,keyasint,omitempty"`
 }
 
 type fleetEvidence struct {
@@ -150,6 +153,7 @@
 func EncodeFleetMessage(m fleet.Message) ([]byte, error) {
 	w := fleetMessage{SentMS: m.SentMS, Handshake: (*fleetMember)(m.Handshake), SnapshotRequest: (*fleetSnapshotRequest)(m.SnapshotRequest), FullUpstream: (*fleetFullUpstream)(m.FullUpstream)}
 	w.Statements = encodeStatements(m.Statements)
+	w.StreamRecords, w.OriginRequest, w.OriginReply = encodeStreamRecords(m.StreamRecords), (*fleetOriginRequest)(m.OriginRequest), encodeOriginReply(m.OriginReply)
 	if q := m.QuotaRequest; q != nil {
 		w.QuotaRequest = &fleetQuotaRequest{Limit: fleetStatement(q.Limit), Count: q.Count, Preferred: q.Preferred}
 	}
@@ -215,6 +219,7 @@
 	}
 	m := fleet.Message{SentMS: w.SentMS, Handshake: (*fleet.Member)(w.Handshake), SnapshotRequest: (*fleet.SnapshotRequest)(w.SnapshotRequest), FullUpstream: (*fleet.FullUpstream)(w.FullUpstream)}
 	m.Statements = decodeStatements(w.Statements)
+	m.StreamRecords, m.OriginRequest, m.OriginReply = decodeStreamRecords(w.StreamRecords), (*fleet.OriginRequest)(w.OriginRequest), decodeOriginReply(w.OriginReply)
 	if q := w.QuotaRequest; q != nil {
 		m.QuotaRequest = &fleet.QuotaRequest{Limit: fleet.StatementReport(q.Limit), Count: q.Count, Preferred: q.Preferred}
 	}
--- a/router/wire/fleet_test.go
+++ b/router/wire/fleet_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"camphorpulley.org/core/fleet"
+	"camphorpulley.org/core/lineage"
 	"camphorpulley.org/core/poison"
 	"camphorpulley.org/core/prefix"
 )
@@ -36,6 +37,9 @@
 		Sources: []fleet.Source{{DataCentre: "b", Relay: "r2", AgeMS: 3}},
 		Members: []fleet.SeenMember{{Member: fleet.Member{ID: "r2", Address: "10.0.0.2:7340", DataCentre: "b", Incarnation: 8}, AgeMS: 4}},
 	}},
+	{StreamRecords: []fleet.StreamRecord{{Stream: 7, Pool: "p", Certain: true, Release: "v1", LeftMS: 900}, {Stream: 8, Pool: "p", LeftMS: 1}}},
+	{OriginRequest: &fleet.OriginRequest{Stream: 7, Pool: "p", LifeMS: 17000}},
+	{OriginReply: &fleet.OriginReply{Stream: 7, Testimony: lineage.Testimony{Standing: lineage.Recorded, Release: "v1"}}},
 	{SentMS: 12, FullUpstream: &fleet.FullUpstream{Upstream: "u", Load: 17}},
 	{SnapshotRequest: &fleet.SnapshotRequest{Version: 2, WithCachedParts: true}},
 	{Snapshot: &fleet.Snapshot{
