Dial a router at once that has just connected

Evidence: stream_origin with asked=2 replies=0; TestReplyToStartedRouter failed before. Change: a router that connects may be dialled at once.

--- a/router/peer/link.go
+++ b/router/peer/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"camphorpulley.org/base/dial"
@@ -16,7 +17,8 @@
 )
 
 // redialPause is the shortest time between a failed dial of a router and the next
-// one. Messages that are sent meanwhile are dropped.
+// one, unless the router connects meanwhile. Messages that are sent in the pause are
+// dropped.
 const redialPause = 200 * time.Millisecond
 
 // link sends messages to one router: a queue and the connection over which one
@@ -29,6 +31,9 @@
 	address string
 	// lastFailure is the time of the last failed dial.
 	lastFailure time.Time
+	// connected is set when the router connects to this one, so that it can be dialled
+	// at once: it may have just started.
+	connected atomic.Bool
 }
 
 // run sends queued messages until the network's context is done.
@@ -74,7 +79,7 @@
 // dial opens a connection and sends the handshake. It reports whether both
 // succeeded.
 func (l *link[H, M]) dial(address string) bool {
-	if address == "" || time.Since(l.lastFailure) < redialPause {
+	if address == "" || (!l.connected.Swap(false) && time.Since(l.lastFailure) < redialPause) {
 		return false
 	}
 	dialer := websocket.Dialer{
--- a/router/peer/peer.go
+++ b/router/peer/peer.go
@@ -156,6 +156,7 @@
 		return
 	}
 	id := n.protocol.ID(from)
+	n.linkTo(id).connected.Store(true)
 	key := xxhash.Sum64String(string(id))
 	for {
 		n.bytesReceived.Add(int64(len(data)))
