--- a/router/gateway/script_test.go
+++ b/router/gateway/script_test.go
@@ -57,6 +57,7 @@
 			"response-incomplete": with(cmdResponseIncomplete), "set-closing": with(cmdSetClosing),
 			"set-timeout": with(cmdSetTimeout), "set-parts": with(cmdSetParts), "time-left": with(cmdTimeLeft),
 			"respond-endless": with(cmdRespondEndless), "sent-at-most": with(cmdSentAtMost), "took-at-most": with(cmdTookAtMost),
+			"helper": with(cmdHelper), "cut-off": with(cmdCutOff), "stop-helper": with(cmdStopHelper),
 			"requests": with(cmdRequests), "received-at-most": with(cmdReceivedAtMost), "heap-at-most": with(cmdHeapAtMost),
 		},
 	})
@@ -73,6 +74,9 @@
 	server    *httptest.Server
 	upstreams map[string]*upstream
 	entries   []roster.Entry
+	// helper is another router, which reaches the upstreams when the gateway doesn't; nil
+	// until the verb helper.
+	helper *helper
 	// timeout is the time-out in milliseconds that callers send; empty sends none.
 	timeout string
 	// parts are the parts of the prompt that callers send, one letter each.
@@ -94,17 +98,24 @@
 
 func newFixture() *fixture {
 	f := &fixture{upstreams: map[string]*upstream{}, pool: &httpclient.Pool{}}
-	f.fleet = fleet.New(time.Now(), fleet.Settings{
-		ID: "r1", DataCentre: "a", MaxLoadFactor: 2, Retry: retry.Limits{Ratio: 0.2, Slack: 1000, Window: 10 * time.Second},
+	f.fleet, f.gateway = newGateway("r1", f.pool)
+	f.server = httptest.NewServer(f.gateway)
+	return f
+}
+
+// newGateway returns the gateway of a router, and its tables.
+func newGateway(id core.RouterID, pool *httpclient.Pool) (*fleet.Fleet, *gateway.Handler) {
+	fl := fleet.New(time.Now(), fleet.Settings{
+		ID: id, DataCentre: "a", MaxLoadFactor: 2, Retry: retry.Limits{Ratio: 0.2, Slack: 1000, Window: 10 * time.Second},
 	})
-	f.fleet.MarkMembersListed()
+	fl.MarkMembersListed()
 	route := func(name string, kind catalog.Kind, resume bool) catalog.Route {
 		return catalog.Route{
 			Name: name, Host: name, Prefix: "/", Kind: kind, Deterministic: resume, Timeout: routeTimeout, LatencyObjective: routeLatencyObjective,
 			EventTimeout: 100 * time.Millisecond, MaxRuns: 2, Public: true, Pools: []catalog.PoolWeight{{Pool: "p", Weight: 1}},
 		}
 	}
-	f.fleet.ApplyCatalog(&catalog.Catalog{
+	fl.ApplyCatalog(&catalog.Catalog{
 		Version: 1, Pools: map[core.Pool]catalog.Pool{"p": {Name: "p"}},
 		Routes: []catalog.Route{
 			route("safe", catalog.Idempotent, false), route("at-most-once", catalog.AtMostOnce, false),
@@ -112,12 +123,11 @@
 		},
 		Limits: catalog.Limits{MaxBodyBytes: 1 << 20},
 	})
-	f.gateway = &gateway.Handler{
-		Fleet: f.fleet, HeaderCodec: headerCodec{}, Log: zap.NewNop(), Metrics: noMetrics{},
-		Forwarder: &relay.Forwarder{Fleet: f.fleet, HeaderCodec: headerCodec{}, Log: zap.NewNop(), Conns: f.pool, Metrics: noMetrics{}},
+	handler := &gateway.Handler{
+		Fleet: fl, HeaderCodec: headerCodec{}, Log: zap.NewNop(), Metrics: noMetrics{},
+		Forwarder: &relay.Forwarder{Fleet: fl, HeaderCodec: headerCodec{}, Log: zap.NewNop(), Conns: pool, Metrics: noMetrics{}},
 	}
-	f.server = httptest.NewServer(f.gateway)
-	return f
+	return fl, handler
 }
 
 func (f *fixture) close() {
@@ -333,6 +343,9 @@
 		ID: core.UpstreamID(a[0]), Pool: "p", DataCentre: dc, Address: ln.Addr().String(), Release: release,
 	})
 	f.fleet.ApplyFullRead(time.Now(), time.Now(), 0, 0, f.entries)
+	if f.helper != nil {
+		f.helper.fleet.ApplyFullRead(time.Now(), time.Now(), 0, 0, f.entries)
+	}
 }
 
 // stop-listening UPSTREAM: makes the upstream refuse new connections.
