Send the requests of a router without upstreams over another one

Cause: a router takes its own view for the only way. It tried six upstreams that it couldn't reach, one after the other, and had no other way to them, though its links to the other routers lived.

--- a/core/fleet/admit.go
+++ b/core/fleet/admit.go
@@ -30,6 +30,9 @@
 	Resumes string
 	// TakesUp reports whether the caller takes up a stream of which it has received events.
 	TakesUp bool
+	// Relayed reports whether another router has sent the request, which has counted it
+	// towards the retry budget.
+	Relayed bool
 	// Content is the digest of method, path and body.
 	Content core.Digest
 }
@@ -58,6 +61,8 @@
 	Resumes string
 	// TakesUp reports whether the caller takes up a stream of which it has received events.
 	TakesUp bool
+	// Relayed reports whether another router has sent the request.
+	Relayed bool
 	// Origin is where the stream began that the request continues.
 	Origin lineage.Origin
 	// CatalogVersion is that of the catalog under which the request was admitted.
@@ -106,7 +111,7 @@
 	if !ok {
 		return Request{}, notRunRefusal(http.StatusNotFound, codeNoRoute, "no route has this host and path")
 	}
-	r := Request{ID: a.ID, Route: route, Content: a.Content, CatalogVersion: c.Version, Resumes: a.Resumes, TakesUp: a.TakesUp}
+	r := Request{ID: a.ID, Route: route, Content: a.Content, CatalogVersion: c.Version, Resumes: a.Resumes, TakesUp: a.TakesUp, Relayed: a.Relayed}
 	if c.Keys != nil && !route.Public {
 		if r.Account, ok = c.Keys[a.APIKey]; !ok {
 			return r, notRunRefusal(http.StatusUnauthorized, codeBadKey, "the API key is not known")
@@ -122,7 +127,9 @@
 	if f.isPoison(now, a.Content) {
 		return r, notRunRefusal(http.StatusServiceUnavailable, codeCrashes, "this request crashed the upstreams that ran it")
 	}
-	f.withBudget(r.Pool.Name, func(b *retry.SharedBudget) { b.RecordRequest(now, f.settings.Retry) })
+	if !r.Relayed {
+		f.withBudget(r.Pool.Name, func(b *retry.SharedBudget) { b.RecordRequest(now, f.settings.Retry) })
+	}
 	return r, nil
 }
 
--- a/core/fleet/candidates.go
+++ b/core/fleet/candidates.go
@@ -35,7 +35,13 @@
 // regionAllowed reports whether both the route and the account permit the
 // upstream's region.
 func (f *Fleet) regionAllowed(r Request, u roster.Upstream) bool {
-	region := f.settings.Regions[u.DataCentre]
+	return f.dataCentreAllowed(r, u.DataCentre)
+}
+
+// dataCentreAllowed reports whether both the route and the account permit the region of a
+// data centre.
+func (f *Fleet) dataCentreAllowed(r Request, dc core.DataCentre) bool {
+	region := f.settings.Regions[dc]
 	for _, allowed := range [][]string{r.Route.Regions, r.Account.Regions} {
 		if len(allowed) > 0 && !slices.Contains(allowed, region) {
 			return false
--- a/core/fleet/digest.go
+++ b/core/fleet/digest.go
@@ -226,7 +226,7 @@
 		}
 	})
 	if withMembers {
-		d.Members = append(f.seenMembers(now, true), SeenMember{Member: f.self()})
+		d.Members = append(f.seenMembers(now, true), SeenMember{Member: f.Self()})
 	}
 	return d
 }
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -25,9 +25,12 @@
 
 // Settings hold the identity and the limits of a router.
 type Settings struct {
-	ID          core.RouterID
-	Address     string
-	DataCentre  core.DataCentre
+	ID         core.RouterID
+	Address    string
+	DataCentre core.DataCentre
+	// Detour is the address on which the router takes requests that others can't send to
+	// upstreams; empty if it takes none.
+	Detour      string
 	Incarnation core.Incarnation
 	// Regions holds the region of each data centre.
 	Regions map[core.DataCentre]string
--- a/core/fleet/lineage.go
+++ b/core/fleet/lineage.go
@@ -131,7 +131,7 @@
 		score uint64
 	}
 	all := make([]ranked, 0, len(members)+1)
-	for _, m := range append(slices.Clone(members), f.self()) {
+	for _, m := range append(slices.Clone(members), f.Self()) {
 		all = append(all, ranked{m, chat.Score(stream, string(m.ID))})
 	}
 	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
--- a/core/fleet/members.go
+++ b/core/fleet/members.go
@@ -5,6 +5,7 @@
 
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/chat"
+	"camphorpulley.org/core/health"
 	"camphorpulley.org/core/table"
 )
 
@@ -13,6 +14,9 @@
 	ID         core.RouterID
 	Address    string
 	DataCentre core.DataCentre
+	// Detour is the address on which the router takes requests that others can't send to
+	// upstreams; empty if it takes none.
+	Detour string
 	// Incarnation identifies the router's process; zero if unknown.
 	Incarnation core.Incarnation
 }
@@ -34,6 +38,8 @@
 	transit transit
 	// silentUntil is until when the router isn't asked for quota, since it didn't respond.
 	silentUntil time.Time
+	// helping is how the router has fared as a helper.
+	helping health.Record
 }
 
 // members is the table of the other routers.
@@ -74,9 +80,9 @@
 		refreshedAt = old.refreshedAt
 	}
 	if old.Incarnation != m.Incarnation {
-		old.transit, old.silentUntil = transit{}, time.Time{}
+		old.transit, old.silentUntil, old.helping = transit{}, time.Time{}, health.Record{}
 	}
-	t.byID[m.ID] = member{Member: m, refreshedAt: refreshedAt, snapshotRequested: old.snapshotRequested, lastSeen: lastSeen, score: old.score, transit: old.transit, silentUntil: old.silentUntil}
+	t.byID[m.ID] = member{Member: m, refreshedAt: refreshedAt, snapshotRequested: old.snapshotRequested, lastSeen: lastSeen, score: old.score, transit: old.transit, silentUntil: old.silentUntil, helping: old.helping}
 }
 
 // markMemberSeen records that a message from a router has arrived.
--- a/core/fleet/relay.go
+++ b/core/fleet/relay.go
@@ -35,10 +35,10 @@
 	return now.Sub(m.lastSeen) < relayTimeout
 }
 
-// self returns the router itself as a member.
-func (f *Fleet) self() Member {
+// Self returns the router itself as a member.
+func (f *Fleet) Self() Member {
 	s := f.settings
-	return Member{ID: s.ID, Address: s.Address, DataCentre: s.DataCentre, Incarnation: s.Incarnation}
+	return Member{ID: s.ID, Address: s.Address, DataCentre: s.DataCentre, Detour: s.Detour, Incarnation: s.Incarnation}
 }
 
 // neighbours returns the other routers in the local data centre.
--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -63,6 +63,7 @@
 	target  fleet.Target
 	refusal *core.Refusal
 	tried   []core.UpstreamID
+	detours fleet.Detours
 	done    bool
 	sentAt  time.Time
 }
@@ -146,6 +147,11 @@
 		"take-up":              cmdTakeUp,
 		"sent-release":         cmdSentRelease,
 		"standing":             cmdStanding,
+		"helper":               cmdHelper,
+		"helped":               cmdHelped,
+		"cut-off":              cmdCutOff,
+		"reached":              cmdReached,
+		"relay":                cmdRelay,
 	}
 	wrapped := map[string]func(*testscript.TestScript, bool, []string){}
 	for name, run := range all {
@@ -202,7 +208,7 @@
 // unless unlisted, the list of routers.
 func cmdRouter(_ *testscript.TestScript, sim *simulation, a []string) {
 	f := fleet.New(sim.now, fleet.Settings{
-		ID: core.RouterID(a[0]), DataCentre: core.DataCentre(a[1]), Address: a[0], MaxLoadFactor: 2,
+		ID: core.RouterID(a[0]), DataCentre: core.DataCentre(a[1]), Address: a[0], Detour: "detour-" + a[0], MaxLoadFactor: 2,
 		Regions: sim.regions, Drain: 2 * time.Second, Evacuation: 5 * time.Second, Incarnation: core.Incarnation(sim.now.UnixMilli()),
 		Retry: retry.Limits{Ratio: 0.2, Slack: sim.slack, Window: 10 * time.Second},
 		ParseCatalog: func([]byte) (*catalog.Catalog, error) {
@@ -228,7 +234,7 @@
 
 func member(f *fleet.Fleet) fleet.Member {
 	s := f.Settings()
-	return fleet.Member{ID: s.ID, Address: s.Address, DataCentre: s.DataCentre, Incarnation: s.Incarnation}
+	return fleet.Member{ID: s.ID, Address: s.Address, DataCentre: s.DataCentre, Detour: s.Detour, Incarnation: s.Incarnation}
 }
 
 // region DC REGION: sets the region of a data centre.
@@ -593,6 +599,9 @@
 		s.router.RecordPrefill(sim.now, s.request, s.target)
 	}
 	s.router.FinishAttempt(sim.now, s.target, outcome, nil)
+	if outcome == health.Unreachable {
+		s.detours.Unreached++
+	}
 	s.done = true
 }
 
--- a/router/cluster/router.go
+++ b/router/cluster/router.go
@@ -27,12 +27,14 @@
 
 // Router is one running router of a fleet. Run creates it.
 type Router struct {
-	settings     Settings
-	log          *zap.Logger
-	adapter      Adapter
-	fleet        *fleet.Fleet
-	pool         *httpclient.Pool
-	gateway      *gateway.Handler
+	settings Settings
+	log      *zap.Logger
+	adapter  Adapter
+	fleet    *fleet.Fleet
+	pool     *httpclient.Pool
+	gateway  *gateway.Handler
+	// detours handles the requests of other routers that can't reach the upstreams.
+	detours      *gateway.Handler
 	network      *peer.Network[fleet.Member, fleet.Message]
 	metrics      *metrics.Metrics
 	scheduler    worker.Scheduler
@@ -60,6 +62,7 @@
 		Fleet: r.fleet, HeaderCodec: a.Incoming, Log: p.Log, Metrics: instruments,
 		Forwarder: &relay.Forwarder{Fleet: r.fleet, HeaderCodec: a.Outgoing, Log: p.Log, Conns: r.pool, Metrics: instruments},
 	}
+	r.detours = &gateway.Handler{Fleet: r.fleet, HeaderCodec: a.Incoming, Log: p.Log, Metrics: instruments, Forwarder: r.gateway.Forwarder, Relayed: true}
 	r.gateway.Forwarder.Notify = func(m fleet.Message) { r.send(r.fleet.Spread(time.Now(), m)) }
 	r.gateway.Forwarder.Send = func(e fleet.Envelope) { r.send([]fleet.Envelope{e}) }
 	r.gateway.CloseAfterResponse = func() bool { return r.shuttingDown.Load() || r.lastReadiness.Load() == fleet.Isolated }
@@ -83,6 +86,9 @@
 		{Name: "limited_upstreams", Description: "upstreams that name a limit of requests per second", Read: func() int64 {
 			return int64(r.fleet.LimitedUpstreams(time.Now()))
 		}},
+		{Name: "cut_off_pools", Description: "pools of which this router can't reach any upstream", Read: func() int64 {
+			return int64(len(r.fleet.CutOffPools(time.Now())))
+		}},
 		{Name: "job_panics", Description: "panics that ended a job or an attempt", Read: worker.Panics},
 		{Name: "log_lines_left_out", Description: "log lines over the budget of their kind", Read: logs.SuppressedLines},
 	}
@@ -106,15 +112,22 @@
 		Addr: r.settings.Router.Listen, Handler: r.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(r.log.Named("http")),
 	}
+	detours := &http.Server{
+		Addr: r.settings.Router.Detour, Handler: r.detours, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(r.log.Named("detours")),
+	}
 	metricsMux := http.NewServeMux()
 	metricsMux.Handle("/metrics", promhttp.Handler())
 	metricsMux.HandleFunc("/status", r.serveStatus)
-	failed := make(chan error, 4)
+	failed := make(chan error, 5)
 	r.startBackground(background)
 	go func() { failed <- r.network.Serve(r.settings.Router.Peer) }()
 	go func() { failed <- listenAndServe(r.settings.Router.Ready, http.HandlerFunc(r.serveReadiness)) }()
 	go func() { failed <- listenAndServe(r.settings.Router.Metrics, metricsMux) }()
 	go func() { failed <- serveTCP4(callers) }()
+	if detours.Addr != "" {
+		go func() { failed <- serveTCP4(detours) }()
+	}
 	r.log.Info("router_started", zap.String("listen", r.settings.Router.Listen),
 		zap.Uint64("incarnation", uint64(r.fleet.Settings().Incarnation)))
 	select {
@@ -122,7 +135,7 @@
 		return wrap.Err(err, "listen")
 	case <-p.Context.Done():
 	}
-	r.shutdown(callers)
+	r.shutdown(callers, detours)
 	stop()
 	return nil
 }
@@ -176,7 +189,7 @@
 // registration and cache inventories.
 func (r *Router) startBackground(ctx context.Context) {
 	self := r.fleet.Settings()
-	member := fleet.Member{ID: self.ID, Address: self.Address, DataCentre: self.DataCentre, Incarnation: self.Incarnation}
+	member := r.fleet.Self()
 	r.network = peer.New(ctx, member, r.log, wire.FleetProtocol(), peer.Handler[fleet.Member, fleet.Message]{
 		Receive: func(from fleet.Member, m fleet.Message) {
 			r.handleEffects(from, r.fleet.Receive(time.Now(), from, m))
@@ -198,6 +211,7 @@
 		worker.Sleep(ctx, wait)
 	})
 	r.scheduler.Every(ctx, connSweepInterval, func(context.Context) { r.pool.CloseUnusable(time.Now()) })
+	r.scheduler.Every(ctx, r.fleet.ProbeInterval(), r.gateway.Forwarder.Probe)
 	r.scheduler.Every(ctx, partSweepInterval, func(context.Context) { logPartChanges(r.log, "", r.fleet.ExpireParts(time.Now())) })
 	r.scheduler.Repeat(ctx, r.registrationStep(member))
 	if !r.settings.Router.FirstStart {
@@ -296,9 +310,11 @@
 // shutdown deregisters the router and finishes the running requests within the
 // grace period. It accepts new connections until the load balancer has noticed
 // the shutdown; each caller's connection closes after its next response.
-func (r *Router) shutdown(callers *http.Server) {
+func (r *Router) shutdown(callers, detours *http.Server) {
 	startedAt := time.Now()
 	r.shuttingDown.Store(true)
+	// Other routers can send their requests elsewhere at once.
+	r.detours.Closing.Store(true)
 	r.log.Info("shutdown_started", zap.Int64("running", r.gateway.ActiveRequests.Load()))
 	grace := time.Duration(r.settings.Bounds.GraceSeconds*float64(time.Second)) - exitMargin
 	ctx, cancel := context.WithDeadline(context.Background(), startedAt.Add(grace))
@@ -310,5 +326,8 @@
 	r.gateway.Closing.Store(true)
 	worker.Sleep(ctx, headerReadDelay)
 	err := callers.Shutdown(ctx)
-	r.log.Info("shutdown_finished", zap.Int64("cut", r.gateway.ActiveRequests.Load()), zap.Duration("took", time.Since(startedAt)), logs.Err(err))
+	if detoursErr := detours.Shutdown(ctx); err == nil {
+		err = detoursErr
+	}
+	r.log.Info("shutdown_finished", zap.Int64("cut", r.gateway.ActiveRequests.Load()+r.detours.ActiveRequests.Load()), zap.Duration("took", time.Since(startedAt)), logs.Err(err))
 }
--- a/router/cluster/settings.go
+++ b/router/cluster/settings.go
@@ -31,6 +31,9 @@
 	Ready   string `ini:"ready" validate:"required,hostname_port"`
 	Peer    string `ini:"peer" validate:"required,hostname_port"`
 	Metrics string `ini:"metrics" validate:"required,hostname_port"`
+	// Detour is the address for requests that other routers can't send to upstreams; empty
+	// takes none.
+	Detour string `ini:"detour" validate:"omitempty,hostname_port"`
 	// FirstStart is true if the whole system starts for the first time: all engine
 	// caches are empty then, and the router doesn't query them.
 	FirstStart bool `ini:"first"`
@@ -92,6 +95,7 @@
 	return fleet.Settings{
 		ID:          core.RouterID(s.Router.ID),
 		Address:     s.Router.Peer,
+		Detour:      s.Router.Detour,
 		DataCentre:  core.DataCentre(s.Router.DataCentre),
 		Incarnation: core.Incarnation(now.UnixMilli()),
 		Regions: lo.SliceToMap(s.DataCentres, func(dc DataCentre) (core.DataCentre, string) {
--- a/router/cluster/shutdown_test.go
+++ b/router/cluster/shutdown_test.go
@@ -61,6 +61,8 @@
 }
 func (minimalHeaderCodec) SetRefusalHeader(http.Header, string, time.Duration) {}
 func (minimalHeaderCodec) AttemptHeader(relay.AttemptInfo) http.Header         { return http.Header{} }
+func (minimalHeaderCodec) DetourHeader(a relay.AttemptInfo) http.Header        { return a.Call.Header }
+
 func (minimalHeaderCodec) ParseResponse(int, http.Header) relay.ResponseHeaders {
 	return relay.ResponseHeaders{Signed: true}
 }
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -66,6 +66,9 @@
 	// its current response, so that the load balancer opens the next one to
 	// another router. A nil func keeps connections open.
 	CloseAfterResponse func() bool
+	// Relayed is true if the requests come from other routers, which can't reach the
+	// upstreams.
+	Relayed bool
 	// Closing is set shortly before the server closes callers' connections.
 	// Later requests are refused as not run, because their connections may be
 	// closed before they are answered.
@@ -100,6 +103,7 @@
 		h.refuse(w, headers.ID, "", refusal)
 		return
 	}
+	headers.Relayed = h.Relayed
 	headers.TakesUp = headers.HasLastEventID || headers.Resumes != ""
 	headers.Content = contentDigest(r, headers, body)
 	request, refusal := h.Fleet.Admit(arrived, headers.CallerRequest)
@@ -111,6 +115,9 @@
 		Request: request, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header,
 		Body: body, HasBody: r.ContentLength != 0, LastEventID: headers.LastEventID, HasLastEventID: headers.HasLastEventID,
 	}
+	if h.Relayed {
+		call.Runs = relay.RunsBefore(r.Header)
+	}
 	out := &responseWriter{w: w, arrived: arrived}
 	err := h.Forwarder.Forward(r.Context(), call, out)
 	h.finish(r.Context(), w, call, out, err)
@@ -182,6 +189,9 @@
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	h.HeaderCodec.SetRefusalHeader(header, id, retryAfter)
+	if h.Relayed {
+		relay.MarkRefusal(header, refusal)
+	}
 	w.WriteHeader(refusal.Status)
 	body, err := json.Marshal(map[string]string{"error": refusal.Message, "code": refusal.Code, "certainty": refusal.Certainty.String()})
 	if err == nil {
--- a/router/gateway/helper_verbs_test.go
+++ b/router/gateway/helper_verbs_test.go
@@ -1,7 +1,10 @@
 package gateway_test
 
 import (
+	"io"
+	"net/http"
 	"net/http/httptest"
+	"strings"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -24,11 +27,12 @@
 func cmdHelper(ts *testscript.TestScript, f *fixture, _ []string) {
 	h := &helper{}
 	h.fleet, h.gateway = newGateway("r2", &httpclient.Pool{})
+	h.gateway.Relayed = true
 	h.server = httptest.NewServer(h.gateway)
 	ts.Defer(h.server.Close)
 	h.fleet.ApplyFullRead(time.Now(), time.Now(), 0, 0, f.entries)
 	f.helper = h
-	f.fleet.AddMember(time.Now(), fleet.Member{ID: "r2", DataCentre: "a"})
+	f.fleet.AddMember(time.Now(), fleet.Member{ID: "r2", DataCentre: "a", Detour: h.server.Listener.Addr().String()})
 }
 
 // unreachableAddress is an address that refuses connections.
@@ -42,8 +46,23 @@
 	}))
 }
 
-// stop-helper: the helper ends.
-func cmdStopHelper(_ *testscript.TestScript, f *fixture, _ []string) {
-	f.helper.server.CloseClientConnections()
-	f.helper.server.Close()
+// stop-helper-in DURATION: the helper breaks its connections to other routers after a time.
+func cmdStopHelperIn(ts *testscript.TestScript, f *fixture, a []string) {
+	d, err := time.ParseDuration(a[0])
+	ts.Check(err)
+	time.AfterFunc(d, f.helper.server.CloseClientConnections)
+}
+
+// relayed ROUTE METHOD ID runs=N: sends the helper a request of another router, which may have
+// run N times.
+func cmdRelayed(ts *testscript.TestScript, f *fixture, a []string) {
+	r, err := http.NewRequest(a[1], f.helper.server.URL+"/x", nil)
+	ts.Check(err)
+	r.Host = a[0]
+	r.Header.Set("X-Id", a[2])
+	r.Header.Set("Router-Runs", strings.TrimPrefix(a[3], "runs="))
+	resp, err := f.helper.server.Client().Do(r)
+	ts.Check(err)
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
 }
--- a/router/gateway/response_writer.go
+++ b/router/gateway/response_writer.go
@@ -7,6 +7,7 @@
 
 	"camphorpulley.org/base/wrap"
 	"camphorpulley.org/router/httpheader"
+	"camphorpulley.org/router/relay"
 )
 
 // responseWriter writes a response to the caller. It implements
@@ -22,9 +23,9 @@
 	streaming     bool
 }
 
-// serverFields lists the header fields of the upstream that are left out because
-// net/http sets its own.
-var serverFields = []string{"Date"}
+// serverFields lists the header fields of the upstream that are left out: net/http sets its
+// own, and another router would take the response for a refusal of this one.
+var serverFields = []string{"Date", relay.RefusalField}
 
 // WriteHeader implements relay.ResponseWriter.
 func (rw *responseWriter) WriteHeader(status int, h http.Header, length int) {
--- a/router/gateway/script_test.go
+++ b/router/gateway/script_test.go
@@ -57,7 +57,7 @@
 			"response-incomplete": with(cmdResponseIncomplete), "set-closing": with(cmdSetClosing),
 			"set-timeout": with(cmdSetTimeout), "set-parts": with(cmdSetParts), "time-left": with(cmdTimeLeft),
 			"respond-endless": with(cmdRespondEndless), "sent-at-most": with(cmdSentAtMost), "took-at-most": with(cmdTookAtMost),
-			"helper": with(cmdHelper), "cut-off": with(cmdCutOff), "stop-helper": with(cmdStopHelper),
+			"helper": with(cmdHelper), "cut-off": with(cmdCutOff), "stop-helper-in": with(cmdStopHelperIn), "relayed": with(cmdRelayed),
 			"requests": with(cmdRequests), "received-at-most": with(cmdReceivedAtMost), "heap-at-most": with(cmdHeapAtMost),
 		},
 	})
@@ -183,6 +183,17 @@
 	return h
 }
 
+func (headerCodec) DetourHeader(a relay.AttemptInfo) http.Header {
+	h := a.Call.Header.Clone()
+	h.Set("X-Wait", strconv.FormatInt(a.TimeLeft.Milliseconds(), 10))
+	h.Del("Last-Event-Id")
+	if a.HasLastEventID {
+		h.Set("Last-Event-Id", strconv.Itoa(a.LastEventID))
+		h.Set("Resumes", a.Call.ID)
+	}
+	return h
+}
+
 func (headerCodec) ParseResponse(status int, h http.Header) relay.ResponseHeaders {
 	var says statement.Answer
 	if perSecond, err := strconv.ParseFloat(h.Get("X-Limit"), 64); err == nil {
--- a/router/httpclient/pool.go
+++ b/router/httpclient/pool.go
@@ -150,3 +150,26 @@
 		_ = c.Close()
 	}
 }
+
+// CloseIdle closes the idle connections to an address.
+func (p *Pool) CloseIdle(address string) {
+	var conns []*Conn
+	p.idle.Do(table.Hold{}, func(_ table.Hold, all *map[string][]*Conn) {
+		conns = (*all)[address]
+		delete(*all, address)
+	})
+	for _, c := range conns {
+		_ = c.Close()
+	}
+}
+
+// Warm opens a connection to an address and keeps it as idle. The error is that of the
+// dialler.
+func (p *Pool) Warm(ctx context.Context, now time.Time, address string, timeout time.Duration) error {
+	c, err := p.Get(ctx, now, address, Options{ConnectTimeout: timeout})
+	if err != nil {
+		return err
+	}
+	p.Put(now, c, 0)
+	return nil
+}
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -4,10 +4,12 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	"camphorpulley.org/core"
 	"camphorpulley.org/core/answer"
 	"camphorpulley.org/core/catalog"
 	"camphorpulley.org/core/fleet"
@@ -19,6 +21,9 @@
 type attempt struct {
 	*callState
 	target fleet.Target
+	// helper is the other router that the attempt is made at; empty if it is made at an
+	// upstream. The target is then that router's address.
+	helper core.RouterID
 	// id is the number of the attempt within the call.
 	id int
 	// sent is true once a connection is open: bytes may then have been sent.
@@ -45,11 +50,13 @@
 		a.connectFailed = true
 		return err
 	}
-	a.recordBeginning()
+	if a.helper == "" {
+		a.recordBeginning()
+	}
 	a.sent = true
 	a.runs++
 	a.exchange.SetPhase(a.id, answer.Sent)
-	deadline := a.FirstByteDeadline(now, a.target, a.runs)
+	deadline := a.patience(now, a.FirstByteDeadline(now, a.target, a.runs))
 	a.reusedConn = c.Reused()
 	resp, err := c.Do(a.ctx, a.request(now), deadline, a.checkHeader)
 	if err != nil {
@@ -57,7 +64,12 @@
 		return err
 	}
 	a.status = resp.StatusCode
-	a.recordStatement()
+	if refused, err := a.readRefusal(resp); refused {
+		return err
+	}
+	if a.helper == "" {
+		a.recordStatement()
+	}
 	if a.headers.NotRun || a.headers.Misdirected {
 		return a.handleDeclined(resp)
 	}
@@ -91,13 +103,19 @@
 
 // request returns the request that is sent to the upstream.
 func (a *attempt) request(now time.Time) httpclient.Request {
-	return httpclient.Request{
-		Method: a.Method, URI: a.URI, Host: a.Host, Body: a.Body, HasBody: a.HasBody,
-		Header: a.forwarder.HeaderCodec.AttemptHeader(AttemptInfo{
-			Call: a.Call, Target: a.target, TimeLeft: a.Deadline.Sub(now),
-			LastEventID: a.sequence.Last, HasLastEventID: a.sequence.HasLast,
-		}),
-	}
+	info := AttemptInfo{
+		Call: a.Call, Target: a.target, TimeLeft: a.Deadline.Sub(now),
+		LastEventID: a.sequence.Last, HasLastEventID: a.sequence.HasLast,
+	}
+	r := httpclient.Request{Method: a.Method, URI: a.URI, Host: a.Host, Body: a.Body, HasBody: a.HasBody}
+	if a.helper == "" {
+		r.Header = a.forwarder.HeaderCodec.AttemptHeader(info)
+		return r
+	}
+	r.Header = a.forwarder.HeaderCodec.DetourHeader(info)
+	// This attempt isn't a run of its own: the other router counts those that it makes.
+	r.Header.Set(runsField, strconv.Itoa(a.runs-1))
+	return r
 }
 
 // checkHeader parses the header of a response into a.headers. It returns a
@@ -152,8 +170,7 @@
 	maxDiscardTime = 20 * time.Millisecond
 )
 
-// handleDeclined records that the upstream has not run the request. It reads the
-// rest of a short response, so that the connection can be used again.
+// handleDeclined records that the upstream has not run the request.
 func (a *attempt) handleDeclined(resp *httpclient.Response) error {
 	a.exchange.SetPhase(a.id, answer.Declined)
 	a.runs--
@@ -161,15 +178,7 @@
 	if a.headers.Misdirected {
 		a.outcome = health.Misdirected
 	}
-	err := resp.SetDeadline(time.Now().Add(maxDiscardTime))
-	if err == nil {
-		_, err = io.Copy(io.Discard, io.LimitReader(resp, maxDiscardBytes))
-	}
-	if err != nil {
-		resp.Abort()
-	} else {
-		resp.Release(time.Now(), a.forwarder.Conns)
-	}
+	a.discard(resp)
 	return errDeclined
 }
 
--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -26,6 +26,8 @@
 	// It is valid if HasLastEventID is true.
 	LastEventID    int
 	HasLastEventID bool
+	// Runs is how often upstreams may have run the request before another router sent it.
+	Runs int
 }
 
 // AttemptInfo holds what the header of an attempt's request is made from.
@@ -69,6 +71,9 @@
 	AttemptHeader(a AttemptInfo) http.Header
 	// ParseResponse returns the fields that the header of a response holds.
 	ParseResponse(status int, h http.Header) ResponseHeaders
+	// DetourHeader returns the header of the request that is sent to another router: that
+	// of the caller, with the time and the events that are left.
+	DetourHeader(a AttemptInfo) http.Header
 }
 
 // ResponseWriter writes a response to the caller.
--- /dev/null
+++ b/router/relay/detour.go
@@ -0,0 +1,165 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"camphorpulley.org/core"
+	"camphorpulley.org/core/answer"
+	"camphorpulley.org/core/fleet"
+	"camphorpulley.org/core/health"
+	"camphorpulley.org/core/roster"
+	"camphorpulley.org/router/httpclient"
+)
+
+// Header fields between routers.
+const (
+	// RefusalField marks a response that a router has made itself: the certainty and the
+	// code of its refusal.
+	RefusalField = "Router-Refusal"
+	// runsField holds how often upstreams may have run the request.
+	runsField = "Router-Runs"
+)
+
+// MarkRefusal marks the response to another router as a refusal.
+func MarkRefusal(h http.Header, r *core.Refusal) {
+	h.Set(RefusalField, r.Certainty.String()+" "+r.Code)
+}
+
+// RunsBefore returns how often upstreams may have run a request that another router has
+// sent; zero if it doesn't say.
+func RunsBefore(h http.Header) int {
+	n, err := strconv.Atoi(h.Get(runsField))
+	if err != nil {
+		return 0
+	}
+	return max(n, 0)
+}
+
+// errHelperRefused means that another router has refused the request.
+var errHelperRefused = errors.New("another router has refused the request")
+
+// takeDetour sends the request to other routers, one after the other, while it can't be sent
+// to an upstream and some are left. Done is true if the request has ended, with the error of
+// Forward.
+func (s *callState) takeDetour() (done bool, err error) {
+	f := s.forwarder
+	for {
+		now := time.Now()
+		helper, ok := f.Fleet.ChooseHelper(now, s.Request, s.detours)
+		if !ok || s.ctx.Err() != nil || !s.mayDetour(now) {
+			return false, nil
+		}
+		s.detours.Helpers = append(s.detours.Helpers, helper.ID)
+		sent, err := s.tryHelper(helper)
+		if err == nil {
+			return true, nil
+		}
+		now = time.Now()
+		var writeErr *CallerWriteError
+		switch {
+		case s.helperRefusal != nil:
+			return true, s.fail(now, s.withCertainty(now, s.helperRefusal))
+		case s.ctx.Err() != nil, errors.As(err, &writeErr), !f.Fleet.MayRetry(now, s.Request, &s.exchange, sent, s.runs):
+			return true, s.fail(now, f.Fleet.Refuse(now, s.Request, &s.exchange, err.Error()))
+		}
+	}
+}
+
+// mayDetour reports whether the request may run at another router.
+func (s *callState) mayDetour(now time.Time) bool {
+	return s.exchange.MayRetry() && now.Before(s.Deadline) && (s.runs == 0 || s.runs < s.Route.MaxRuns)
+}
+
+// tryHelper makes one attempt at another router. It reports whether the router may have run
+// the request.
+func (s *callState) tryHelper(helper fleet.Member) (bool, error) {
+	f := s.forwarder
+	a := &attempt{callState: s, helper: helper.ID, target: fleet.Target{Upstream: roster.Upstream{Entry: roster.Entry{
+		ID: core.UpstreamID(helper.ID), Pool: s.Pool.Name, Address: helper.Detour, DataCentre: helper.DataCentre,
+	}}}}
+	a.id = s.exchange.StartAttempt(a.target.ID)
+	started := time.Now()
+	err := a.protectedRun()
+	now := time.Now()
+	ejected := f.Fleet.FinishDetour(now, helper.ID, a.outcome)
+	f.Metrics.Ended(s.Pool.Name, "detour_"+a.outcome.String())
+	a.log(now.Sub(started), ejected, err)
+	return a.sent && a.outcome != health.Shed, err
+}
+
+// readRefusal handles the response of another router that has refused the request. It
+// returns false if the response is that of an upstream.
+func (a *attempt) readRefusal(resp *httpclient.Response) (bool, error) {
+	certainty, code, marked := strings.Cut(resp.Header.Get(RefusalField), " ")
+	if a.helper == "" || !marked {
+		return false, nil
+	}
+	if certainty != core.NotRun.String() {
+		resp.Abort()
+		a.outcome = health.Unknown
+		a.exchange.SetPhase(a.id, answer.Failed)
+		return true, errHelperRefused
+	}
+	a.exchange.SetPhase(a.id, answer.Declined)
+	a.runs--
+	a.outcome = health.Shed
+	if fleet.ConcernsPool(code) {
+		// Another router would refuse the request for the same reason.
+		a.outcome = health.Good
+		a.helperRefusal = &core.Refusal{
+			Status: resp.StatusCode, Certainty: core.NotRun, Code: code, Message: "refused by router " + string(a.helper), RetryAfter: a.headers.Says.RetryAfter,
+		}
+	}
+	a.discard(resp)
+	return true, errHelperRefused
+}
+
+// discard reads the rest of a short response, so that the connection can be used again.
+func (a *attempt) discard(resp *httpclient.Response) {
+	err := resp.SetDeadline(time.Now().Add(maxDiscardTime))
+	if err == nil {
+		_, err = io.Copy(io.Discard, io.LimitReader(resp, maxDiscardBytes))
+	}
+	if err != nil {
+		resp.Abort()
+		return
+	}
+	resp.Release(time.Now(), a.forwarder.Conns)
+}
+
+// detourSlack is how many times longer than an upstream another router may take, which may
+// have to try a second one.
+const detourSlack = 2
+
+// patience returns the deadline for the next bytes: that of an upstream, or a later one at
+// another router.
+func (a *attempt) patience(now, deadline time.Time) time.Time {
+	if a.helper == "" {
+		return deadline
+	}
+	if later := now.Add(detourSlack * deadline.Sub(now)); later.Before(a.Deadline) {
+		return later
+	}
+	return a.Deadline
+}
+
+// Probe opens a connection to an upstream of each pool from which the router is cut off. A
+// request that has to wait for that would be late.
+func (f *Forwarder) Probe(ctx context.Context) {
+	now := time.Now()
+	for pool, u := range f.Fleet.CutOffPools(now) {
+		err := f.Conns.Warm(ctx, now, u.Address, fleet.ProbeTimeout)
+		f.Log.Info("pool_cut_off", zap.String("pool", string(pool)), zap.String("upstream", string(u.ID)), zap.Bool("reached", err == nil))
+		if err == nil {
+			f.Fleet.RecordReached(time.Now(), u)
+		}
+	}
+}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -89,6 +89,10 @@
 	// opened. Another data centre is then likely to be unreachable, so that later
 	// attempts at engines prefer the router's own.
 	connectFailed bool
+	// detours is what was tried of upstreams and of other routers. helperRefusal is the
+	// refusal of another router that any further one would repeat.
+	detours       fleet.Detours
+	helperRefusal *core.Refusal
 	// failure is the last signed failure response of an upstream. It is sent to
 	// the caller if no further attempt is made.
 	failure *failedResponse
@@ -106,7 +110,7 @@
 // an *IncompleteResponseError if a part of a stream was written. Otherwise it is a
 // *core.Refusal, or the error from writing an upstream's failure response to w.
 func (f *Forwarder) Forward(ctx context.Context, c *Call, w ResponseWriter) error {
-	s := &callState{Call: c, forwarder: f, ctx: ctx, writer: w, exchange: c.NewExchange()}
+	s := &callState{Call: c, forwarder: f, ctx: ctx, writer: w, exchange: c.NewExchange(), runs: c.Runs}
 	s.sequence = answer.EventSequence{Last: c.LastEventID, HasLast: c.HasLastEventID}
 	if c.TakesUpStream() {
 		s.findOrigin(time.Now())
@@ -119,6 +123,9 @@
 		if refusal := s.checkParts(now); refusal != nil {
 			return s.fail(now, s.withCertainty(now, refusal))
 		}
+		if done, err := s.takeDetour(); done {
+			return err
+		}
 		target, refusal := s.chooseTarget(now)
 		if refusal != nil {
 			return s.fail(now, s.withCertainty(now, refusal))
@@ -188,15 +195,17 @@
 	id := s.exchange.StartAttempt(target.ID)
 	started := time.Now()
 	a := &attempt{callState: s, target: target, id: id}
-	var err error
-	if panicked := worker.Protect(func() { err = a.run() }); panicked != nil {
-		// What was sent is unknown, but the attempt has ended and holds no load.
-		a.outcome, err = health.Unknown, panicked
-		s.exchange.SetPhase(id, answer.Failed)
-	}
+	err := a.protectedRun()
 	now := time.Now()
 	ejected := f.Fleet.FinishAttempt(now, target, a.outcome, a.headers.Load)
 	f.Metrics.Ended(s.Pool.Name, a.outcome.String())
+	if ejected && a.outcome == health.TimedOut {
+		// The kept connections of an upstream that hangs would hold up further requests.
+		f.Conns.CloseIdle(target.Address)
+	}
+	if a.outcome == health.Unreachable {
+		s.detours.Unreached++
+	}
 	if a.outcome == health.Broken && a.sent {
 		f.Fleet.RecordBrokenConnection(now, s.Request, target)
 		if !a.underWay() {
@@ -212,3 +221,14 @@
 	a.log(now.Sub(started), ejected, err)
 	return a.sent, err
 }
+
+// protectedRun makes the attempt. If it panics, what was sent is unknown, but the attempt has
+// ended and holds no load.
+func (a *attempt) protectedRun() error {
+	var err error
+	if panicked := worker.Protect(func() { err = a.run() }); panicked != nil {
+		a.outcome, err = health.Unknown, panicked
+		a.exchange.SetPhase(a.id, answer.Failed)
+	}
+	return err
+}
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -82,7 +82,7 @@
 		}
 		if now := time.Now(); err == nil && now.Sub(lastAlive) > aliveInterval {
 			lastAlive = now
-			a.forwarder.Fleet.MarkSeen(now, a.target)
+			a.markSeen(now)
 		}
 		if err == nil {
 			if !e.empty {
@@ -113,10 +113,20 @@
 // engine sends that crashes as it begins to write.
 func (a *attempt) underWay() bool { return a.events >= minEventsUnderWay }
 
+// markSeen tells the fleet that the upstream is alive. Another router judges its own.
+func (a *attempt) markSeen(now time.Time) {
+	if a.helper == "" {
+		a.forwarder.Fleet.MarkSeen(now, a.target)
+	}
+}
+
 // recordEvent counts an event that isn't empty. The first one shows that the engine has
 // the prompt in its cache.
 func (a *attempt) recordEvent() {
 	a.events++
+	if a.helper != "" {
+		return
+	}
 	switch a.events {
 	case 1:
 		a.forwarder.Fleet.RecordPrefill(time.Now(), a.Request, a.target)
@@ -130,10 +140,11 @@
 func (a *attempt) sendHeader(resp *httpclient.Response) {
 	a.streamStarted, a.contentType = true, mediaType(resp.Header)
 	if !a.Origin.Begun {
+		// Where another router has begun the stream, the holders of its record know.
 		a.Origin = lineage.Origin{Begun: true, Known: a.target.Certain, Release: a.target.Release}
 	}
 	a.writer.WriteHeader(resp.StatusCode, resp.Header, -1)
-	if a.headers.Load != nil {
+	if a.headers.Load != nil && a.helper == "" {
 		if full := a.forwarder.Fleet.RecordLoad(time.Now(), a.target, *a.headers.Load); full != nil && a.forwarder.Notify != nil {
 			a.forwarder.Notify(*full)
 		}
@@ -166,5 +177,6 @@
 	if e.empty {
 		return nil
 	}
-	return resp.SetDeadline(a.NextEventDeadline(time.Now(), a.runs))
+	now := time.Now()
+	return resp.SetDeadline(a.patience(now, a.NextEventDeadline(now, a.runs)))
 }
--- a/router/wire/fleet.go
+++ b/router/wire/fleet.go
@@ -74,6 +74,7 @@
 	Address    string          `cbor:"2,keyasint"`
 	DataCentre core.DataCentre `cbor:"3,keyasint"`
 
+	Detour      string           `cbor:"5,keyasint,omitempty"`
 	Incarnation core.Incarnation `cbor:"4,keyasint,omitempty"`
 }
 
--- a/router/wire/fleet_test.go
+++ b/router/wire/fleet_test.go
@@ -11,7 +11,7 @@
 )
 
 var fleetMessages = []fleet.Message{
-	{Handshake: &fleet.Member{ID: "r1", Address: "10.0.0.1:7340", DataCentre: "a", Incarnation: 7}},
+	{Handshake: &fleet.Member{ID: "r1", Address: "10.0.0.1:7340", DataCentre: "a", Detour: "10.0.0.1:7355", Incarnation: 7}},
 	{Heartbeat: &fleet.Heartbeat{
 		Version: 3, UpstreamsInService: 2,
 		Running:     []fleet.Running{{Upstream: "u", Count: 4}},
