--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -116,9 +116,9 @@
 		Body: body, HasBody: r.ContentLength != 0, LastEventID: headers.LastEventID, HasLastEventID: headers.HasLastEventID,
 	}
 	if h.Relayed {
-		call.Runs = relay.RunsBefore(r.Header)
+		call.Runs = relay.ParseRuns(r.Header)
 	}
-	out := &responseWriter{w: w, arrived: arrived}
+	out := &responseWriter{w: w, arrived: arrived, call: call}
 	err := h.Forwarder.Forward(r.Context(), call, out)
 	h.finish(r.Context(), w, call, out, err)
 }
--- a/router/gateway/helper_verbs_test.go
+++ b/router/gateway/helper_verbs_test.go
@@ -10,6 +10,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/samber/lo"
 
+	"camphorpulley.org/core"
 	"camphorpulley.org/core/fleet"
 	"camphorpulley.org/core/roster"
 	"camphorpulley.org/router/gateway"
@@ -23,16 +24,20 @@
 	server  *httptest.Server
 }
 
-// helper: starts another router, which the gateway knows.
-func cmdHelper(ts *testscript.TestScript, f *fixture, _ []string) {
+// helper [ID]: starts another router, r2 by default, which the gateway knows.
+func cmdHelper(ts *testscript.TestScript, f *fixture, a []string) {
+	id := core.RouterID("r2")
+	if len(a) > 0 {
+		id = core.RouterID(a[0])
+	}
 	h := &helper{}
-	h.fleet, h.gateway = newGateway("r2", &httpclient.Pool{})
+	h.fleet, h.gateway = newGateway(id, &httpclient.Pool{})
 	h.gateway.Relayed = true
 	h.server = httptest.NewServer(h.gateway)
 	ts.Defer(h.server.Close)
 	h.fleet.ApplyFullRead(time.Now(), time.Now(), 0, 0, f.entries)
-	f.helper = h
-	f.fleet.AddMember(time.Now(), fleet.Member{ID: "r2", DataCentre: "a", Detour: h.server.Listener.Addr().String()})
+	f.helpers = append(f.helpers, h)
+	f.fleet.AddMember(time.Now(), fleet.Member{ID: id, DataCentre: "a", Detour: h.server.Listener.Addr().String()})
 }
 
 // unreachableAddress is an address that refuses connections.
@@ -46,22 +51,22 @@
 	}))
 }
 
-// stop-helper-in DURATION: the helper breaks its connections to other routers after a time.
+// stop-helper-in DURATION: the first helper breaks its connections to other routers after a time.
 func cmdStopHelperIn(ts *testscript.TestScript, f *fixture, a []string) {
 	d, err := time.ParseDuration(a[0])
 	ts.Check(err)
-	time.AfterFunc(d, f.helper.server.CloseClientConnections)
+	time.AfterFunc(d, f.helpers[0].server.CloseClientConnections)
 }
 
-// relayed ROUTE METHOD ID runs=N: sends the helper a request of another router, which may have
+// relayed ROUTE METHOD ID runs=N: sends the first helper a request of another router, which may have
 // run N times.
 func cmdRelayed(ts *testscript.TestScript, f *fixture, a []string) {
-	r, err := http.NewRequest(a[1], f.helper.server.URL+"/x", nil)
+	r, err := http.NewRequest(a[1], f.helpers[0].server.URL+"/x", nil)
 	ts.Check(err)
 	r.Host = a[0]
 	r.Header.Set("X-Id", a[2])
 	r.Header.Set("Router-Runs", strings.TrimPrefix(a[3], "runs="))
-	resp, err := f.helper.server.Client().Do(r)
+	resp, err := f.helpers[0].server.Client().Do(r)
 	ts.Check(err)
 	_, _ = io.Copy(io.Discard, resp.Body)
 	_ = resp.Body.Close()
--- a/router/gateway/response_writer.go
+++ b/router/gateway/response_writer.go
@@ -15,6 +15,7 @@
 type responseWriter struct {
 	w       http.ResponseWriter
 	arrived time.Time
+	call    *relay.Call
 	// headerLatency is the time from arrival until the header was written; zero if
 	// it wasn't.
 	headerLatency time.Duration
@@ -24,8 +25,8 @@
 }
 
 // serverFields lists the header fields of the upstream that are left out: net/http sets its
-// own, and another router would take the response for a refusal of this one.
-var serverFields = []string{"Date", relay.RefusalField}
+// own, and the others are for routers alone.
+var serverFields = []string{"Date", relay.RefusalField, relay.RunsField}
 
 // WriteHeader implements relay.ResponseWriter.
 func (rw *responseWriter) WriteHeader(status int, h http.Header, length int) {
@@ -35,6 +36,9 @@
 		// An explicit nil value stops net/http from detecting a type.
 		out["Content-Type"] = nil
 	}
+	if rw.call.Relayed {
+		out.Set(relay.RunsField, strconv.Itoa(rw.call.Runs))
+	}
 	if length >= 0 {
 		out.Set("Content-Length", strconv.Itoa(length))
 	}
--- a/router/gateway/script_test.go
+++ b/router/gateway/script_test.go
@@ -74,9 +74,8 @@
 	server    *httptest.Server
 	upstreams map[string]*upstream
 	entries   []roster.Entry
-	// helper is another router, which reaches the upstreams when the gateway doesn't; nil
-	// until the verb helper.
-	helper *helper
+	// helpers are other routers, which reach the upstreams when the gateway doesn't.
+	helpers []*helper
 	// timeout is the time-out in milliseconds that callers send; empty sends none.
 	timeout string
 	// parts are the parts of the prompt that callers send, one letter each.
@@ -354,8 +353,8 @@
 		ID: core.UpstreamID(a[0]), Pool: "p", DataCentre: dc, Address: ln.Addr().String(), Release: release,
 	})
 	f.fleet.ApplyFullRead(time.Now(), time.Now(), 0, 0, f.entries)
-	if f.helper != nil {
-		f.helper.fleet.ApplyFullRead(time.Now(), time.Now(), 0, 0, f.entries)
+	for _, h := range f.helpers {
+		h.fleet.ApplyFullRead(time.Now(), time.Now(), 0, 0, f.entries)
 	}
 }
 
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -24,6 +24,8 @@
 	// helper is the other router that the attempt is made at; empty if it is made at an
 	// upstream. The target is then that router's address.
 	helper core.RouterID
+	// helperRuns is how often upstreams may have run the request according to the helper.
+	helperRuns int
 	// id is the number of the attempt within the call.
 	id int
 	// sent is true once a connection is open: bytes may then have been sent.
@@ -54,9 +56,9 @@
 		a.recordBeginning()
 	}
 	a.sent = true
-	a.runs++
+	a.Runs++
 	a.exchange.SetPhase(a.id, answer.Sent)
-	deadline := a.patience(now, a.FirstByteDeadline(now, a.target, a.runs))
+	deadline := a.patience(now, a.FirstByteDeadline(now, a.target, a.Runs))
 	a.reusedConn = c.Reused()
 	resp, err := c.Do(a.ctx, a.request(now), deadline, a.checkHeader)
 	if err != nil {
@@ -114,7 +116,7 @@
 	}
 	r.Header = a.forwarder.HeaderCodec.DetourHeader(info)
 	// This attempt isn't a run of its own: the other router counts those that it makes.
-	r.Header.Set(runsField, strconv.Itoa(a.runs-1))
+	r.Header.Set(RunsField, strconv.Itoa(a.Runs-1))
 	return r
 }
 
@@ -173,7 +175,7 @@
 // handleDeclined records that the upstream has not run the request.
 func (a *attempt) handleDeclined(resp *httpclient.Response) error {
 	a.exchange.SetPhase(a.id, answer.Declined)
-	a.runs--
+	a.Runs--
 	a.outcome = health.Shed
 	if a.headers.Misdirected {
 		a.outcome = health.Misdirected
--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -26,7 +26,8 @@
 	// It is valid if HasLastEventID is true.
 	LastEventID    int
 	HasLastEventID bool
-	// Runs is how often upstreams may have run the request before another router sent it.
+	// Runs is how often upstreams may have run the request, also for another router that has
+	// sent it before. Forward counts on.
 	Runs int
 }
 
--- a/router/relay/detour.go
+++ b/router/relay/detour.go
@@ -24,8 +24,9 @@
 	// RefusalField marks a response that a router has made itself: the certainty and the
 	// code of its refusal.
 	RefusalField = "Router-Refusal"
-	// runsField holds how often upstreams may have run the request.
-	runsField = "Router-Runs"
+	// RunsField holds how often upstreams may have run the request, in requests and in
+	// responses.
+	RunsField = "Router-Runs"
 )
 
 // MarkRefusal marks the response to another router as a refusal.
@@ -33,10 +34,9 @@
 	h.Set(RefusalField, r.Certainty.String()+" "+r.Code)
 }
 
-// RunsBefore returns how often upstreams may have run a request that another router has
-// sent; zero if it doesn't say.
-func RunsBefore(h http.Header) int {
-	n, err := strconv.Atoi(h.Get(runsField))
+// ParseRuns returns how often upstreams may have run a request; zero if the header doesn't say.
+func ParseRuns(h http.Header) int {
+	n, err := strconv.Atoi(h.Get(RunsField))
 	if err != nil {
 		return 0
 	}
@@ -67,7 +67,7 @@
 		switch {
 		case s.helperRefusal != nil:
 			return true, s.fail(now, s.withCertainty(now, s.helperRefusal))
-		case s.ctx.Err() != nil, errors.As(err, &writeErr), !f.Fleet.MayRetry(now, s.Request, &s.exchange, sent, s.runs):
+		case s.ctx.Err() != nil, errors.As(err, &writeErr), !f.Fleet.MayRetry(now, s.Request, &s.exchange, sent, s.Runs):
 			return true, s.fail(now, f.Fleet.Refuse(now, s.Request, &s.exchange, err.Error()))
 		}
 	}
@@ -75,7 +75,7 @@
 
 // mayDetour reports whether the request may run at another router.
 func (s *callState) mayDetour(now time.Time) bool {
-	return s.exchange.MayRetry() && now.Before(s.Deadline) && (s.runs == 0 || s.runs < s.Route.MaxRuns)
+	return s.exchange.MayRetry() && now.Before(s.Deadline) && (s.Runs == 0 || s.Runs < s.Route.MaxRuns)
 }
 
 // tryHelper makes one attempt at another router. It reports whether the router may have run
@@ -87,7 +87,9 @@
 	}}}}
 	a.id = s.exchange.StartAttempt(a.target.ID)
 	started := time.Now()
+	before := s.Runs
 	err := a.protectedRun()
+	a.countRuns(before)
 	now := time.Now()
 	ejected := f.Fleet.FinishDetour(now, helper.ID, a.outcome)
 	f.Metrics.Ended(s.Pool.Name, "detour_"+a.outcome.String())
@@ -95,9 +97,23 @@
 	return a.sent && a.outcome != health.Shed, err
 }
 
+// countRuns counts the runs that another router has made: those that its response states, or
+// as many as the route permits if nothing is known.
+func (a *attempt) countRuns(before int) {
+	switch {
+	case !a.sent || a.outcome == health.Shed:
+		a.Runs = before
+	case a.helperRuns > 0:
+		a.Runs = a.helperRuns
+	default:
+		a.Runs = max(before+1, a.Route.MaxRuns)
+	}
+}
+
 // readRefusal handles the response of another router that has refused the request. It
 // returns false if the response is that of an upstream.
 func (a *attempt) readRefusal(resp *httpclient.Response) (bool, error) {
+	a.helperRuns = ParseRuns(resp.Header)
 	certainty, code, marked := strings.Cut(resp.Header.Get(RefusalField), " ")
 	if a.helper == "" || !marked {
 		return false, nil
@@ -109,7 +125,6 @@
 		return true, errHelperRefused
 	}
 	a.exchange.SetPhase(a.id, answer.Declined)
-	a.runs--
 	a.outcome = health.Shed
 	if fleet.ConcernsPool(code) {
 		// Another router would refuse the request for the same reason.
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -77,8 +77,6 @@
 	exchange  answer.Exchange
 	sequence  answer.EventSequence
 	tried     []core.UpstreamID
-	// runs is the number of attempts that an upstream may have run.
-	runs int
 	// streamStarted reports whether the header of a stream was sent to the caller, and
 	// contentType is the one that it states. It stays false for buffered responses.
 	streamStarted bool
@@ -110,7 +108,7 @@
 // an *IncompleteResponseError if a part of a stream was written. Otherwise it is a
 // *core.Refusal, or the error from writing an upstream's failure response to w.
 func (f *Forwarder) Forward(ctx context.Context, c *Call, w ResponseWriter) error {
-	s := &callState{Call: c, forwarder: f, ctx: ctx, writer: w, exchange: c.NewExchange(), runs: c.Runs}
+	s := &callState{Call: c, forwarder: f, ctx: ctx, writer: w, exchange: c.NewExchange()}
 	s.sequence = answer.EventSequence{Last: c.LastEventID, HasLast: c.HasLastEventID}
 	if c.TakesUpStream() {
 		s.findOrigin(time.Now())
@@ -141,7 +139,7 @@
 		s.tried = append(s.tried, target.ID)
 		now = time.Now()
 		var writeErr *CallerWriteError
-		if ctx.Err() != nil || errors.As(err, &writeErr) || !f.Fleet.MayRetry(now, c.Request, &s.exchange, sent, s.runs) {
+		if ctx.Err() != nil || errors.As(err, &writeErr) || !f.Fleet.MayRetry(now, c.Request, &s.exchange, sent, s.Runs) {
 			return s.fail(now, f.Fleet.Refuse(now, c.Request, &s.exchange, err.Error()))
 		}
 	}
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -178,5 +178,5 @@
 		return nil
 	}
 	now := time.Now()
-	return resp.SetDeadline(a.patience(now, a.NextEventDeadline(now, a.runs)))
+	return resp.SetDeadline(a.patience(now, a.NextEventDeadline(now, a.Runs)))
 }
