Take detours only over routers that reach the upstreams

Heartbeats say now which pools a router can't reach; one that is cut off refuses what others send at once; and probes that fail, one in each data centre, keep the belief up, so that no request has to.

--- a/core/fleet/admit.go
+++ b/core/fleet/admit.go
@@ -96,6 +96,7 @@
 	// codeOriginUnknown and codeNoRelease refuse a stream that callers take up.
 	codeOriginUnknown = "stream_origin_unknown"
 	codeNoRelease     = "stream_release_gone"
+	codeCutOff        = "cut_off"
 )
 
 // Admit authenticates a request, selects its route and pool, sets its deadline and
--- a/core/fleet/detour.go
+++ b/core/fleet/detour.go
@@ -1,12 +1,14 @@
 package fleet
 
 import (
+	"net/http"
 	"slices"
 	"time"
 
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/chat"
 	"camphorpulley.org/core/health"
+	"camphorpulley.org/core/lineage"
 	"camphorpulley.org/core/roster"
 	"camphorpulley.org/core/table"
 )
@@ -80,7 +82,7 @@
 		var best member
 		for id, m := range t.byID {
 			reachable := m.reachable(now, m.DataCentre == f.settings.DataCentre, t.centres[m.DataCentre])
-			if m.Detour == "" || !reachable || m.helping.Ejected(now) || slices.Contains(d.Helpers, id) || !f.dataCentreAllowed(r, m.DataCentre) {
+			if m.Detour == "" || !reachable || m.helping.Ejected(now) || slices.Contains(m.cutOff, r.Pool.Name) || slices.Contains(d.Helpers, id) || !f.dataCentreAllowed(r, m.DataCentre) {
 				continue
 			}
 			if best.ID == "" || f.betterHelper(r, m, best) {
@@ -117,21 +119,39 @@
 	})
 }
 
-// CutOffPools returns the pools from which the router is cut off, and an upstream of each
-// that it may open a connection to, to find out whether it still is; another one each time.
-func (f *Fleet) CutOffPools(now time.Time) map[core.Pool]roster.Upstream {
+// cutOffPools returns the pools from which the router is cut off, with their upstreams.
+func (f *Fleet) cutOffPools(now time.Time) map[core.Pool][]roster.Upstream {
 	byPool := map[core.Pool][]roster.Upstream{}
 	for _, u := range f.inService(now) {
 		byPool[u.Pool] = append(byPool[u.Pool], u)
 	}
-	probes := map[core.Pool]roster.Upstream{}
+	for p := range byPool {
+		if !f.cutOff(now, func(u roster.Upstream) bool { return u.Pool == p }) {
+			delete(byPool, p)
+		}
+	}
+	return byPool
+}
+
+// CutOffPools returns the number of pools from which the router is cut off.
+func (f *Fleet) CutOffPools(now time.Time) int { return len(f.cutOffPools(now)) }
+
+// ProbeTargets returns upstreams of the pools from which the router is cut off, one of each
+// data centre and another one each time: it may open a connection to them, to find out whether
+// it still is.
+func (f *Fleet) ProbeTargets(now time.Time) []roster.Upstream {
+	var targets []roster.Upstream
 	turn := int(now.UnixMilli() / probeInterval.Milliseconds())
-	for p, all := range byPool {
-		if f.cutOff(now, func(u roster.Upstream) bool { return u.Pool == p }) {
-			probes[p] = all[turn%len(all)]
+	for _, all := range f.cutOffPools(now) {
+		byDataCentre := map[core.DataCentre][]roster.Upstream{}
+		for _, u := range all {
+			byDataCentre[u.DataCentre] = append(byDataCentre[u.DataCentre], u)
+		}
+		for _, local := range byDataCentre {
+			targets = append(targets, local[turn%len(local)])
 		}
 	}
-	return probes
+	return targets
 }
 
 // ProbeInterval returns the time between two probes of pools from which the router is cut
@@ -152,6 +172,35 @@
 	})
 }
 
+// RecordUnreached records that a connection to an upstream couldn't be opened, outside of an
+// attempt.
+func (f *Fleet) RecordUnreached(now time.Time, u roster.Upstream) {
+	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
+		s := st.get(u.ID)
+		s.reachability = st.reach(u.DataCentre)
+		s.recordUnreachable(now, u)
+		s.reachability.RecordFailure(now, u.ID)
+		if s.health.Observe(now, health.Unreachable) {
+			s.ejectedLocally = true
+		}
+	})
+}
+
+// recordUnreachable raises the doubt whether the process of an upstream still runs.
+func (s *state) recordUnreachable(now time.Time, u roster.Upstream) {
+	s.doubt = lineage.Doubt{Since: now, StartedMS: u.StartedMS, Sequence: u.Sequence}
+}
+
+// RefuseRelayed returns the refusal of a request that another router has sent: it finds a
+// better one sooner than this one finds an upstream. It is nil while this router reaches the
+// upstreams.
+func (f *Fleet) RefuseRelayed(now time.Time, r Request, unreached int) *core.Refusal {
+	if !r.Relayed || (unreached < minUnreached && !f.CutOff(now, r)) {
+		return nil
+	}
+	return notRunRefusal(http.StatusServiceUnavailable, codeCutOff, "this router can't reach the upstreams either")
+}
+
 // ConcernsPool reports whether a refusal with the code says something of the pool rather
 // than of the router that refuses.
 func ConcernsPool(code string) bool {
--- a/core/fleet/detour_verbs_test.go
+++ b/core/fleet/detour_verbs_test.go
@@ -9,6 +9,7 @@
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/fleet"
 	"camphorpulley.org/core/health"
+	"camphorpulley.org/core/roster"
 )
 
 // helper NAME none|ROUTER...: checks which router a request is sent to in place of an
@@ -34,18 +35,22 @@
 
 // cut-off ROUTER COUNT: checks from how many pools a router is cut off.
 func cmdCutOff(ts *testscript.TestScript, sim *simulation, a []string) {
-	got := len(sim.routers[a[0]].CutOffPools(sim.now))
+	got := sim.routers[a[0]].CutOffPools(sim.now)
 	if want, err := strconv.Atoi(a[1]); err != nil || got != want {
 		ts.Fatalf("pools cut off at %s: got %d, want %s", a[0], got, a[1])
 	}
 }
 
+// unreached ROUTER UPSTREAM: the router can't open a connection to an upstream.
+func cmdUnreached(_ *testscript.TestScript, sim *simulation, a []string) {
+	e := sim.entries[core.UpstreamID(a[1])]
+	sim.routers[a[0]].RecordUnreached(sim.now, roster.Upstream{Entry: e})
+}
+
 // reached ROUTER UPSTREAM: the router opens a connection to an upstream again.
 func cmdReached(_ *testscript.TestScript, sim *simulation, a []string) {
-	for _, u := range sim.routers[a[0]].CutOffPools(sim.now) {
-		u.ID = core.UpstreamID(a[1])
-		sim.routers[a[0]].RecordReached(sim.now, u)
-	}
+	e := sim.entries[core.UpstreamID(a[1])]
+	sim.routers[a[0]].RecordReached(sim.now, roster.Upstream{Entry: e})
 }
 
 // relay NAME ROUTER ROUTE [count=N]: a router admits requests that another one has sent, and
@@ -55,7 +60,10 @@
 		name := a[0] + strconv.Itoa(i)
 		s := &sentRequest{router: sim.routers[a[1]]}
 		sim.requests[name] = s
-		if s.request, s.refusal = s.router.Admit(sim.now, fleet.CallerRequest{ID: name, Host: a[2], Path: "/", Relayed: true}); s.refusal == nil {
+		if s.request, s.refusal = s.router.Admit(sim.now, fleet.CallerRequest{ID: name, Host: a[2], Path: "/", Relayed: true}); s.refusal != nil {
+			continue
+		}
+		if s.refusal = s.router.RefuseRelayed(sim.now, s.request, s.detours.Unreached); s.refusal == nil {
 			sim.choose(s)
 		}
 	}
--- a/core/fleet/heartbeat.go
+++ b/core/fleet/heartbeat.go
@@ -27,6 +27,8 @@
 	Parts []poison.Evidence
 	// Statements are what upstreams say about themselves.
 	Statements []StatementReport
+	// CutOff holds the pools of which the sender can't reach any upstream.
+	CutOff []core.Pool
 }
 
 // Running is the number of requests that the sender has at an upstream.
@@ -96,6 +98,9 @@
 		}
 	})
 	b.Statements = f.repeatedStatements(now)
+	for p := range f.cutOffPools(now) {
+		b.CutOff = append(b.CutOff, p)
+	}
 	f.parts.Do(table.Hold{}, func(_ table.Hold, m *prefix.Map) {
 		for _, id := range dropped {
 			m.RemoveEngine(id)
@@ -122,6 +127,12 @@
 // applyHeartbeat applies a heartbeat and gathers it for the next digest. The reply is a
 // request for a snapshot if the router needs one, else nil.
 func (f *Fleet) applyHeartbeat(now time.Time, from Member, b Heartbeat) Effects {
+	f.members.Do(table.Hold{}, func(_ table.Hold, t *members) {
+		if m, ok := t.byID[from.ID]; ok {
+			m.cutOff = b.CutOff
+			t.byID[from.ID] = m
+		}
+	})
 	counts := countsOf(b.Running)
 	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
 		for id := range counts {
--- a/core/fleet/members.go
+++ b/core/fleet/members.go
@@ -40,6 +40,8 @@
 	silentUntil time.Time
 	// helping is how the router has fared as a helper.
 	helping health.Record
+	// cutOff holds the pools that it can't reach, as of its last heartbeat.
+	cutOff []core.Pool
 }
 
 // members is the table of the other routers.
@@ -80,9 +82,9 @@
 		refreshedAt = old.refreshedAt
 	}
 	if old.Incarnation != m.Incarnation {
-		old.transit, old.silentUntil, old.helping = transit{}, time.Time{}, health.Record{}
+		old.transit, old.silentUntil, old.helping, old.cutOff = transit{}, time.Time{}, health.Record{}, nil
 	}
-	t.byID[m.ID] = member{Member: m, refreshedAt: refreshedAt, snapshotRequested: old.snapshotRequested, lastSeen: lastSeen, score: old.score, transit: old.transit, silentUntil: old.silentUntil, helping: old.helping}
+	t.byID[m.ID] = member{Member: m, refreshedAt: refreshedAt, snapshotRequested: old.snapshotRequested, lastSeen: lastSeen, score: old.score, transit: old.transit, silentUntil: old.silentUntil, helping: old.helping, cutOff: old.cutOff}
 }
 
 // markMemberSeen records that a message from a router has arrived.
--- a/core/fleet/outcome.go
+++ b/core/fleet/outcome.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"camphorpulley.org/core/health"
-	"camphorpulley.org/core/lineage"
 	"camphorpulley.org/core/load"
 	"camphorpulley.org/core/table"
 )
@@ -39,7 +38,7 @@
 			s.ejectedLocally = true
 		}
 		if o == health.Unreachable {
-			s.doubt = lineage.Doubt{Since: now, StartedMS: t.StartedMS, Sequence: t.Sequence}
+			s.recordUnreachable(now, t.Upstream)
 		}
 		if o.ContactFailure() {
 			s.reachability.RecordFailure(now, t.ID)
--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -151,6 +151,7 @@
 		"helped":               cmdHelped,
 		"cut-off":              cmdCutOff,
 		"reached":              cmdReached,
+		"unreached":            cmdUnreached,
 		"relay":                cmdRelay,
 	}
 	wrapped := map[string]func(*testscript.TestScript, bool, []string){}
--- a/router/cluster/router.go
+++ b/router/cluster/router.go
@@ -87,7 +87,7 @@
 			return int64(r.fleet.LimitedUpstreams(time.Now()))
 		}},
 		{Name: "cut_off_pools", Description: "pools of which this router can't reach any upstream", Read: func() int64 {
-			return int64(len(r.fleet.CutOffPools(time.Now())))
+			return int64(r.fleet.CutOffPools(time.Now()))
 		}},
 		{Name: "job_panics", Description: "panics that ended a job or an attempt", Read: worker.Panics},
 		{Name: "log_lines_left_out", Description: "log lines over the budget of their kind", Read: logs.SuppressedLines},
--- a/router/relay/detour.go
+++ b/router/relay/detour.go
@@ -6,11 +6,13 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"camphorpulley.org/base/logs"
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/answer"
 	"camphorpulley.org/core/fleet"
@@ -166,15 +168,21 @@
 	return a.Deadline
 }
 
-// Probe opens a connection to an upstream of each pool from which the router is cut off. A
-// request that has to wait for that would be late.
+// Probe opens connections to upstreams of the pools from which the router is cut off, and
+// records which ones could be opened. A request that had to wait for that would be late.
 func (f *Forwarder) Probe(ctx context.Context) {
 	now := time.Now()
-	for pool, u := range f.Fleet.CutOffPools(now) {
-		err := f.Conns.Warm(ctx, now, u.Address, fleet.ProbeTimeout)
-		f.Log.Info("pool_cut_off", zap.String("pool", string(pool)), zap.String("upstream", string(u.ID)), zap.Bool("reached", err == nil))
-		if err == nil {
+	var probes sync.WaitGroup
+	for _, u := range f.Fleet.ProbeTargets(now) {
+		probes.Go(func() {
+			err := f.Conns.Warm(ctx, now, u.Address, fleet.ProbeTimeout)
+			f.Log.Info("pool_cut_off", zap.String("pool", string(u.Pool)), zap.String("upstream", string(u.ID)), zap.Bool("reached", err == nil), logs.Err(err))
+			if err != nil {
+				f.Fleet.RecordUnreached(time.Now(), u)
+				return
+			}
 			f.Fleet.RecordReached(time.Now(), u)
-		}
+		})
 	}
+	probes.Wait()
 }
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -121,6 +121,9 @@
 		if refusal := s.checkParts(now); refusal != nil {
 			return s.fail(now, s.withCertainty(now, refusal))
 		}
+		if refusal := f.Fleet.RefuseRelayed(now, s.Request, s.detours.Unreached); refusal != nil {
+			return s.fail(now, s.withCertainty(now, refusal))
+		}
 		if done, err := s.takeDetour(); done {
 			return err
 		}
--- a/router/wire/fleet.go
+++ b/router/wire/fleet.go
@@ -88,6 +88,7 @@
 	Results            []fleetResults    `cbor:"8,keyasint,omitempty"`
 	Parts              []fleetEvidence   `cbor:"9,keyasint,omitempty"`
 	Statements         []fleetStatement  `cbor:"10,keyasint,omitempty"`
+	CutOff             []core.Pool       `cbor:"11,keyasint,omitempty"`
 }
 
 type fleetResults struct {
@@ -195,6 +196,7 @@
 		Results:     lo.Map(b.Results, func(r fleet.ResultCount, _ int) fleetResults { return fleetResults(r) }),
 		Parts:       encodeEvidence(b.Parts),
 		Statements:  encodeStatements(b.Statements),
+		CutOff:      b.CutOff,
 	}
 }
 
@@ -208,6 +210,7 @@
 		Results:     lo.Map(b.Results, func(r fleetResults, _ int) fleet.ResultCount { return fleet.ResultCount(r) }),
 		Parts:       decodeEvidence(b.Parts),
 		Statements:  decodeStatements(b.Statements),
+		CutOff:      b.CutOff,
 	}
 }
 
--- a/router/wire/fleet_test.go
+++ b/router/wire/fleet_test.go
@@ -4,6 +4,7 @@
 	"reflect"
 	"testing"
 
+	"camphorpulley.org/core"
 	"camphorpulley.org/core/fleet"
 	"camphorpulley.org/core/lineage"
 	"camphorpulley.org/core/poison"
@@ -21,6 +22,7 @@
 		Results:     []fleet.ResultCount{{Upstream: "u", Successes: 3, Failures: 1}},
 		Parts:       partEvidence,
 		Statements:  []fleet.StatementReport{statementReport},
+		CutOff:      []core.Pool{"p"},
 	}},
 	{Statements: []fleet.StatementReport{statementReport, {Upstream: "v"}}},
 	{QuotaRequest: &fleet.QuotaRequest{Limit: statementReport, Count: 2, Preferred: true}},
