Send brittle upstreams no more than they have room for

What callers would see: upstreams that end one after the other, since each has to turn away what the fallen ones no longer take (LIMIT). Cause: a rejection costs nothing in our view, so that routers with old counts press on a full upstream together. Change: what the upstream says is told to all routers; beyond half of its slots each one keeps to a share of them; the first rejection is told to all, who leave it alone for 1.1 s; what has no room is refused at once with a time to come back.

--- a/core/fleet/admit.go
+++ b/core/fleet/admit.go
@@ -97,6 +97,7 @@
 	codeOriginUnknown = "stream_origin_unknown"
 	codeNoRelease     = "stream_release_gone"
 	codeCutOff        = "cut_off"
+	codeBrittle       = "upstreams_brittle"
 )
 
 // Admit authenticates a request, selects its route and pool, sets its deadline and
--- a/core/fleet/choice_refusal.go
+++ b/core/fleet/choice_refusal.go
@@ -28,6 +28,8 @@
 		return st.limitRefusal(now, r, all, routers)
 	case slices.ContainsFunc(all, func(c Candidate) bool { return c.TurnedAwayFor > 0 }):
 		return turnedAwayRefusal(r, all)
+	case slices.ContainsFunc(all, func(c Candidate) bool { return c.crowded(now) }):
+		return brittleRefusal(r)
 	case slices.ContainsFunc(all, func(c Candidate) bool { return c.Leaving }):
 		return noUpstream("the upstreams of the pool are leaving")
 	}
--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -64,6 +64,7 @@
 	var refusal *core.Refusal
 	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
 		all = f.candidates(now, st, r, eligible, cached)
+		setSlotShares(all, routers, rank, settled)
 		bound := f.poolBound(now, st, pool)
 		st.setBound(r.Pool.Name, bound)
 		candidates := affordable(now, f.limitRamp(), r, len(tried) > 0, bound, willing(now, f.settings.Drain, permitted(r, all)))
--- a/core/fleet/full_upstream.go
+++ b/core/fleet/full_upstream.go
@@ -15,6 +15,9 @@
 	Upstream core.UpstreamID
 	// Load is the number of requests at the upstream by its own report.
 	Load int
+	// PauseMS is for how long a brittle upstream that has turned a request away gets none, in
+	// milliseconds; zero if it isn't brittle.
+	PauseMS int64
 }
 
 // RecordLoad records a load report that an upstream has sent while it runs an attempt. It
@@ -41,7 +44,11 @@
 			return
 		}
 		f.states.Do(held, func(_ table.Hold, st *states) {
-			st.get(full.Upstream).load.ApplyReport(now, load.Report{Running: full.Load})
+			s := st.get(full.Upstream)
+			s.load.ApplyReport(now, load.Report{Running: full.Load})
+			if pause := time.Duration(max(full.PauseMS, 0)) * time.Millisecond; pause > 0 {
+				s.pauseUntil(now.Add(min(pause, rejectionPause)))
+			}
 		})
 	})
 }
--- a/core/fleet/policy.go
+++ b/core/fleet/policy.go
@@ -41,6 +41,10 @@
 	// time for which it wants nothing from this router.
 	Leaving       bool
 	TurnedAwayFor time.Duration
+	// Brittle is true if the upstream ends if it turns too many requests away.
+	// slotShare is this router's share of its slots.
+	Brittle   bool
+	slotShare int
 	// Certain is true if the process at the address is known to be that of the entry.
 	Certain bool
 	// Limited is true if the upstream keeps to a limit on its requests per second.
@@ -99,11 +103,15 @@
 
 // freePlaces returns the number of slots that are expected to be free.
 func (c Candidate) freePlaces() float64 {
-	slots := c.Upstream.Slots
-	if slots <= 0 {
-		slots = defaultSlots
+	return float64(slotsOf(c.Upstream)) - c.ExpectedLoad
+}
+
+// slotsOf returns the number of slots of an upstream.
+func slotsOf(u roster.Upstream) int {
+	if u.Slots <= 0 {
+		return defaultSlots
 	}
-	return float64(slots) - c.ExpectedLoad
+	return u.Slots
 }
 
 // ample reports whether the upstream is expected to have a free slot even if its load
--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -153,6 +153,7 @@
 		"reached":              cmdReached,
 		"unreached":            cmdUnreached,
 		"relay":                cmdRelay,
+		"press":                cmdPress,
 	}
 	wrapped := map[string]func(*testscript.TestScript, bool, []string){}
 	for name, run := range all {
@@ -280,7 +281,7 @@
 	})
 }
 
-// upstream ID POOL DC [cold=D] [draining] [started=N] [sequence=N] [release=R] [age=D]
+// upstream ID POOL DC [cold=D] [draining] [started=N] [sequence=N] [release=R] [age=D] [slots=N]
 // [unread]: writes an entry; age is the time since the start of the process, instead of
 // started, which all routers read unless unread.
 func cmdUpstream(ts *testscript.TestScript, sim *simulation, a []string) {
@@ -291,6 +292,7 @@
 		Draining: draining, ColdRemaining: duration(ts, a, "cold"),
 	}
 	e.Release, _ = option(a, "release")
+	e.Slots = number(ts, a, "slots")
 	if age, ok := option(a, "age"); ok && age != "" {
 		e.StartedMS = sim.now.Add(-duration(ts, a, "age")).UnixMilli()
 	}
--- a/core/fleet/statement.go
+++ b/core/fleet/statement.go
@@ -25,6 +25,10 @@
 	// first named a limit, in milliseconds.
 	AgeMS      int64
 	FirstAgeMS int64
+	// Brittle reports whether the process ends if it turns away more than Rejections
+	// requests in a second.
+	Brittle    bool
+	Rejections float64
 }
 
 // StatementChange is what an upstream has begun to say about itself, has changed, or no
@@ -32,8 +36,9 @@
 type StatementChange struct {
 	statement.Change
 	Upstream core.UpstreamID
-	// Limit is the limit that it names now.
-	Limit statement.Limit
+	// Limit and Brittle are what it names now.
+	Limit   statement.Limit
+	Brittle statement.Limit
 }
 
 // StatementEffects are the effects of what an upstream has said in an answer.
@@ -61,8 +66,8 @@
 		if change == (statement.Change{}) {
 			return
 		}
-		e.Changes = []StatementChange{{Change: change, Upstream: t.ID, Limit: s.said.Limit}}
-		began := change.BeganLeaving || before.Named != s.said.Limit.Named
+		e.Changes = []StatementChange{{Change: change, Upstream: t.ID, Limit: s.said.Limit, Brittle: s.said.Brittle}}
+		began := change.BeganLeaving || change.BrittleChanged || before.Named != s.said.Limit.Named
 		if began || (s.said.Limit.Falls(before) && now.Sub(s.statementNotifiedAt) >= statementNotifyInterval) {
 			s.statementNotifiedAt = now
 			e.Notify = &Message{Statements: []StatementReport{statementReport(now, t.ID, s.said)}}
@@ -79,6 +84,7 @@
 	return StatementReport{
 		Upstream: id, StartedMS: s.StartedMS, Leaving: !s.LeavingAt.IsZero(), Named: s.Limit.Named, PerSecond: s.Limit.PerSecond,
 		AgeMS: max(now.Sub(s.HeardAt).Milliseconds(), 0), FirstAgeMS: max(now.Sub(s.FirstAt).Milliseconds(), 0),
+		Brittle: s.Brittle.Named, Rejections: s.Brittle.PerSecond,
 	}
 }
 
@@ -91,6 +97,9 @@
 	if r.Named {
 		s.Limit = statement.NewLimit(r.PerSecond)
 	}
+	if r.Brittle {
+		s.Brittle = statement.NewLimit(r.Rejections)
+	}
 	return s
 }
 
@@ -153,7 +162,7 @@
 				}
 				s := st.get(r.Upstream)
 				if change := s.said.Merge(now, reported); change != (statement.Change{}) {
-					changes = append(changes, StatementChange{Change: change, Upstream: r.Upstream, Limit: s.said.Limit})
+					changes = append(changes, StatementChange{Change: change, Upstream: r.Upstream, Limit: s.said.Limit, Brittle: s.said.Brittle})
 				}
 			}
 		})
@@ -175,16 +184,16 @@
 }
 
 // willing returns the candidates without those that want no request: they have turned this
-// router away for a time, or leave. If nothing else is left, one that leaves gets requests
+// router away for a time, are brittle and crowded, or leave. If nothing else is left, one that leaves gets requests
 // for lastResortFraction of the drain time after it was first heard to say so.
 func willing(now time.Time, drain time.Duration, all []Candidate) []Candidate {
-	if !slices.ContainsFunc(all, func(c Candidate) bool { return c.Leaving || c.TurnedAwayFor > 0 }) {
+	if !slices.ContainsFunc(all, func(c Candidate) bool { return c.Leaving || c.TurnedAwayFor > 0 || c.crowded(now) }) {
 		return all
 	}
 	wanted := func(lastResort bool) []Candidate {
 		return slices.DeleteFunc(slices.Clone(all), func(c Candidate) bool {
 			leaving := c.Leaving && (!lastResort || now.Sub(c.state.said.LeavingAt) > time.Duration(lastResortFraction*float64(drain)))
-			return c.TurnedAwayFor > 0 || leaving
+			return c.TurnedAwayFor > 0 || c.crowded(now) || leaving
 		})
 	}
 	if kept := wanted(false); len(kept) > 0 {
--- a/core/fleet/upstream_state.go
+++ b/core/fleet/upstream_state.go
@@ -36,6 +36,8 @@
 	statementNotifiedAt time.Time
 	statementRepeatedAt time.Time
 	heardItself         bool
+	// pausedUntil is until when the upstream, which is brittle, gets no requests.
+	pausedUntil time.Time
 	// doubt is the doubt whether the process is still the one of the entry.
 	doubt lineage.Doubt
 	// allotment is who grants requests within the limit, bucket what this router may
--- a/core/statement/statement.go
+++ b/core/statement/statement.go
@@ -13,6 +13,9 @@
 // answer that says nothing.
 type Answer struct {
 	Limit Limit
+	// Brittle is the number of requests per second that the upstream can turn away for want
+	// of room without ending; not named if it states none.
+	Brittle Limit
 	// Leaving reports whether the upstream's process is about to end.
 	Leaving bool
 	// RetryAfter is the time for which the upstream, which has turned the request away,
@@ -85,6 +88,8 @@
 	// since the Unix epoch.
 	StartedMS int64
 	Limit     Limit
+	// Brittle is as in an Answer.
+	Brittle Limit
 	// HeardAt is when the answer with the statement arrived at the router that got it.
 	HeardAt time.Time
 	// ChangedAt is when the limit last began, changed or ended; zero if none was ever
@@ -106,6 +111,8 @@
 	// LimitChanged is true if the limit has begun or ended, or differs by minChange or more
 	// from the one at the change before.
 	LimitChanged bool
+	// BrittleChanged is true if the process has become brittle, or no longer is.
+	BrittleChanged bool
 	// BeganLeaving is true if the process is now known to leave.
 	BeganLeaving bool
 }
@@ -145,6 +152,7 @@
 		s.HeardAt = now
 	default:
 		c.LimitChanged = s.update(now, a.Limit, now, now)
+		c.BrittleChanged = s.updateBrittle(now, a.Brittle)
 	}
 	return c
 }
@@ -166,8 +174,9 @@
 		s.FirstAt = o.FirstAt
 	}
 	newer := o.HeardAt.Sub(s.HeardAt)
-	if newer > 0 && (newer > echoMargin || o.Limit == s.Limit) {
+	if newer > 0 && (newer > echoMargin || (o.Limit == s.Limit && o.Brittle == s.Brittle)) {
 		c.LimitChanged = s.update(now, o.Limit, o.HeardAt, o.FirstAt)
+		c.BrittleChanged = s.updateBrittle(now, o.Brittle)
 	}
 	return c
 }
@@ -198,6 +207,24 @@
 	return changed
 }
 
+// updateBrittle replaces the number of requests that the process can turn away, and reports
+// whether it has become brittle or no longer is.
+func (s *Statement) updateBrittle(now time.Time, b Limit) bool {
+	if b.Unclear {
+		return false
+	}
+	changed := b.Named != s.Brittle.Named
+	if s.Brittle = b; changed {
+		s.ChangedAt = now
+	}
+	return changed
+}
+
+// IsBrittle reports whether a process ends if it turns too many requests away.
+func (s Statement) IsBrittle(now time.Time, startedMS int64) bool {
+	return s.Brittle.Named && s.StartedMS == startedMS && now.Sub(s.HeardAt) <= ttl
+}
+
 // Limited reports whether a process keeps to a limit: it is the one that has named it,
 // and ttl is not over.
 func (s Statement) Limited(now time.Time, startedMS int64) bool {
@@ -233,7 +260,7 @@
 // Told reports whether other routers have to be told of the statement: the process leaves,
 // names a limit, or no longer does since a short time.
 func (s Statement) Told(now time.Time) bool {
-	if s.Limit.Named || !s.LeavingAt.IsZero() {
+	if s.Limit.Named || s.Brittle.Named || !s.LeavingAt.IsZero() {
 		return now.Sub(s.HeardAt) <= ttl
 	}
 	return !s.ChangedAt.IsZero() && now.Sub(s.ChangedAt) <= endRepeatTime
--- a/router/cluster/statement_log.go
+++ b/router/cluster/statement_log.go
@@ -14,6 +14,9 @@
 		if c.BeganLeaving {
 			log.Info("upstream_leaving", zap.String("upstream", string(c.Upstream)), zap.String("sender", string(sender)))
 		}
+		if c.BrittleChanged {
+			log.Info("brittle_changed", zap.String("upstream", string(c.Upstream)), zap.String("rejections", c.Brittle.String()), zap.String("sender", string(sender)))
+		}
 		if c.LimitChanged {
 			log.Info("limit_changed", zap.String("upstream", string(c.Upstream)), zap.String("limit", c.Limit.String()), zap.String("sender", string(sender)))
 		}
--- a/router/relay/prompt_part.go
+++ b/router/relay/prompt_part.go
@@ -27,9 +27,7 @@
 // applyPartEffects sends and logs the effects of an observation on the parts of a
 // request's prompt.
 func (f *Forwarder) applyPartEffects(request string, e fleet.PartEffects) {
-	if e.Notify != nil && f.Notify != nil {
-		f.Notify(*e.Notify)
-	}
+	f.notify(e.Notify)
 	for _, c := range e.Changes {
 		f.Log.Warn("part_changed", zap.String("part", strconv.FormatUint(uint64(c.Part), 16)), zap.Bool("refused", c.Refused),
 			zap.Int("strikes", c.Strikes), zap.String("request", request))
--- a/router/relay/quota.go
+++ b/router/relay/quota.go
@@ -44,13 +44,14 @@
 	}
 	f := a.forwarder
 	e := f.Fleet.RecordStatement(time.Now(), a.target, a.headers.Says)
-	if e.Notify != nil && f.Notify != nil {
-		f.Notify(*e.Notify)
-	}
+	f.notify(e.Notify)
 	for _, c := range e.Changes {
 		if c.BeganLeaving {
 			f.Log.Info("upstream_leaving", zap.String("upstream", string(c.Upstream)), zap.String("request", a.ID))
 		}
+		if c.BrittleChanged {
+			f.Log.Info("brittle_changed", zap.String("upstream", string(c.Upstream)), zap.String("rejections", c.Brittle.String()), zap.String("request", a.ID))
+		}
 		if c.LimitChanged {
 			f.Log.Info("limit_changed", zap.String("upstream", string(c.Upstream)), zap.String("limit", c.Limit.String()), zap.String("request", a.ID))
 		}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -204,6 +204,9 @@
 		// The kept connections of an upstream that hangs would hold up further requests.
 		f.Conns.CloseIdle(target.Address)
 	}
+	if a.outcome == health.Shed {
+		f.notify(f.Fleet.RecordRejection(now, target))
+	}
 	if a.outcome == health.Unreachable {
 		s.detours.Unreached++
 	}
@@ -233,3 +236,10 @@
 	}
 	return err
 }
+
+// notify sends a message to all other routers, if there is one.
+func (f *Forwarder) notify(m *fleet.Message) {
+	if m != nil && f.Notify != nil {
+		f.Notify(*m)
+	}
+}
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -145,9 +145,7 @@
 	}
 	a.writer.WriteHeader(resp.StatusCode, resp.Header, -1)
 	if a.headers.Load != nil && a.helper == "" {
-		if full := a.forwarder.Fleet.RecordLoad(time.Now(), a.target, *a.headers.Load); full != nil && a.forwarder.Notify != nil {
-			a.forwarder.Notify(*full)
-		}
+		a.forwarder.notify(a.forwarder.Fleet.RecordLoad(time.Now(), a.target, *a.headers.Load))
 		a.headers.Load = nil
 	}
 }
--- a/router/wire/fleet.go
+++ b/router/wire/fleet.go
@@ -50,6 +50,7 @@
 type fleetFullUpstream struct {
 	Upstream core.UpstreamID `cbor:"1,keyasint"`
 	Load     int             `cbor:"2,keyasint"`
+	PauseMS  int64           `cbor:"3,keyasint,omitempty"`
 }
 
 type fleetDigest struct {
--- a/router/wire/fleet_test.go
+++ b/router/wire/fleet_test.go
@@ -42,7 +42,7 @@
 	{StreamRecords: []fleet.StreamRecord{{Stream: 7, Pool: "p", Certain: true, Release: "v1", LeftMS: 900}, {Stream: 8, Pool: "p", LeftMS: 1}}},
 	{OriginRequest: &fleet.OriginRequest{Stream: 7, Pool: "p", LifeMS: 17000}},
 	{OriginReply: &fleet.OriginReply{Stream: 7, Testimony: lineage.Testimony{Standing: lineage.Recorded, Release: "v1"}}},
-	{SentMS: 12, FullUpstream: &fleet.FullUpstream{Upstream: "u", Load: 17}},
+	{SentMS: 12, FullUpstream: &fleet.FullUpstream{Upstream: "u", Load: 17, PauseMS: 900}},
 	{SnapshotRequest: &fleet.SnapshotRequest{Version: 2, WithCachedParts: true}},
 	{Snapshot: &fleet.Snapshot{
 		Catalog: []byte("c"), Entries: []fleet.EntryCopy{{Upstream: "u", Source: []byte("{}")}},
@@ -52,7 +52,7 @@
 	}},
 }
 
-var statementReport = fleet.StatementReport{Upstream: "u", StartedMS: 8, Named: true, PerSecond: 4.5, AgeMS: 20, FirstAgeMS: 300, Leaving: true}
+var statementReport = fleet.StatementReport{Upstream: "u", StartedMS: 8, Named: true, PerSecond: 4.5, AgeMS: 20, FirstAgeMS: 300, Leaving: true, Brittle: true, Rejections: 2}
 
 var partEvidence = []poison.Evidence{{
 	Part: 9, Probes: 1, ProbeAgeMS: 30, UsedAgeMS: 20,
--- a/router/wire/statement.go
+++ b/router/wire/statement.go
@@ -15,7 +15,9 @@
 	Leaving   bool            `cbor:"7,keyasint,omitempty"`
 	AgeMS     int64           `cbor:"5,keyasint,omitempty"`
 
-	FirstAgeMS int64 `cbor:"6,keyasint,omitempty"`
+	FirstAgeMS int64   `cbor:"6,keyasint,omitempty"`
+	Brittle    bool    `cbor:"8,keyasint,omitempty"`
+	Rejections float64 `cbor:"9,keyasint,omitempty"`
 }
 
 type fleetQuotaRequest struct {
