Refuse requests whose body arrives while connections are being closed

What callers saw: nothing yet here; reported by other operators: requests that came late in a planned stop were passed on, and cut at its end (LOST).

--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -91,14 +91,16 @@
 		w.Header().Set("Connection", "close")
 	}
 	headers := h.HeaderCodec.ParseRequest(r)
-	if h.Closing.Load() {
-		h.refuse(w, headers.ID, "", &core.Refusal{
-			Status: http.StatusServiceUnavailable, Certainty: core.NotRun, Code: "leaving", Message: "the router is leaving",
-		})
+	if refusal := h.refuseClosing(); refusal != nil {
+		h.refuse(w, headers.ID, "", refusal)
 		return
 	}
 	headers.Host, headers.Path = hostname(r.Host), pathOf(r.RequestURI)
 	body, refusal := h.readBody(w, r)
+	if refusal == nil {
+		// A slow body may arrive long after the header.
+		refusal = h.refuseClosing()
+	}
 	if refusal != nil {
 		h.refuse(w, headers.ID, "", refusal)
 		return
@@ -123,6 +125,15 @@
 	h.finish(r.Context(), w, call, out, err)
 }
 
+// refuseClosing returns the refusal of a request while connections are being closed, else
+// nil.
+func (h *Handler) refuseClosing() *core.Refusal {
+	if !h.Closing.Load() {
+		return nil
+	}
+	return &core.Refusal{Status: http.StatusServiceUnavailable, Certainty: core.NotRun, Code: "leaving", Message: "the router is leaving"}
+}
+
 // finish logs and counts the outcome of a request. If nothing was written and the
 // caller is still connected, it writes the refusal. If the response broke off, it
 // panics with http.ErrAbortHandler, which closes the connection.
--- a/router/gateway/script_test.go
+++ b/router/gateway/script_test.go
@@ -57,7 +57,7 @@
 			"response-incomplete": with(cmdResponseIncomplete), "set-closing": with(cmdSetClosing),
 			"set-timeout": with(cmdSetTimeout), "set-parts": with(cmdSetParts), "time-left": with(cmdTimeLeft),
 			"respond-endless": with(cmdRespondEndless), "sent-at-most": with(cmdSentAtMost), "took-at-most": with(cmdTookAtMost),
-			"helper": with(cmdHelper), "cut-off": with(cmdCutOff), "stop-helper-in": with(cmdStopHelperIn), "relayed": with(cmdRelayed),
+			"each-cut": with(cmdEachCut), "request-while-closing": with(cmdRequestWhileClosing), "helper": with(cmdHelper), "cut-off": with(cmdCutOff), "stop-helper-in": with(cmdStopHelperIn), "relayed": with(cmdRelayed),
 			"requests": with(cmdRequests), "received-at-most": with(cmdReceivedAtMost), "heap-at-most": with(cmdHeapAtMost),
 		},
 	})
@@ -367,17 +367,22 @@
 // responses. Line ends up to the first empty line of the file become CR LF. An empty
 // file sends nothing.
 func cmdRespond(ts *testscript.TestScript, f *fixture, a []string) {
-	head, body, _ := strings.Cut(ts.ReadFile(a[1]), "\n\n")
-	data := strings.ReplaceAll(head, "\n", "\r\n") + "\r\n\r\n" + body
-	if head == "" {
-		data = ""
-	}
+	data := rawResponse(ts.ReadFile(a[1]))
 	u := f.upstreams[a[0]]
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.responses = append(u.responses, response{data: []byte(data), after: a[2]})
 }
 
+// rawResponse returns the bytes of a response from the text of a file.
+func rawResponse(text string) string {
+	head, body, _ := strings.Cut(text, "\n\n")
+	if head == "" {
+		return ""
+	}
+	return strings.ReplaceAll(head, "\n", "\r\n") + "\r\n\r\n" + body
+}
+
 // endlessPieceBytes is the least size of the pieces of an endless response that is sent
 // without a pause.
 const endlessPieceBytes = 64 << 10
