Answer what still runs at the end of a planned stop

Here it could happen to requests that outlast the grace. Cause: the process exited with its requests running. TestShutdownAnswers failed before (no answer). Change: 0.4 s before the end of the grace the requests that still run are ended: 502 for those that may have run, 503 for those that haven't, and begun streams break off.

--- a/router/cluster/router.go
+++ b/router/cluster/router.go
@@ -39,6 +39,10 @@
 	metrics      *metrics.Metrics
 	scheduler    worker.Scheduler
 	shuttingDown atomic.Bool
+	// requests is the context of all requests. cancelRequests ends those that are still
+	// running at the end of the grace period.
+	requests       context.Context
+	cancelRequests context.CancelCauseFunc
 	// storeRestored is notified when the store has come back from an older copy.
 	storeRestored signal
 	// lastReadiness is the fleet.Readiness at the load balancer's last check.
@@ -66,6 +70,8 @@
 	r.gateway.Forwarder.Notify = func(m fleet.Message) { r.send(r.fleet.Spread(time.Now(), m)) }
 	r.gateway.Forwarder.Send = func(e fleet.Envelope) { r.send([]fleet.Envelope{e}) }
 	r.gateway.CloseAfterResponse = func() bool { return r.shuttingDown.Load() || r.lastReadiness.Load() == fleet.Isolated }
+	r.requests, r.cancelRequests = context.WithCancelCause(context.Background())
+	defer r.cancelRequests(nil)
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	return r.run(p, background, stop)
@@ -110,11 +116,11 @@
 func (r *Router) run(p daemon.Process, background context.Context, stop func()) error {
 	callers := &http.Server{
 		Addr: r.settings.Router.Listen, Handler: r.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(r.log.Named("http")),
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(r.log.Named("http")), BaseContext: r.requestContext,
 	}
 	detours := &http.Server{
 		Addr: r.settings.Router.Detour, Handler: r.detours, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(r.log.Named("detours")),
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(r.log.Named("detours")), BaseContext: r.requestContext,
 	}
 	metricsMux := http.NewServeMux()
 	metricsMux.Handle("/metrics", promhttp.Handler())
@@ -140,6 +146,9 @@
 	return nil
 }
 
+// requestContext returns the context of the requests on a listener.
+func (r *Router) requestContext(net.Listener) context.Context { return r.requests }
+
 // listenAndServe serves h on a TCP address until the process ends.
 func listenAndServe(address string, h http.Handler) error {
 	return serveTCP4(&http.Server{Addr: address, Handler: h, ReadHeaderTimeout: headerTimeout})
@@ -305,6 +314,9 @@
 	// exitMargin is the part of the grace period that is left for the process to
 	// exit.
 	exitMargin = 400 * time.Millisecond
+	// answerTime is the part of exitMargin in which requests that are still running are
+	// answered, with an unknown outcome.
+	answerTime = 150 * time.Millisecond
 )
 
 // shutdown deregisters the router and finishes the running requests within the
@@ -329,5 +341,21 @@
 	if detoursErr := detours.Shutdown(ctx); err == nil {
 		err = detoursErr
 	}
+	if err != nil {
+		r.endRequests(callers, detours)
+	}
 	r.log.Info("shutdown_finished", zap.Int64("cut", r.gateway.ActiveRequests.Load()+r.detours.ActiveRequests.Load()), zap.Duration("took", time.Since(startedAt)), logs.Err(err))
 }
+
+// endRequests answers the requests that are still running: a caller that gets no answer would
+// not know sooner that there won't be one.
+func (r *Router) endRequests(callers, detours *http.Server) {
+	r.cancelRequests(&gateway.StoppingError{})
+	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
+	defer cancel()
+	for _, s := range []*http.Server{callers, detours} {
+		if err := s.Shutdown(ctx); err != nil {
+			r.log.Warn("requests_unanswered", zap.String("address", s.Addr), logs.Err(err))
+		}
+	}
+}
--- a/router/cluster/shutdown_test.go
+++ b/router/cluster/shutdown_test.go
@@ -172,3 +172,55 @@
 		t.Errorf("Run: got error %v, want none", err)
 	}
 }
+
+// TestShutdownAnswers guards against cutting off requests without an answer at the end of the
+// grace period of a planned stop (LOST): their callers are told that the outcome is unknown.
+func TestShutdownAnswers(t *testing.T) {
+	started, unblocked := make(chan struct{}, 1), make(chan struct{})
+	upstream := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		started <- struct{}{}
+		<-unblocked
+	}))
+	defer upstream.Close()
+	defer close(unblocked)
+	settings := Settings{
+		Router: RouterSection{
+			ID: "r1", DataCentre: "a", Listen: freeAddress(t), Ready: freeAddress(t), Peer: freeAddress(t), Metrics: freeAddress(t),
+		},
+		Bounds: BoundsSection{RetryWindowSeconds: 10, MaxLoadFactor: 2, DrainMS: 2000, GraceSeconds: 2},
+	}
+	stop, cancel := context.WithCancel(t.Context())
+	exited := make(chan error, 1)
+	go func() {
+		exited <- Run(daemon.Process{Context: stop, Log: zap.NewNop()}, settings, Adapter{
+			Store: staticStore{upstream: upstream.Listener.Addr().String()}, Incoming: minimalHeaderCodec{}, Outgoing: minimalHeaderCodec{},
+		})
+	}()
+	for tries := 0; ; tries++ {
+		if status, _ := get(settings.Router.Ready, "/"); status == http.StatusOK {
+			break
+		}
+		if tries > 500 {
+			t.Fatal("readiness after 500 tries in 5 s: got not ready, want status 200")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	statuses := make(chan int, 1)
+	go func() {
+		status, _ := get(settings.Router.Listen, "/held")
+		statuses <- status
+	}()
+	<-started
+	cancel()
+	if err := <-exited; err != nil {
+		t.Errorf("Run: got error %v, want none", err)
+	}
+	select {
+	case got := <-statuses:
+		if got != http.StatusBadGateway {
+			t.Errorf("request at the end of the grace: got status %d, want 502", got)
+		}
+	case <-time.After(exitMargin):
+		t.Error("request at the end of the grace: got no answer, want status 502")
+	}
+}
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -54,6 +54,20 @@
 	FirstByte(pool core.Pool, d time.Duration)
 }
 
+// StoppingError is the cause with which the context of a request is cancelled when the router
+// stops and can't wait for it any longer.
+type StoppingError struct{}
+
+// Error implements error.
+func (*StoppingError) Error() string { return "the router stops" }
+
+// stopping reports whether the context was cancelled because the router stops, while the
+// caller is still there.
+func stopping(ctx context.Context) bool {
+	var stop *StoppingError
+	return errors.As(context.Cause(ctx), &stop)
+}
+
 // Handler serves callers. It admits each request, forwards it to an upstream and
 // records its outcome.
 type Handler struct {
@@ -141,7 +155,7 @@
 	var refusal *core.Refusal
 	outcome := "served"
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() != nil && !stopping(ctx):
 		outcome = "caller_left"
 	case errors.As(err, &refusal) && !out.headerWritten:
 		h.refuse(w, call.ID, call.Pool.Name, refusal)
