Let the soak's runners be of two releases, and its callers take streams up

Routers have a listener for detours. Not played by the soak: a router without its links to the runners, since all routers share each runner's proxy.

--- a/lab/soak/caller.go
+++ b/lab/soak/caller.go
@@ -62,6 +62,8 @@
 	random *rand.Rand
 	// sent is the number of requests sent.
 	sent int
+	// broken is the last request if it was for a stream that may be taken up, and broke off.
+	broken *brokenStream
 	// router is the router at the other end of the connection, nil if there is
 	// none.
 	router    *router
@@ -105,6 +107,14 @@
 		method, q.Body = http.MethodGet, ""
 	}
 	q.Line = method + " " + r.pathPrefix + strconv.Itoa(c.random.IntN(100))
+	var had progress
+	if b := c.broken; b != nil {
+		// The stream that broke off is taken up in place of this request.
+		r, method, had = b.route, http.MethodPost, b.had
+		q.Kind, q.Route, q.Tenant, q.Body, q.Line = b.request.Kind, b.request.Route, b.request.Tenant, b.request.Body, b.request.Line
+		tenant, c.broken = q.Tenant, nil
+		c.soak.ledger.CountOutcome("taken_up")
+	}
 	c.soak.ledger.RecordRequest(q)
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
@@ -123,13 +133,21 @@
 		req.Header.Set("Camphorpulley-Token-Count", "600,80")
 		req.Header.Set("Camphorpulley-Prompt-Prefix", fmt.Sprintf("%x:500,%x:100", c.random.IntN(sharedPrompts), 1<<20+c.sent))
 	}
+	had.setHeaders(req.Header)
 	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
 		c.handleNoResponse(q, err)
 		return 0
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return c.handleResponse(q, resp, r)
+	return c.handleResponse(q, resp, r, had)
+}
+
+// brokenStream is a stream that broke off, and the request for it.
+type brokenStream struct {
+	request ledger.Request
+	route   route
+	had     progress
 }
 
 // handleNoResponse records a request without a complete response and closes the
@@ -151,7 +169,7 @@
 
 // handleResponse checks that a response belongs to its request, and its body by the
 // kind of the route. It returns how long the caller must wait, as send does.
-func (c *caller) handleResponse(q ledger.Request, resp *http.Response, r route) time.Duration {
+func (c *caller) handleResponse(q ledger.Request, resp *http.Response, r route, had progress) time.Duration {
 	c.soak.ledger.CountOutcome(strconv.Itoa(resp.StatusCode))
 	if resp.Close {
 		defer c.disconnect()
@@ -175,7 +193,12 @@
 	case signature != "sig."+q.ID:
 		c.soak.ledger.RecordViolation(time.Now(), "mismatched_response", "request %s: got signature %q, want %q", q.ID, signature, "sig."+q.ID)
 	case r.streams:
-		c.checkStream(q, resp.Body)
+		if had.events == 0 {
+			had.began = q.ID
+		}
+		if had = c.checkStream(q, resp.Body, had); r.resumable && had.events > 0 && had.events < runner.Events {
+			c.broken = &brokenStream{request: q, route: r, had: had}
+		}
 	default:
 		c.checkBody(q, resp.Body)
 	}
@@ -194,29 +217,69 @@
 	}
 }
 
-// checkStream checks that the events of a stream come complete and in order, and
-// that a stream which ends too early ends with an error. It counts such a stream,
-// and one that doesn't end after its last event, as broken.
-func (c *caller) checkStream(q ledger.Request, body io.Reader) {
+// checkStream checks that the events of a stream come complete and in order, all of one
+// release, and that a stream which ends too early ends with an error. It counts such a stream,
+// and one that doesn't end after its last event, as broken. It returns what the caller has of
+// the stream.
+func (c *caller) checkStream(q ledger.Request, body io.Reader, had progress) progress {
 	reader := bufio.NewReader(body)
-	for n := 1; n <= runner.Events; n++ {
-		want := runner.Event(q.ID, n)
-		got := make([]byte, len(want))
-		if _, err := io.ReadFull(reader, got); err != nil {
+	for n := had.events + 1; n <= runner.Events; n++ {
+		got, err := readEvent(reader)
+		if err != nil {
 			if err == io.EOF {
 				c.soak.ledger.RecordViolation(time.Now(), "stream_events", "request %s: stream ended without an error before event %d of %d", q.ID, n, runner.Events)
 			}
 			c.soak.ledger.CountOutcome("broken_stream")
 			c.disconnect()
-			return
+			return had
 		}
-		if string(got) != want {
+		release := strings.TrimSuffix(got[strings.LastIndex(got, " ")+1:], "\n\n")
+		if want := runner.Event(q.ID, n, release); got != want {
 			c.soak.ledger.RecordViolation(time.Now(), "stream_events", "request %s: event %d: got %q, want %q", q.ID, n, got, want)
-			return
+			return had
+		}
+		if had.release != "" && had.release != release {
+			c.soak.ledger.RecordViolation(time.Now(), "stream_release", "request %s, which takes up %q: event %d: got release %s, want %s", q.ID, had.began, n, release, had.release)
 		}
+		had.events, had.release = n, release
 	}
 	if _, err := reader.ReadByte(); err != io.EOF {
 		c.soak.ledger.CountOutcome("broken_stream")
 		c.disconnect()
 	}
+	return had
+}
+
+// readEvent reads an event with the empty line at its end.
+func readEvent(r *bufio.Reader) (string, error) {
+	var event strings.Builder
+	for {
+		line, err := r.ReadString('\n')
+		event.WriteString(line)
+		if err != nil {
+			if event.Len() > 0 && err == io.EOF {
+				err = io.ErrUnexpectedEOF
+			}
+			return event.String(), err
+		}
+		if line == "\n" {
+			return event.String(), nil
+		}
+	}
+}
+
+// progress is what a caller has received of a stream: the number of events, the release of
+// the runners that wrote them, and the request that brought the first one.
+type progress struct {
+	events  int
+	release string
+	began   string
+}
+
+// setHeaders sets the header fields that tell which stream a request takes up.
+func (p progress) setHeaders(h http.Header) {
+	if p.events > 0 {
+		h.Set("Last-Event-Id", strconv.Itoa(p.events))
+		h.Set("Resumes", p.began)
+	}
 }
--- a/lab/soak/router.go
+++ b/lab/soak/router.go
@@ -28,6 +28,7 @@
 ready = %s
 peer = %s
 metrics = %s
+detour = %s
 first = false
 
 [store]
@@ -94,7 +95,7 @@
 
 // newRouter chooses addresses for a router and writes its settings file.
 func newRouter(dir, id, zone, store string) (*router, error) {
-	var addresses [4]string
+	var addresses [5]string
 	for i := range addresses {
 		var err error
 		if addresses[i], err = freeAddress(); err != nil {
@@ -102,7 +103,7 @@
 		}
 	}
 	r := &router{id: id, listenAddress: addresses[0], readinessAddress: addresses[1], settingsFile: filepath.Join(dir, id+".ini")}
-	text := fmt.Sprintf(settingsFormat, id, zone, addresses[0], addresses[1], addresses[2], addresses[3], store)
+	text := fmt.Sprintf(settingsFormat, id, zone, addresses[0], addresses[1], addresses[2], addresses[3], addresses[4], store)
 	return r, os.WriteFile(r.settingsFile, []byte(text), 0o600)
 }
 
--- a/lab/soak/runner/runner.go
+++ b/lab/soak/runner/runner.go
@@ -22,6 +22,9 @@
 // Config is the configuration of a runner.
 type Config struct {
 	ID, Pool, Zone string
+	// Release is the software release that the runner states in its entry, and in each event
+	// of a stream.
+	Release string
 	// Slots is the number of requests that the runner accepts at a time.
 	Slots int
 	// ColdTime is how long the runner is cold after its start, ColdRate its
@@ -143,7 +146,7 @@
 		state = "draining"
 	}
 	text, err := json.Marshal(entry{
-		Service: r.Pool, Address: r.Proxy.Address(), Zone: r.Zone, Version: "v1", Slots: r.Slots, State: state,
+		Service: r.Pool, Address: r.Proxy.Address(), Zone: r.Zone, Version: r.Release, Slots: r.Slots, State: state,
 		ColdRemainingMS: float64(max(r.ColdTime-time.Since(r.startedAt), 0).Milliseconds()), Sequence: r.sequence, StartedAtMS: r.startedAt.UnixMilli(),
 	})
 	if err != nil {
@@ -321,7 +324,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	after, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	for n := after + 1; n <= Events; n++ {
-		if _, err := io.WriteString(w, Event(id, n)); err != nil {
+		if _, err := io.WriteString(w, Event(id, n, r.Release)); err != nil {
 			return
 		}
 		if http.NewResponseController(w).Flush() != nil {
@@ -336,5 +339,8 @@
 // PlainBody returns the complete body of an application's response to a request.
 func PlainBody(id string) string { return "answer to " + id + "\n" }
 
-// Event returns the text of event n of a request's stream, counted from one.
-func Event(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, id, n) }
+// Event returns the text of event n of a request's stream, counted from one, by a runner of a
+// release.
+func Event(id string, n int, release string) string {
+	return fmt.Sprintf("id: %d\ndata: %s %d %s\n\n", n, id, n, release)
+}
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -83,6 +83,9 @@
 
 var zones = []string{"a", "b"}
 
+// releases are the software releases of runners, in turn.
+var releases = []string{"v1", "v2"}
+
 // start starts the store, the runners and the router processes.
 func (s *soak) start(ctx context.Context) error {
 	if err := os.MkdirAll(s.dir, 0o750); err != nil {
@@ -135,7 +138,10 @@
 func (s *soak) addRunner(pool, zone string, coldTime time.Duration) {
 	s.mu.Lock()
 	s.runnersStarted++
-	c := runner.Config{ID: fmt.Sprintf("i-%d", s.runnersStarted), Pool: pool, Zone: zone, Slots: appSlots, ColdTime: coldTime}
+	c := runner.Config{
+		ID: fmt.Sprintf("i-%d", s.runnersStarted), Pool: pool, Zone: zone, Slots: appSlots, ColdTime: coldTime,
+		Release: releases[s.runnersStarted%len(releases)],
+	}
 	s.mu.Unlock()
 	if pool == "engines" {
 		c.Slots, c.ColdRate = engineSlots, coldRate
