Take streams up over another router where all upstreams are in doubt

Cause: a router that couldn't connect to an upstream doubts for 3 s or more that its process is still the one of the entry, and a cut makes it doubt all of them at once. Evidence: stream_origin known=true, then code=stream_release_gone 14 times, all at the router that was cut off until 27.0 s, at 28.0 s.

--- a/core/fleet/detour.go
+++ b/core/fleet/detour.go
@@ -70,12 +70,34 @@
 	return lost
 }
 
+// inDoubt reports whether the stream of a request could go on at some upstreams, but each of
+// them is in doubt here. Other routers may not have lost contact to them.
+func (f *Fleet) inDoubt(now time.Time, r Request) bool {
+	if !r.Origin.Begun {
+		return false
+	}
+	eligible, _ := f.eligible(now, r, nil)
+	return table.Read(f.states, table.Hold{}, func(st *states) bool {
+		doubted := false
+		for _, u := range eligible {
+			switch {
+			case !r.Origin.Permits(u.Release, true):
+			case st.get(u.ID).doubt.Certain(now, u.StartedMS, u.Sequence):
+				return false
+			default:
+				doubted = true
+			}
+		}
+		return doubted
+	})
+}
+
 // ChooseHelper returns the router to which a request is sent in place of an upstream, or
 // false if it is to be sent to an upstream: the router reaches some, the request has come
 // from another router, or there is no helper left. Helpers in the same data centre come
 // first. As the body reaches them, the regions of route and account bind helpers too.
 func (f *Fleet) ChooseHelper(now time.Time, r Request, d Detours) (Member, bool) {
-	if r.Relayed || len(d.Helpers) >= maxHelpers || (d.Unreached < minUnreached && !f.CutOff(now, r)) {
+	if r.Relayed || len(d.Helpers) >= maxHelpers || (d.Unreached < minUnreached && !f.CutOff(now, r) && !f.inDoubt(now, r)) {
 		return Member{}, false
 	}
 	best := table.Read(f.members, table.Hold{}, func(t *members) member {
@@ -204,5 +226,5 @@
 // ConcernsPool reports whether a refusal with the code says something of the pool rather
 // than of the router that refuses.
 func ConcernsPool(code string) bool {
-	return slices.Contains([]string{codeLimited, codeTurnedAway, codeBrittle, codeCrashes, codeDeadlyPart, codeOriginUnknown, codeNoRelease}, code)
+	return slices.Contains([]string{codeLimited, codeTurnedAway, codeBrittle, codeCrashes, codeDeadlyPart, codeOriginUnknown}, code)
 }
