--- a/core/fleet/lineage.go
+++ b/core/fleet/lineage.go
@@ -79,15 +79,16 @@
 		Stream: streamOf(r.ID), Pool: r.Pool.Name, Certain: t.Certain, Release: t.Release, Until: now.Add(streamLife(r.Route)),
 	}
 	f.lineage.Do(table.Hold{}, func(_ table.Hold, l *lineage.Records) { l.Begin(now, record) })
-	return f.unsentRecords(now, func(p core.Pool) bool {
-		return p == r.Pool.Name && f.standing(now, p, streamLife(r.Route)).Standing != lineage.Uniform
-	})
+	if f.standing(now, r.Pool.Name, streamLife(r.Route)).Standing == lineage.Uniform {
+		return nil
+	}
+	return f.unsentRecords(now, map[core.Pool]bool{r.Pool.Name: true})
 }
 
-// unsentRecords returns the messages with the records of the wanted pools that their holders
+// unsentRecords returns the messages with the records of some pools that their holders
 // haven't been told.
-func (f *Fleet) unsentRecords(now time.Time, wanted func(core.Pool) bool) []Envelope {
-	unsent := table.Read(f.lineage, table.Hold{}, func(l *lineage.Records) []lineage.Record { return l.TakeUnsent(wanted) })
+func (f *Fleet) unsentRecords(now time.Time, pools map[core.Pool]bool) []Envelope {
+	unsent := table.Read(f.lineage, table.Hold{}, func(l *lineage.Records) []lineage.Record { return l.TakeUnsent(pools) })
 	if len(unsent) == 0 {
 		return nil
 	}
@@ -120,7 +121,11 @@
 		}
 	}
 	f.lineage.Do(table.Hold{}, func(_ table.Hold, l *lineage.Records) { l.Expire(now) })
-	return f.unsentRecords(now, func(p core.Pool) bool { return f.standing(now, p, life).Standing != lineage.Uniform })
+	mixed := map[core.Pool]bool{}
+	for p := range c.Pools {
+		mixed[p] = f.standing(now, p, life).Standing != lineage.Uniform
+	}
+	return f.unsentRecords(now, mixed)
 }
 
 // holders returns the routers that hold the record of a stream, without this one: the first
--- a/core/lineage/record.go
+++ b/core/lineage/record.go
@@ -71,12 +71,12 @@
 	return record, ok && now.Before(record.Until)
 }
 
-// TakeUnsent returns the records whose holders haven't been told, of the pools for which
-// wanted returns true, and counts them as told.
-func (r *Records) TakeUnsent(wanted func(core.Pool) bool) []Record {
+// TakeUnsent returns the records of some pools whose holders haven't been told, and counts
+// them as told.
+func (r *Records) TakeUnsent(pools map[core.Pool]bool) []Record {
 	var all []Record
 	for stream := range r.unsent {
-		if record := r.byStream[stream]; wanted(record.Pool) {
+		if record := r.byStream[stream]; pools[record.Pool] {
 			all = append(all, record)
 			delete(r.unsent, stream)
 		}
