--- a/lab/soak/caller.go
+++ b/lab/soak/caller.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -257,7 +258,7 @@
 		line, err := r.ReadString('\n')
 		event.WriteString(line)
 		if err != nil {
-			if event.Len() > 0 && err == io.EOF {
+			if event.Len() > 0 && errors.Is(err, io.EOF) {
 				err = io.ErrUnexpectedEOF
 			}
 			return event.String(), err
