--- a/lab/soak/caller.go
+++ b/lab/soak/caller.go
@@ -227,7 +227,7 @@
 	for n := had.events + 1; n <= runner.Events; n++ {
 		got, err := readEvent(reader)
 		if err != nil {
-			if err == io.EOF {
+			if errors.Is(err, io.EOF) {
 				c.soak.ledger.RecordViolation(time.Now(), "stream_events", "request %s: stream ended without an error before event %d of %d", q.ID, n, runner.Events)
 			}
 			c.soak.ledger.CountOutcome("broken_stream")
