--- a/core/fleet/admit.go
+++ b/core/fleet/admit.go
@@ -26,10 +26,10 @@
 	// Timeout is the caller's time-out; zero if it set none.
 	Timeout time.Duration
 	// Resumes is the id of the request that brought the first event of the stream that the
-	// caller takes up; empty if it takes up none, or doesn't say which.
+	// caller resumes; empty if it resumes none, or doesn't say which.
 	Resumes string
-	// TakesUp reports whether the caller takes up a stream of which it has received events.
-	TakesUp bool
+	// Resuming reports whether the caller resumes a stream of which it has received events.
+	Resuming bool
 	// Relayed reports whether another router has sent the request, which has counted it
 	// towards the retry budget.
 	Relayed bool
@@ -57,10 +57,10 @@
 	// earlier.
 	Deadline time.Time
 	// Resumes is the id of the request that brought the first event of the stream that the
-	// caller takes up; empty if it takes up none, or doesn't say which.
+	// caller resumes; empty if it resumes none, or doesn't say which.
 	Resumes string
-	// TakesUp reports whether the caller takes up a stream of which it has received events.
-	TakesUp bool
+	// Resuming reports whether the caller resumes a stream of which it has received events.
+	Resuming bool
 	// Relayed reports whether another router has sent the request.
 	Relayed bool
 	// Origin is where the stream began that the request continues.
@@ -93,7 +93,7 @@
 	codeNoUpstream   = "no_upstream"
 	codeLimited      = "upstreams_limited"
 	codeTurnedAway   = "upstreams_turn_away"
-	// codeOriginUnknown and codeNoRelease refuse a stream that callers take up.
+	// codeOriginUnknown and codeNoRelease refuse a stream that callers resume.
 	codeOriginUnknown = "stream_origin_unknown"
 	codeNoRelease     = "stream_release_gone"
 	codeCutOff        = "cut_off"
@@ -113,7 +113,7 @@
 	if !ok {
 		return Request{}, notRunRefusal(http.StatusNotFound, codeNoRoute, "no route has this host and path")
 	}
-	r := Request{ID: a.ID, Route: route, Content: a.Content, CatalogVersion: c.Version, Resumes: a.Resumes, TakesUp: a.TakesUp, Relayed: a.Relayed}
+	r := Request{ID: a.ID, Route: route, Content: a.Content, CatalogVersion: c.Version, Resumes: a.Resumes, Resuming: a.Resuming, Relayed: a.Relayed}
 	if c.Keys != nil && !route.Public {
 		if r.Account, ok = c.Keys[a.APIKey]; !ok {
 			return r, notRunRefusal(http.StatusUnauthorized, codeBadKey, "the API key is not known")
--- a/core/fleet/lineage.go
+++ b/core/fleet/lineage.go
@@ -16,7 +16,7 @@
 
 // A stream goes on only at the software release that began it. The router that begins one
 // knows it. While a pool has several releases, it also tells a few holders, chosen by
-// rendezvous over data centres, so that a caller that takes the stream up at any router
+// rendezvous over data centres, so that a caller that resumes the stream at any router
 // finds the release there, though the router that began it is gone.
 
 // StreamRecord is a lineage.Record for the holders of a stream.
@@ -25,7 +25,7 @@
 	Pool    core.Pool
 	Certain bool
 	Release string
-	// LeftMS is for how long callers may take the stream up, in milliseconds.
+	// LeftMS is for how long callers may resume the stream, in milliseconds.
 	LeftMS int64
 }
 
@@ -40,7 +40,7 @@
 // OriginReply is the response to an OriginRequest.
 type OriginReply struct {
 	Stream core.Digest
-	lineage.Testimony
+	lineage.Report
 }
 
 const (
@@ -54,16 +54,16 @@
 	maxLife = time.Hour
 )
 
-// streamLife returns how long after its beginning callers may take up a stream.
+// streamLife returns how long after its beginning callers may resume a stream.
 func streamLife(r *catalog.Route) time.Duration { return effectiveTimeout(0, r.Timeout) + lifeMargin }
 
 // streamOf returns the key of a stream that a request has begun.
 func streamOf(requestID string) core.Digest { return chat.Key("", requestID, nil) }
 
-// TakesUpStream reports whether the caller has received events of a stream and takes it up.
-func (r Request) TakesUpStream() bool { return r.TakesUp && r.Route.Kind == catalog.Stream }
+// ResumesStream reports whether the caller has received events of a stream and resumes it.
+func (r Request) ResumesStream() bool { return r.Resuming && r.Route.Kind == catalog.Stream }
 
-// beginsStream reports whether callers may take up the stream that the request begins.
+// beginsStream reports whether callers may resume the stream that the request begins.
 func (r Request) beginsStream() bool {
 	return r.Route.Kind == catalog.Stream && r.Route.Deterministic && !r.Origin.Begun
 }
@@ -79,7 +79,7 @@
 		Stream: streamOf(r.ID), Pool: r.Pool.Name, Certain: t.Certain, Release: t.Release, Until: now.Add(streamLife(r.Route)),
 	}
 	f.lineage.Do(table.Hold{}, func(_ table.Hold, l *lineage.Records) { l.Begin(now, record) })
-	if f.standing(now, r.Pool.Name, streamLife(r.Route)).Standing == lineage.Uniform {
+	if f.poolReport(now, r.Pool.Name, streamLife(r.Route)).Knowledge == lineage.Uniform {
 		return nil
 	}
 	return f.unsentRecords(now, map[core.Pool]bool{r.Pool.Name: true})
@@ -123,7 +123,7 @@
 	f.lineage.Do(table.Hold{}, func(_ table.Hold, l *lineage.Records) { l.Expire(now) })
 	mixed := map[core.Pool]bool{}
 	for p := range c.Pools {
-		mixed[p] = f.standing(now, p, life).Standing != lineage.Uniform
+		mixed[p] = f.poolReport(now, p, life).Knowledge != lineage.Uniform
 	}
 	return f.unsentRecords(now, mixed)
 }
@@ -155,8 +155,8 @@
 	return slices.DeleteFunc(chosen, func(id core.RouterID) bool { return id == f.settings.ID })
 }
 
-// standing returns what the router knows of the releases that a pool has had for a time.
-func (f *Fleet) standing(now time.Time, p core.Pool, life time.Duration) lineage.Testimony {
+// poolReport returns what the router knows of the releases that a pool has had for a time.
+func (f *Fleet) poolReport(now time.Time, p core.Pool, life time.Duration) lineage.Report {
 	var releases []string
 	var lastStartMS int64
 	f.roster.Do(table.Hold{}, func(_ table.Hold, u *upstreams) {
@@ -164,41 +164,41 @@
 	})
 	switch {
 	case len(releases) > 1:
-		return lineage.Testimony{Standing: lineage.Mixed}
+		return lineage.Report{Knowledge: lineage.Mixed}
 	case len(releases) == 0:
-		return lineage.Testimony{}
+		return lineage.Report{}
 	case releases[0] == "":
 		// The upstreams state no releases.
 	case life > roster.RemovedRetention:
-		return lineage.Testimony{}
+		return lineage.Report{}
 	case now.Sub(f.started) < life && now.UnixMilli()-lastStartMS < life.Milliseconds():
 		// A process of another release may have been replaced before the router started.
-		return lineage.Testimony{}
+		return lineage.Report{}
 	}
-	return lineage.Testimony{Standing: lineage.Uniform, Release: releases[0]}
+	return lineage.Report{Knowledge: lineage.Uniform, Release: releases[0]}
 }
 
-// testimony returns what the router knows of the beginning of a stream.
-func (f *Fleet) testimony(now time.Time, stream core.Digest, p core.Pool, life time.Duration) lineage.Testimony {
+// originReport returns what the router knows of the beginning of a stream.
+func (f *Fleet) originReport(now time.Time, stream core.Digest, p core.Pool, life time.Duration) lineage.Report {
 	var record lineage.Record
 	var found bool
 	f.lineage.Do(table.Hold{}, func(_ table.Hold, l *lineage.Records) { record, found = l.Find(now, stream) })
 	if found {
-		return record.Testimony()
+		return record.Report()
 	}
-	return f.standing(now, p, life)
+	return f.poolReport(now, p, life)
 }
 
-// Testimony returns what the router itself knows of the beginning of the stream that a caller
-// takes up, and the requests to others that may know more; there are none if it has a
+// LookUpOrigin returns what the router itself knows of the beginning of the stream that a caller
+// resumes, and the requests to others that may know more; there are none if it has a
 // record.
-func (f *Fleet) Testimony(now time.Time, r Request) (lineage.Testimony, []Envelope) {
+func (f *Fleet) LookUpOrigin(now time.Time, r Request) (lineage.Report, []Envelope) {
 	if r.Resumes == "" {
-		return f.standing(now, r.Pool.Name, streamLife(r.Route)), nil
+		return f.poolReport(now, r.Pool.Name, streamLife(r.Route)), nil
 	}
 	stream, life := streamOf(r.Resumes), streamLife(r.Route)
-	t := f.testimony(now, stream, r.Pool.Name, life)
-	if t.Standing == lineage.Recorded {
+	t := f.originReport(now, stream, r.Pool.Name, life)
+	if t.Knowledge == lineage.Recorded {
 		return t, nil
 	}
 	var asks []Envelope
@@ -209,7 +209,7 @@
 	return t, asks
 }
 
-// Stream returns the key under which other routers know the stream that the caller takes up.
+// Stream returns the key under which other routers know the stream that the caller resumes.
 func (r Request) Stream() core.Digest { return streamOf(r.Resumes) }
 
 // keepRecords keeps the records of streams that another router has begun.
@@ -225,7 +225,7 @@
 // replyOrigin returns what the router knows of the beginning of a stream.
 func (f *Fleet) replyOrigin(now time.Time, q OriginRequest) *Message {
 	life := min(time.Duration(max(q.LifeMS, 0)), maxLife/time.Millisecond) * time.Millisecond
-	return &Message{OriginReply: &OriginReply{Stream: q.Stream, Testimony: f.testimony(now, q.Stream, q.Pool, life)}}
+	return &Message{OriginReply: &OriginReply{Stream: q.Stream, Report: f.originReport(now, q.Stream, q.Pool, life)}}
 }
 
 // permitted returns the candidates at which the stream of a request may begin or go on.
@@ -233,7 +233,7 @@
 	return slices.DeleteFunc(slices.Clone(all), func(c Candidate) bool { return !r.Origin.Permits(c.Upstream.Release, c.Certain) })
 }
 
-// originUnknown returns the refusal of a stream that callers take up, and of which no router
+// originUnknown returns the refusal of a stream that callers resume, and of which no router
 // knows where it began.
 func originUnknown() *core.Refusal {
 	return notRunRefusal(http.StatusServiceUnavailable, codeOriginUnknown, "it is not known which software release began the stream")
--- a/core/fleet/lineage_verbs_test.go
+++ b/core/fleet/lineage_verbs_test.go
@@ -23,37 +23,37 @@
 	}
 }
 
-// take-up NAME ROUTER ROUTE STREAM: a caller takes up the stream that an earlier request has
+// resume NAME ROUTER ROUTE STREAM: a caller resumes the stream that an earlier request has
 // begun at a router, which asks others where it began and chooses an upstream.
-func cmdTakeUp(_ *testscript.TestScript, sim *simulation, a []string) {
+func cmdResume(_ *testscript.TestScript, sim *simulation, a []string) {
 	s := &sentRequest{router: sim.routers[a[1]]}
 	sim.requests[a[0]] = s
-	s.request, s.refusal = s.router.Admit(sim.now, fleet.CallerRequest{ID: a[0], Host: a[2], Path: "/", Resumes: a[3], TakesUp: true})
+	s.request, s.refusal = s.router.Admit(sim.now, fleet.CallerRequest{ID: a[0], Host: a[2], Path: "/", Resumes: a[3], Resuming: true})
 	if s.refusal != nil {
 		return
 	}
-	own, asks := s.router.Testimony(sim.now, s.request)
-	all := []lineage.Testimony{own}
+	own, asks := s.router.LookUpOrigin(sim.now, s.request)
+	all := []lineage.Report{own}
 	for _, e := range asks {
 		all = append(all, sim.askOrigin(s.router, e)...)
 	}
 	if len(all) <= len(asks) {
 		sim.now = sim.now.Add(originTimeout)
 	}
-	s.request.Origin = lineage.Judge(all...)
+	s.request.Origin = lineage.Resolve(all...)
 	sim.choose(s)
 }
 
 // askOrigin returns what a router replies that is asked where a stream began; nothing if it
 // can't be reached.
-func (sim *simulation) askOrigin(from *fleet.Fleet, e fleet.Envelope) []lineage.Testimony {
+func (sim *simulation) askOrigin(from *fleet.Fleet, e fleet.Envelope) []lineage.Report {
 	self, to := string(from.Settings().ID), string(e.To)
 	if sim.disconnected[[2]string{self, to}] || sim.frozen[to] || sim.frozen[self] {
 		return nil
 	}
 	reply := sim.routers[to].Receive(sim.now, member(from), e.Message).Reply
 	origin := from.Receive(sim.now, member(sim.routers[to]), *reply).Origin
-	return []lineage.Testimony{origin.Testimony}
+	return []lineage.Report{origin.Report}
 }
 
 // deliverAll delivers messages of a router.
@@ -74,13 +74,13 @@
 	}
 }
 
-// standing ROUTER STREAM POOL WANT: checks what a router replies to another one that asks
+// knows ROUTER STREAM POOL WANT: checks what a router replies to another one that asks
 // where a stream began, for streams that last 15 s.
-func cmdStanding(ts *testscript.TestScript, sim *simulation, a []string) {
+func cmdKnows(ts *testscript.TestScript, sim *simulation, a []string) {
 	f := sim.routers[a[0]]
 	q := fleet.OriginRequest{Stream: fleet.Request{Resumes: a[1]}.Stream(), Pool: core.Pool(a[2]), LifeMS: 15000}
 	reply := f.Receive(sim.now, fleet.Member{}, fleet.Message{OriginRequest: &q}).Reply
-	if got := reply.OriginReply.Standing.String(); got != a[3] {
-		ts.Fatalf("standing of %s: got %s, want %s", a[0], got, a[3])
+	if got := reply.OriginReply.Knowledge.String(); got != a[3] {
+		ts.Fatalf("knowledge of %s: got %s, want %s", a[0], got, a[3])
 	}
 }
--- a/core/lineage/lineage.go
+++ b/core/lineage/lineage.go
@@ -20,13 +20,13 @@
 	return !o.Begun || (o.Known && certain && release == o.Release)
 }
 
-// Standing is how a router knows at which release a stream began.
-type Standing int
+// Knowledge is how a router knows at which release a stream began.
+type Knowledge int
 
 const (
 	// Unsure means that the router doesn't know the releases that the pool has had during
 	// the life of the stream.
-	Unsure Standing = iota
+	Unsure Knowledge = iota
 	// Mixed means that the pool has had several releases during that time, and that the
 	// router has no record of the stream.
 	Mixed
@@ -37,32 +37,32 @@
 )
 
 // String returns the name used in logs and messages.
-func (s Standing) String() string {
+func (s Knowledge) String() string {
 	return [...]string{"unsure", "mixed", "uniform", "recorded"}[min(max(s, Unsure), Recorded)]
 }
 
-// Testimony is what one router knows of the beginning of a stream.
-type Testimony struct {
-	Standing Standing
-	// Release is the release if the standing is Uniform or Recorded.
+// Report is what one router knows of the beginning of a stream.
+type Report struct {
+	Knowledge Knowledge
+	// Release is the release if Knowledge is Uniform or Recorded.
 	Release string
 }
 
-// Judge returns the origin of a stream that has begun. A record counts most. Without one,
+// Resolve returns the origin of a stream that has begun. A record counts most. Without one,
 // the release is known only if some router knows that the pool had a single one, and no
 // router knows of another: a router may learn late that the pool is mixed.
-func Judge(all ...Testimony) Origin {
+func Resolve(all ...Report) Origin {
 	o := Origin{Begun: true}
 	for _, t := range all {
-		if t.Standing == Recorded {
+		if t.Knowledge == Recorded {
 			return Origin{Begun: true, Known: true, Release: t.Release}
 		}
 	}
 	for _, t := range all {
 		switch {
-		case t.Standing == Mixed, t.Standing == Uniform && o.Known && t.Release != o.Release:
+		case t.Knowledge == Mixed, t.Knowledge == Uniform && o.Known && t.Release != o.Release:
 			return Origin{Begun: true}
-		case t.Standing == Uniform:
+		case t.Knowledge == Uniform:
 			o.Known, o.Release = true, t.Release
 		}
 	}
--- a/core/lineage/lineage_test.go
+++ b/core/lineage/lineage_test.go
@@ -10,7 +10,7 @@
 	"camphorpulley.org/core"
 )
 
-var standings = map[string]Standing{"unsure": Unsure, "mixed": Mixed, "uniform": Uniform, "recorded": Recorded}
+var knowledgeByName = map[string]Knowledge{"unsure": Unsure, "mixed": Mixed, "uniform": Uniform, "recorded": Recorded}
 
 // eachLine calls run with both sides of the arrow in each line of a file that has one.
 func eachLine(t *testing.T, file string, run func(given, want string)) {
@@ -31,16 +31,16 @@
 	}
 }
 
-// TestJudge guards against streams that go on at another release (ORDER): it judges what
-// routers know as each line of testdata/judge.txt states it.
-func TestJudge(t *testing.T) {
-	eachLine(t, "testdata/judge.txt", func(given, want string) {
-		var all []Testimony
+// TestResolve guards against streams that go on at another release (ORDER): it resolves
+// what routers know as each line of testdata/resolve.txt states it.
+func TestResolve(t *testing.T) {
+	eachLine(t, "testdata/resolve.txt", func(given, want string) {
+		var all []Report
 		for _, word := range strings.Fields(given) {
 			name, release, _ := strings.Cut(word, ":")
-			all = append(all, Testimony{Standing: standings[name], Release: release})
+			all = append(all, Report{Knowledge: knowledgeByName[name], Release: release})
 		}
-		o := Judge(all...)
+		o := Resolve(all...)
 		got := "unknown"
 		switch {
 		case o.Known && o.Release == "":
@@ -98,10 +98,10 @@
 			t.Errorf("records for holders: got %d, want %d", got, want)
 		}
 	}
-	if got, ok := r.Find(start, 1); !ok || got.Testimony() != (Testimony{Standing: Recorded, Release: "v2"}) {
+	if got, ok := r.Find(start, 1); !ok || got.Report() != (Report{Knowledge: Recorded, Release: "v2"}) {
 		t.Errorf("stream 1: got %+v, found %t, want one recorded at v2", got, ok)
 	}
-	if got, ok := r.Find(start, 2); !ok || got.Testimony().Standing != Mixed {
+	if got, ok := r.Find(start, 2); !ok || got.Report().Knowledge != Mixed {
 		t.Errorf("stream 2, whose release is uncertain: got %+v, found %t, want mixed", got, ok)
 	}
 	if _, ok := r.Find(start, 3); ok {
--- a/core/lineage/record.go
+++ b/core/lineage/record.go
@@ -14,16 +14,16 @@
 	// request. Release doesn't count otherwise.
 	Certain bool
 	Release string
-	// Until is when no caller takes up the stream any more.
+	// Until is when no caller resumes the stream any more.
 	Until time.Time
 }
 
-// Testimony returns what the record tells.
-func (r Record) Testimony() Testimony {
+// Report returns what the record tells.
+func (r Record) Report() Report {
 	if !r.Certain {
-		return Testimony{Standing: Mixed}
+		return Report{Knowledge: Mixed}
 	}
-	return Testimony{Standing: Recorded, Release: r.Release}
+	return Report{Knowledge: Recorded, Release: r.Release}
 }
 
 // maxRecords bounds the records of a router; several times what a router of a large fleet
--- a/lab/soak/caller.go
+++ b/lab/soak/caller.go
@@ -63,7 +63,7 @@
 	random *rand.Rand
 	// sent is the number of requests sent.
 	sent int
-	// broken is the last request if it was for a stream that may be taken up, and broke off.
+	// broken is the last request if it was for a stream that may be resumed, and broke off.
 	broken *brokenStream
 	// router is the router at the other end of the connection, nil if there is
 	// none.
@@ -110,11 +110,11 @@
 	q.Line = method + " " + r.pathPrefix + strconv.Itoa(c.random.IntN(100))
 	var had progress
 	if b := c.broken; b != nil {
-		// The stream that broke off is taken up in place of this request.
+		// The stream that broke off is resumed in place of this request.
 		r, method, had = b.route, http.MethodPost, b.had
 		q.Kind, q.Route, q.Tenant, q.Body, q.Line = b.request.Kind, b.request.Route, b.request.Tenant, b.request.Body, b.request.Line
 		tenant, c.broken = q.Tenant, nil
-		c.soak.ledger.CountOutcome("taken_up")
+		c.soak.ledger.CountOutcome("resumed")
 	}
 	c.soak.ledger.RecordRequest(q)
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
@@ -240,7 +240,7 @@
 			return had
 		}
 		if had.release != "" && had.release != release {
-			c.soak.ledger.RecordViolation(time.Now(), "stream_release", "request %s, which takes up %q: event %d: got release %s, want %s", q.ID, had.began, n, release, had.release)
+			c.soak.ledger.RecordViolation(time.Now(), "stream_release", "request %s, which resumes %q: event %d: got release %s, want %s", q.ID, had.began, n, release, had.release)
 		}
 		had.events, had.release = n, release
 	}
@@ -277,7 +277,7 @@
 	began   string
 }
 
-// setHeaders sets the header fields that tell which stream a request takes up.
+// setHeaders sets the header fields that tell which stream a request resumes.
 func (p progress) setHeaders(h http.Header) {
 	if p.events > 0 {
 		h.Set("Last-Event-Id", strconv.Itoa(p.events))
--- /dev/null
+++ b/lab/soak/runner/serve.go
@@ -0,0 +1,135 @@
+package runner
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"camphorpulley.org/lab/soak/ledger"
+)
+
+// ServeHTTP implements http.Handler. It responds to cache inventory queries with an
+// empty inventory, refuses requests that are addressed to another instance or
+// exceed the slots, and records and runs all others.
+func (r *Runner) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	if q.URL.Path == "/kv-list" {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = io.WriteString(w, `{"epoch":1,"next":0,"held":[]}`)
+		return
+	}
+	id := q.Header.Get("Camphorpulley-Attempt-Id")
+	w.Header().Set("Camphorpulley-Attempt-Id", id)
+	body, err := io.ReadAll(q.Body)
+	if err != nil {
+		return
+	}
+	if target := q.Header.Get("Camphorpulley-Target-Instance"); target != r.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	r.ledger.RecordArrival(time.Now(), r.ID, id)
+	if r.isDraining() {
+		w.Header().Set("Server-Leaving", "1")
+		defer func() { r.ledger.RecordLeavingTold(time.Now(), r.ID, id) }()
+	}
+	if limit := r.limit.Load(); limit > 0 {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(float64(limit)/1000, 'f', -1, 64))
+		defer func() { r.ledger.RecordLimitTold(time.Now(), r.ID, id) }()
+	}
+	if r.running.Add(1) > int64(r.Slots) {
+		r.running.Add(-1)
+		r.turnAway(w, id)
+		return
+	}
+	defer r.running.Add(-1)
+	if Mode(r.mode.Load()) == Shedding && rand.Float64() < degradedShare {
+		r.turnAway(w, id)
+		return
+	}
+	r.recordRun(id, q, string(body))
+	r.respond(w, q, id)
+}
+
+// turnAwayTime is for how long a runner that is full, or sheds, turns a router away.
+const turnAwayTime = 1500 * time.Millisecond
+
+// turnAway responds that the request has not run, and when the router may come back.
+func (r *Runner) turnAway(w http.ResponseWriter, id string) {
+	w.Header().Set("Camphorpulley-Not-Executed", "1")
+	w.Header().Set("Retry-After", strconv.FormatFloat(turnAwayTime.Seconds(), 'f', -1, 64))
+	w.WriteHeader(http.StatusServiceUnavailable)
+	r.ledger.RecordTurnedAway(time.Now(), r.ID, id, turnAwayTime)
+}
+
+func (r *Runner) isDraining() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.draining
+}
+
+// recordRun records in the ledger that the runner starts to run a request.
+func (r *Runner) recordRun(id string, q *http.Request, body string) {
+	now := time.Now()
+	rate := 0.0
+	if now.Sub(r.startedAt) < r.ColdTime {
+		rate = r.ColdRate
+	}
+	r.mu.Lock()
+	withdrawnAt := r.withdrawnAt
+	r.mu.Unlock()
+	r.ledger.RecordRun(ledger.Run{
+		ID: id, Runner: r.ID, Pool: r.Pool, Zone: r.Zone, Line: q.Method + " " + q.RequestURI, Body: body,
+		Tenant: q.Header.Get("Camphorpulley-Tenant"), Key: q.Header.Get("Camphorpulley-Key"), At: now, WithdrawnAt: withdrawnAt, ColdRate: rate,
+	})
+}
+
+// respond simulates the work of a request, then fails as the mode requires or
+// sends the response: a stream of events if the request has a prompt, else a
+// plain body. A stream continues after the event in Last-Event-Id, if given.
+func (r *Runner) respond(w http.ResponseWriter, q *http.Request, id string) {
+	simulateWork()
+	if m := Mode(r.mode.Load()); m != Healthy && m != Shedding && rand.Float64() < degradedShare {
+		switch m {
+		case Dropping:
+			panic(http.ErrAbortHandler)
+		case Hanging:
+			time.Sleep(hangTime)
+			panic(http.ErrAbortHandler)
+		default:
+		}
+		w.Header().Set("Camphorpulley-Response-Signature", "failed."+id)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Camphorpulley-Response-Signature", "sig."+id)
+	w.Header().Set("Camphorpulley-Runner-Load", fmt.Sprintf("%d,0,%d", r.running.Load(), r.Slots))
+	if q.Header.Get("Camphorpulley-Prompt-Prefix") == "" {
+		_, _ = io.WriteString(w, PlainBody(id))
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	after, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
+	for n := after + 1; n <= Events; n++ {
+		if _, err := io.WriteString(w, Event(id, n, r.Release)); err != nil {
+			return
+		}
+		if http.NewResponseController(w).Flush() != nil {
+			return
+		}
+		simulateWork()
+	}
+}
+
+func simulateWork() { time.Sleep(minWorkTime + rand.N(workTimeRange)) }
+
+// PlainBody returns the complete body of an application's response to a request.
+func PlainBody(id string) string { return "answer to " + id + "\n" }
+
+// Event returns the text of event n of a request's stream, counted from one, by a runner of a
+// release.
+func Event(id string, n int, release string) string {
+	return fmt.Sprintf("id: %d\ndata: %s %d %s\n\n", n, id, n, release)
+}
--- a/router/cluster/shutdown_test.go
+++ b/router/cluster/shutdown_test.go
@@ -97,6 +97,35 @@
 	return resp.StatusCode, resp.Close
 }
 
+// startRouter starts a router before one upstream and waits until it is ready. It stops when
+// cancel is called, and exited receives the result of Run.
+func startRouter(t *testing.T, upstream string, graceSeconds float64) (settings Settings, cancel func(), exited chan error) {
+	t.Helper()
+	settings = Settings{
+		Router: RouterSection{
+			ID: "r1", DataCentre: "a", Listen: freeAddress(t), Ready: freeAddress(t), Peer: freeAddress(t), Metrics: freeAddress(t),
+		},
+		Bounds: BoundsSection{RetryWindowSeconds: 10, MaxLoadFactor: 2, DrainMS: 2000, GraceSeconds: graceSeconds},
+	}
+	stop, cancel := context.WithCancel(t.Context())
+	exited = make(chan error, 1)
+	go func() {
+		exited <- Run(daemon.Process{Context: stop, Log: zap.NewNop()}, settings, Adapter{
+			Store: staticStore{upstream: upstream}, Incoming: minimalHeaderCodec{}, Outgoing: minimalHeaderCodec{},
+		})
+	}()
+	for tries := 0; ; tries++ {
+		if status, _ := get(settings.Router.Ready, "/"); status == http.StatusOK {
+			break
+		}
+		if tries > 500 {
+			t.Fatal("readiness after 500 tries in 5 s: got not ready, want status 200")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return settings, cancel, exited
+}
+
 // closeMargin is how long the request goes on after the router closes connections.
 // Without it, a router that is late to close them could do so after the end of the
 // request, and the test would not notice that it cuts requests off.
@@ -117,28 +146,7 @@
 	defer upstream.Close()
 	unblock := sync.OnceFunc(func() { close(unblocked) })
 	defer unblock()
-	settings := Settings{
-		Router: RouterSection{
-			ID: "r1", DataCentre: "a", Listen: freeAddress(t), Ready: freeAddress(t), Peer: freeAddress(t), Metrics: freeAddress(t),
-		},
-		Bounds: BoundsSection{RetryWindowSeconds: 10, MaxLoadFactor: 2, DrainMS: 2000, GraceSeconds: 20},
-	}
-	stop, cancel := context.WithCancel(t.Context())
-	exited := make(chan error, 1)
-	go func() {
-		exited <- Run(daemon.Process{Context: stop, Log: zap.NewNop()}, settings, Adapter{
-			Store: staticStore{upstream: upstream.Listener.Addr().String()}, Incoming: minimalHeaderCodec{}, Outgoing: minimalHeaderCodec{},
-		})
-	}()
-	for tries := 0; ; tries++ {
-		if status, _ := get(settings.Router.Ready, "/"); status == http.StatusOK {
-			break
-		}
-		if tries > 500 {
-			t.Fatal("readiness after 500 tries in 5 s: got not ready, want status 200")
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
+	settings, cancel, exited := startRouter(t, upstream.Listener.Addr().String(), 20)
 	statuses := make(chan int, 1)
 	go func() {
 		status, _ := get(settings.Router.Listen, "/held")
@@ -183,28 +191,7 @@
 	}))
 	defer upstream.Close()
 	defer close(unblocked)
-	settings := Settings{
-		Router: RouterSection{
-			ID: "r1", DataCentre: "a", Listen: freeAddress(t), Ready: freeAddress(t), Peer: freeAddress(t), Metrics: freeAddress(t),
-		},
-		Bounds: BoundsSection{RetryWindowSeconds: 10, MaxLoadFactor: 2, DrainMS: 2000, GraceSeconds: 2},
-	}
-	stop, cancel := context.WithCancel(t.Context())
-	exited := make(chan error, 1)
-	go func() {
-		exited <- Run(daemon.Process{Context: stop, Log: zap.NewNop()}, settings, Adapter{
-			Store: staticStore{upstream: upstream.Listener.Addr().String()}, Incoming: minimalHeaderCodec{}, Outgoing: minimalHeaderCodec{},
-		})
-	}()
-	for tries := 0; ; tries++ {
-		if status, _ := get(settings.Router.Ready, "/"); status == http.StatusOK {
-			break
-		}
-		if tries > 500 {
-			t.Fatal("readiness after 500 tries in 5 s: got not ready, want status 200")
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
+	settings, cancel, exited := startRouter(t, upstream.Listener.Addr().String(), 2)
 	statuses := make(chan int, 1)
 	go func() {
 		status, _ := get(settings.Router.Listen, "/held")
--- a/router/gateway/closing_verbs_test.go
+++ b/router/gateway/closing_verbs_test.go
@@ -26,12 +26,5 @@
 		_, _ = writer.Write([]byte("second"))
 		_ = writer.Close()
 	}()
-	f.status, f.header, f.body = 0, nil, nil
-	resp, err := f.server.Client().Do(r)
-	if f.err = err; err != nil {
-		return
-	}
-	f.status, f.header = resp.StatusCode, resp.Header
-	f.body, f.err = io.ReadAll(resp.Body)
-	_ = resp.Body.Close()
+	f.do(r)
 }
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -26,7 +26,7 @@
 )
 
 // RequestHeaders holds what a HeaderCodec has parsed from the header of a caller's
-// request. The Handler then sets Host, Path, TakesUp and Content.
+// request. The Handler then sets Host, Path, Resuming and Content.
 type RequestHeaders struct {
 	fleet.CallerRequest
 	// LastEventID is the number of the last event that the caller has received.
@@ -120,7 +120,7 @@
 		return
 	}
 	headers.Relayed = h.Relayed
-	headers.TakesUp = headers.HasLastEventID || headers.Resumes != ""
+	headers.Resuming = headers.HasLastEventID || headers.Resumes != ""
 	headers.Content = contentDigest(r, headers, body)
 	request, refusal := h.Fleet.Admit(arrived, headers.CallerRequest)
 	if refusal != nil {
--- /dev/null
+++ b/router/gateway/upstream_verbs_test.go
@@ -0,0 +1,302 @@
+package gateway_test
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"camphorpulley.org/core"
+	"camphorpulley.org/core/roster"
+)
+
+// upstream is a fake upstream that sends the responses of a script.
+type upstream struct {
+	listener  net.Listener
+	mu        sync.Mutex
+	responses []response
+	requests  []string
+	// timeLeft is the X-Left field of the last request in milliseconds.
+	timeLeft          int
+	closedConnections int
+	// endlessBytes is the number of bytes sent by endless responses.
+	endlessBytes int
+}
+
+// response is the bytes of one response and what the upstream does after it: keep
+// the connection, close it, reset it, or hang, that is, send no more until the
+// router closes it. With early, it responds before it reads the body of the
+// request, and then keeps the connection.
+type response struct {
+	data []byte
+	// after is keep, close, reset, hang, early or endless.
+	after string
+	// An endless response repeats piece, with a pause before each, until the router
+	// closes the connection.
+	piece []byte
+	pause time.Duration
+}
+
+func (u *upstream) serve() {
+	for {
+		c, err := u.listener.Accept()
+		if err != nil {
+			return
+		}
+		go u.serveConnection(c)
+	}
+}
+
+// serveConnection reads requests from a connection and sends the next response to
+// each. It closes the connection if the script has no response left.
+func (u *upstream) serveConnection(c net.Conn) {
+	defer func() {
+		_ = c.Close()
+		u.mu.Lock()
+		u.closedConnections++
+		u.mu.Unlock()
+	}()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		u.mu.Lock()
+		var next response
+		if len(u.responses) > 0 {
+			next, u.responses = u.responses[0], u.responses[1:]
+		}
+		u.mu.Unlock()
+		early := strings.HasPrefix(next.after, "early")
+		body := []byte("(unread)")
+		if !early {
+			if body, err = io.ReadAll(r.Body); err != nil {
+				return
+			}
+		}
+		u.record(r, body)
+		if _, err := c.Write(bytes.ReplaceAll(next.data, []byte("$ID"), []byte(r.Header.Get("X-Id")))); err != nil {
+			return
+		}
+		switch next.after {
+		case "keep", "early":
+			if early {
+				if _, err := io.Copy(io.Discard, r.Body); err != nil {
+					return
+				}
+			}
+		case "reset":
+			time.Sleep(20 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return
+		case "hang":
+			_, _ = reader.ReadByte()
+			return
+		case "endless":
+			u.repeat(c, next)
+			return
+		default:
+			return
+		}
+	}
+}
+
+// repeat sends the pieces of an endless response until the router closes the connection.
+func (u *upstream) repeat(c net.Conn, r response) {
+	for {
+		time.Sleep(r.pause)
+		n, err := c.Write(r.piece)
+		u.mu.Lock()
+		u.endlessBytes += n
+		u.mu.Unlock()
+		if err != nil {
+			return
+		}
+	}
+}
+
+// record keeps a request for the verbs of the script.
+func (u *upstream) record(r *http.Request, body []byte) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.timeLeft, _ = strconv.Atoi(r.Header.Get("X-Left"))
+	u.requests = append(u.requests, fmt.Sprintf("%s %s %s after=%s", r.Method, r.RequestURI, body, r.Header.Get("Last-Event-Id")))
+}
+
+// upstream NAME [DC [RELEASE]]: starts an upstream in a data centre, "a" by default, whose
+// entry states a software release, by default none.
+func cmdUpstream(ts *testscript.TestScript, f *fixture, a []string) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	ts.Check(err)
+	u := &upstream{listener: ln}
+	f.upstreams[a[0]] = u
+	go u.serve()
+	dc := core.DataCentre("a")
+	if len(a) > 1 {
+		dc = core.DataCentre(a[1])
+	}
+	release := ""
+	if len(a) > 2 {
+		release = a[2]
+	}
+	f.entries = append(f.entries, roster.Entry{
+		ID: core.UpstreamID(a[0]), Pool: "p", DataCentre: dc, Address: ln.Addr().String(), Release: release,
+	})
+	f.fleet.ApplyFullRead(time.Now(), time.Now(), 0, 0, f.entries)
+	for _, h := range f.helpers {
+		h.fleet.ApplyFullRead(time.Now(), time.Now(), 0, 0, f.entries)
+	}
+}
+
+// stop-listening UPSTREAM: makes the upstream refuse new connections.
+func cmdStopListening(_ *testscript.TestScript, f *fixture, a []string) {
+	_ = f.upstreams[a[0]].listener.Close()
+}
+
+// respond UPSTREAM FILE keep|close|reset|hang|early: adds to the upstream's next
+// responses. Line ends up to the first empty line of the file become CR LF. An empty
+// file sends nothing.
+func cmdRespond(ts *testscript.TestScript, f *fixture, a []string) {
+	data := rawResponse(ts.ReadFile(a[1]))
+	u := f.upstreams[a[0]]
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.responses = append(u.responses, response{data: []byte(data), after: a[2]})
+}
+
+// rawResponse returns the bytes of a response from the text of a file.
+func rawResponse(text string) string {
+	head, body, _ := strings.Cut(text, "\n\n")
+	if head == "" {
+		return ""
+	}
+	return strings.ReplaceAll(head, "\n", "\r\n") + "\r\n\r\n" + body
+}
+
+// endlessPieceBytes is the least size of the pieces of an endless response that is sent
+// without a pause.
+const endlessPieceBytes = 64 << 10
+
+// respond-endless UPSTREAM FILE PIECE [PAUSE [SIZE]]: adds a response that begins with a
+// file and repeats a piece until the router closes the connection. There is a pause
+// before each SIZE bytes, by default before each piece. All line ends become CR LF, and
+// \r\n in the piece stands for CR LF.
+func cmdRespondEndless(ts *testscript.TestScript, f *fixture, a []string) {
+	r := response{after: "endless", piece: []byte(strings.ReplaceAll(a[2], `\r\n`, "\r\n"))}
+	r.data = []byte(strings.ReplaceAll(strings.TrimSuffix(ts.ReadFile(a[1]), "$\n"), "\n", "\r\n"))
+	if len(a) > 3 {
+		var err error
+		r.pause, err = time.ParseDuration(a[3])
+		ts.Check(err)
+	}
+	size := endlessPieceBytes
+	if len(a) > 4 {
+		var err error
+		size, err = strconv.Atoi(a[4])
+		ts.Check(err)
+	}
+	if len(a) != 4 {
+		r.piece = bytes.Repeat(r.piece, size/len(r.piece)+1)
+	}
+	u := f.upstreams[a[0]]
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.responses = append(u.responses, r)
+}
+
+// sent-at-most UPSTREAM MIB: checks how much the upstream sent in endless responses,
+// the buffers of the sockets included.
+func cmdSentAtMost(ts *testscript.TestScript, f *fixture, a []string) {
+	most, err := strconv.Atoi(a[1])
+	ts.Check(err)
+	u := f.upstreams[a[0]]
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.endlessBytes > most<<20 {
+		ts.Fatalf("endless bytes sent by %s: got %d, want at most %d", a[0], u.endlessBytes, most<<20)
+	}
+}
+
+// time-left UPSTREAM MOST: checks that the last request to the upstream stated a
+// time left of more than zero and at most MOST milliseconds.
+func cmdTimeLeft(ts *testscript.TestScript, f *fixture, a []string) {
+	most, err := strconv.Atoi(a[1])
+	ts.Check(err)
+	u := f.upstreams[a[0]]
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.timeLeft <= 0 || u.timeLeft > most {
+		ts.Fatalf("time left at %s: got %d ms, want 1 to %d ms", a[0], u.timeLeft, most)
+	}
+}
+
+// request-count COUNT: checks how many requests the upstreams received in total.
+func cmdRequestCount(ts *testscript.TestScript, f *fixture, a []string) {
+	got := 0
+	for _, u := range f.upstreams {
+		u.mu.Lock()
+		got += len(u.requests)
+		u.mu.Unlock()
+	}
+	if want, err := strconv.Atoi(a[0]); err != nil || got != want {
+		ts.Fatalf("requests received by all upstreams: got %d, want %s", got, a[0])
+	}
+}
+
+// received UPSTREAM 'METHOD URI BODY after=EVENT': checks that the upstream received
+// this request. EVENT is empty without a Last-Event-Id; \r\n in the text stands for
+// CR LF.
+func cmdReceived(ts *testscript.TestScript, f *fixture, a []string) {
+	u := f.upstreams[a[0]]
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	want := strings.ReplaceAll(a[1], `\r\n`, "\r\n")
+	for _, r := range u.requests {
+		if r == want {
+			return
+		}
+	}
+	ts.Fatalf("requests received by %s: got %q, want %q among them", a[0], u.requests, want)
+}
+
+// closeWait is how long closed-connections waits. It is shorter than routeTimeout,
+// after which every connection is closed.
+const closeWait = 2 * time.Second
+
+// closed-connections UPSTREAM COUNT: waits up to 2 s until at least COUNT
+// connections of the upstream have closed. Meanwhile idle connections are checked as
+// in a running router.
+func cmdClosedConnections(ts *testscript.TestScript, f *fixture, a []string) {
+	want, err := strconv.Atoi(a[1])
+	ts.Check(err)
+	u, got := f.upstreams[a[0]], 0
+	for deadline := time.Now().Add(closeWait); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		u.mu.Lock()
+		got = u.closedConnections
+		u.mu.Unlock()
+		if got >= want {
+			return
+		}
+		f.pool.CloseUnusable(time.Now())
+	}
+	ts.Fatalf("closed connections of %s after %s: got %d, want at least %d", a[0], closeWait, got, want)
+}
+
+// received-at-most UPSTREAM MAX: checks how many requests the upstream received.
+func cmdReceivedAtMost(ts *testscript.TestScript, f *fixture, a []string) {
+	u := f.upstreams[a[0]]
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if most, err := strconv.Atoi(a[1]); err != nil || len(u.requests) > most {
+		ts.Fatalf("requests received by %s: got %d, want at most %s", a[0], len(u.requests), a[1])
+	}
+}
--- a/router/relay/origin.go
+++ b/router/relay/origin.go
@@ -11,23 +11,23 @@
 )
 
 // originTimeout is how long a request waits for what other routers know of the stream that
-// it takes up: several round trips between data centres of a region.
+// it resumes: several round trips between data centres of a region.
 const originTimeout = 60 * time.Millisecond
 
-// findOrigin finds at which software release the stream began that the caller takes up. It
+// findOrigin finds at which software release the stream began that the caller resumes. It
 // asks the holders of its record unless this router has one.
 func (s *callState) findOrigin(now time.Time) {
-	own, asks := s.forwarder.Fleet.Testimony(now, s.Request)
-	all := append([]lineage.Testimony{own}, s.askHolders(asks)...)
-	s.Origin = lineage.Judge(all...)
+	own, asks := s.forwarder.Fleet.LookUpOrigin(now, s.Request)
+	all := append([]lineage.Report{own}, s.askHolders(asks)...)
+	s.Origin = lineage.Resolve(all...)
 	s.forwarder.Log.Info("stream_origin", zap.String("request", s.ID), zap.String("resumes", s.Resumes), zap.Bool("known", s.Origin.Known),
-		zap.String("release", s.Origin.Release), zap.Stringer("own", own.Standing), zap.Int("asked", len(asks)), zap.Int("replies", len(all)-1),
+		zap.String("release", s.Origin.Release), zap.Stringer("own", own.Knowledge), zap.Int("asked", len(asks)), zap.Int("replies", len(all)-1),
 		zap.Duration("took", time.Since(now)))
 }
 
 // askHolders returns the replies of other routers. It waits until one of them has a record,
 // all have replied, originTimeout is over or the caller disconnects.
-func (s *callState) askHolders(asks []fleet.Envelope) []lineage.Testimony {
+func (s *callState) askHolders(asks []fleet.Envelope) []lineage.Report {
 	f := s.forwarder
 	if len(asks) == 0 || f.Send == nil {
 		return nil
@@ -39,11 +39,11 @@
 	}
 	timeout := time.NewTimer(originTimeout)
 	defer timeout.Stop()
-	var all []lineage.Testimony
+	var all []lineage.Report
 	for len(all) < len(asks) {
 		select {
 		case t := <-replies:
-			if all = append(all, t); t.Standing == lineage.Recorded {
+			if all = append(all, t); t.Knowledge == lineage.Recorded {
 				return all
 			}
 		case <-s.ctx.Done():
@@ -57,7 +57,7 @@
 
 // OriginReplied passes what another router knows of a stream to the requests that take it
 // up.
-func (f *Forwarder) OriginReplied(stream core.Digest, t lineage.Testimony) {
+func (f *Forwarder) OriginReplied(stream core.Digest, t lineage.Report) {
 	f.originReplies.deliver(stream, t)
 }
 
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -34,7 +34,7 @@
 	// quotaWaiters holds by upstream the requests that wait for quota.
 	quotaWaiters waiters[core.UpstreamID]
 	// originReplies holds by stream the requests that wait for where it began.
-	originReplies inboxes[core.Digest, lineage.Testimony]
+	originReplies inboxes[core.Digest, lineage.Report]
 }
 
 // Metrics counts attempts.
@@ -110,7 +110,7 @@
 func (f *Forwarder) Forward(ctx context.Context, c *Call, w ResponseWriter) error {
 	s := &callState{Call: c, forwarder: f, ctx: ctx, writer: w, exchange: c.NewExchange()}
 	s.sequence = answer.EventSequence{Last: c.LastEventID, HasLast: c.HasLastEventID}
-	if c.TakesUpStream() {
+	if c.ResumesStream() {
 		s.findOrigin(time.Now())
 	}
 	for {
--- a/router/wire/fleet_test.go
+++ b/router/wire/fleet_test.go
@@ -41,7 +41,7 @@
 	}},
 	{StreamRecords: []fleet.StreamRecord{{Stream: 7, Pool: "p", Certain: true, Release: "v1", LeftMS: 900}, {Stream: 8, Pool: "p", LeftMS: 1}}},
 	{OriginRequest: &fleet.OriginRequest{Stream: 7, Pool: "p", LifeMS: 17000}},
-	{OriginReply: &fleet.OriginReply{Stream: 7, Testimony: lineage.Testimony{Standing: lineage.Recorded, Release: "v1"}}},
+	{OriginReply: &fleet.OriginReply{Stream: 7, Report: lineage.Report{Knowledge: lineage.Recorded, Release: "v1"}}},
 	{SentMS: 12, FullUpstream: &fleet.FullUpstream{Upstream: "u", Load: 17, PauseMS: 900}},
 	{SnapshotRequest: &fleet.SnapshotRequest{Version: 2, WithCachedParts: true}},
 	{Snapshot: &fleet.Snapshot{
--- a/router/wire/lineage.go
+++ b/router/wire/lineage.go
@@ -23,9 +23,9 @@
 }
 
 type fleetOriginReply struct {
-	Stream   core.Digest      `cbor:"1,keyasint"`
-	Standing lineage.Standing `cbor:"2,keyasint,omitempty"`
-	Release  string           `cbor:"3,keyasint,omitempty"`
+	Stream    core.Digest       `cbor:"1,keyasint"`
+	Knowledge lineage.Knowledge `cbor:"2,keyasint,omitempty"`
+	Release   string            `cbor:"3,keyasint,omitempty"`
 }
 
 // encodeStreamRecords and decodeStreamRecords return nil for an empty list, since most
@@ -48,12 +48,12 @@
 	if r == nil {
 		return nil
 	}
-	return &fleetOriginReply{Stream: r.Stream, Standing: r.Standing, Release: r.Release}
+	return &fleetOriginReply{Stream: r.Stream, Knowledge: r.Knowledge, Release: r.Release}
 }
 
 func decodeOriginReply(r *fleetOriginReply) *fleet.OriginReply {
 	if r == nil {
 		return nil
 	}
-	return &fleet.OriginReply{Stream: r.Stream, Testimony: lineage.Testimony{Standing: r.Standing, Release: r.Release}}
+	return &fleet.OriginReply{Stream: r.Stream, Report: lineage.Report{Knowledge: r.Knowledge, Release: r.Release}}
 }
