--- a/core/fleet/brittle.go
+++ b/core/fleet/brittle.go
@@ -10,11 +10,11 @@
 	"camphorpulley.org/core/table"
 )
 
-// A brittle upstream ends if it turns away more than a number of requests in a second for
-// want of room, and those that remain get its load. While few of its slots are taken, any
-// router may send it requests. Counts of other routers are late, however: once it has turned
-// one away, all routers are told at once, leave it alone until that no longer counts, and
-// then keep to shares of its slots for a time.
+// A brittle upstream ends if it rejects more than a number of requests in a second because it
+// is full, and the others get its load. While few of its slots are taken, any router may send
+// it requests. Counts of other routers are late, however: once it has rejected one, all
+// routers are told at once, leave it alone until that no longer counts, and then keep to
+// shares of its slots for a time.
 
 const (
 	// rejectionPause is for how long a brittle upstream that has turned a request away gets
@@ -27,7 +27,7 @@
 	freeFraction = 0.5
 )
 
-// RecordRejection records that an upstream has turned a request away for want of room. It
+// RecordRejection records that an upstream has rejected a request because it is full. It
 // returns a message for all other routers if the upstream is brittle and this router didn't
 // leave it alone already; else nil.
 func (f *Fleet) RecordRejection(now time.Time, t Target) *Message {
--- a/core/statement/statement.go
+++ b/core/statement/statement.go
@@ -13,8 +13,8 @@
 // answer that says nothing.
 type Answer struct {
 	Limit Limit
-	// Brittle is the number of requests per second that the upstream can turn away for want
-	// of room without ending; not named if it states none.
+	// Brittle is the number of requests per second that the upstream, when it is full, can
+	// reject without ending; not named if it states none.
 	Brittle Limit
 	// Leaving reports whether the upstream's process is about to end.
 	Leaving bool
