Show in the simulation that late messages overload engines

The simulation has links with a bandwidth, changes of the configuration, routers without the store, routers that handle messages late and stops in groups now, and reports how late messages are, which kind has the most bytes, and by how much loads are underestimated.

--- a/lab/fleet/report.go
+++ b/lab/fleet/report.go
@@ -14,6 +14,46 @@
 	silent                                    int
 	remoteBytes                               int
 	promptTokens, rereadTokens, fetchedTokens int
+	// bytes holds the bytes of messages by kind, delay the longest time that a message took,
+	// applied that until a router had applied a change of the configuration.
+	bytes          map[string]int
+	delay, applied time.Duration
+	// underestimated holds by how many requests each chosen upstream's load exceeded what
+	// the router believed.
+	underestimated []int
+}
+
+// countMessage counts a message of a kind.
+func (f *figures) countMessage(kind string, bytes int, local bool) {
+	if f.bytes == nil {
+		f.bytes = map[string]int{}
+	}
+	f.bytes[kind] += bytes
+	if !local {
+		f.remoteBytes += bytes
+	}
+}
+
+// underestimate returns the number of requests by which the loads that routers believed
+// were too low in one choice of a hundred or more.
+func (f *figures) underestimate() int {
+	if len(f.underestimated) == 0 {
+		return 0
+	}
+	slices.Sort(f.underestimated)
+	return f.underestimated[len(f.underestimated)*99/100]
+}
+
+// largestKind returns the kind of messages with the most bytes, and its share of all bytes.
+func (f *figures) largestKind() (string, float64) {
+	largest, total := "", 0
+	for kind, n := range f.bytes {
+		total += n
+		if n > f.bytes[largest] || (n == f.bytes[largest] && kind < largest) {
+			largest = kind
+		}
+	}
+	return largest, ratio(f.bytes[largest], total)
 }
 
 // report holds the results of a simulation. Rates are per second.
@@ -34,6 +74,15 @@
 	Excess, Used float64
 	// Reads is the number of reads of the store per second by all routers.
 	Reads float64
+	// Delay is the longest time that a message took, Applied that until a router had applied
+	// a change of the configuration.
+	Delay, Applied time.Duration
+	// Underestimate is by how many requests the load that a router believed was too low in
+	// one choice of a hundred or more. Kind is the kind of messages with the most bytes, and
+	// KindShare its share of all.
+	Underestimate int
+	Kind          string
+	KindShare     float64
 }
 
 // report returns the results so far.
@@ -58,6 +107,9 @@
 	r.Refused = ratio(sim.figures.refused, sim.requests)
 	r.Excess, r.Used = sim.limitFigures()
 	r.Reads = float64(sim.figures.reads) / (seconds + sim.scenario.Run.Warmup.Seconds())
+	r.Delay, r.Applied = sim.figures.delay, sim.figures.applied
+	r.Underestimate = sim.figures.underestimate()
+	r.Kind, r.KindShare = sim.figures.largestKind()
 	return r
 }
 
@@ -78,6 +130,7 @@
 	if r.Excess > 0 {
 		fmt.Fprintf(&b, " excess=%.3f used=%.3f", r.Excess, r.Used)
 	}
+	fmt.Fprintf(&b, " underestimate=%d delay=%s applied=%s kind=%s/%.2f", r.Underestimate, r.Delay.Round(time.Millisecond), r.Applied.Round(time.Millisecond), r.Kind, r.KindShare)
 	fmt.Fprintf(&b, " reread=%.4f fetched=%.4f sent=%.0f busiest=%.0f remote=%.0f reads=%.2f",
 		r.Reread, r.Fetched, r.Sent, r.Busiest, r.Remote, r.Reads)
 	return b.String()
@@ -96,6 +149,7 @@
 		{"crowded", crowded, l.Crowded}, {"declined", r.Declined, l.Declined}, {"waiting", r.Waiting, l.Waiting}, {"refused", r.Refused, l.Refused}, {"reread", r.Reread, l.Reread},
 		{"sent", r.Sent, l.Sent}, {"busiest", r.Busiest, l.Busiest}, {"remote", r.Remote, l.Remote},
 		{"excess", r.Excess, l.Excess}, {"unused", 1 - r.Used, l.Unused},
+		{"delay", r.Delay.Seconds(), l.Delay.Seconds()}, {"applied", r.Applied.Seconds(), l.Applied.Seconds()},
 	}
 	var over []string
 	for _, c := range checks {
--- a/lab/fleet/request.go
+++ b/lab/fleet/request.go
@@ -116,7 +116,11 @@
 	}
 	u := sim.upstreams[r.target.ID]
 	there := sim.delay(r.router.member.DataCentre, u.entry.DataCentre)
-	sim.events.add(now.Add(there), func(at time.Time) { sim.reach(at, r, u, there) })
+	if sim.measuring() {
+		sim.figures.underestimated = append(sim.figures.underestimated, u.busy()-r.target.Load)
+	}
+	sent := r.router.out.transfer(now, r.load.Body, sim.scenario.Fleet.Link)
+	sim.events.add(sent.Add(there), func(at time.Time) { sim.reach(at, r, u, there) })
 }
 
 // reach lets an upstream accept or decline an attempt.
@@ -139,7 +143,7 @@
 	if sim.measuring() {
 		sim.figures.declined++
 	}
-	sim.events.add(now.Add(back), func(at time.Time) {
+	sim.respond(now.Add(back), r, func(at time.Time) {
 		sim.finish(at, r, health.Shed)
 		r.tried = append(r.tried, u.entry.ID)
 		sim.try(at, r)
@@ -157,7 +161,7 @@
 		sim.countRead(r, missing, known)
 	}
 	report := u.report()
-	sim.events.add(now.Add(reading+back), func(at time.Time) {
+	sim.respond(now.Add(reading+back), r, func(at time.Time) {
 		if r.router.stopped {
 			return
 		}
@@ -175,7 +179,17 @@
 	total := reading + u.runTime(sim.random, r.load.Time)
 	sim.events.add(now.Add(total), func(at time.Time) {
 		u.finish(at)
-		sim.events.add(at.Add(back), func(at time.Time) { sim.finish(at, r, health.Good) })
+		sim.respond(at.Add(back), r, func(at time.Time) { sim.finish(at, r, health.Good) })
+	})
+}
+
+// responseBytes is the size of what an upstream sends at a time.
+const responseBytes = 800
+
+// respond lets a request's router receive, over its link, what has reached that at a time.
+func (sim *simulation) respond(reached time.Time, r *request, receive func(now time.Time)) {
+	sim.events.add(reached, func(now time.Time) {
+		sim.events.add(r.router.in.transfer(now, responseBytes, sim.scenario.Fleet.Link), receive)
 	})
 }
 
--- a/lab/fleet/scenario.go
+++ b/lab/fleet/scenario.go
@@ -11,6 +11,9 @@
 	Loads  []LoadSection `ini:"load" validate:"min=1,dive"`
 	Limits LimitsSection `ini:"limits"`
 	Losses []LossSection `ini:"loss" validate:"dive"`
+	Lags   []LagSection  `ini:"lag" validate:"dive"`
+	// Changes are those of the configuration.
+	Changes []ChangeSection `ini:"change" validate:"dive"`
 }
 
 // FleetSection describes the routers and the links between them.
@@ -20,6 +23,9 @@
 	// Local and Remote are the one-way delays within a data centre and between two.
 	Local  time.Duration `ini:"local" validate:"min=0"`
 	Remote time.Duration `ini:"remote" validate:"min=0"`
+	// Link is what a router's link carries in each direction, in megabits per second; zero
+	// means that nothing waits for it.
+	Link float64 `ini:"link" validate:"min=0"`
 }
 
 // RunSection sets the random seed and the simulated time. Nothing is measured during
@@ -64,6 +70,8 @@
 	// Rate is the number of requests per second, which arrive in groups of Clump.
 	Rate  float64 `ini:"rate" validate:"gt=0"`
 	Clump int     `ini:"clump" validate:"min=0"`
+	// Body is the size of a request in bytes.
+	Body int `ini:"body" validate:"min=0"`
 	// Time is the mean run time without other requests beside it.
 	Time time.Duration `ini:"time" validate:"gt=0"`
 	// Prompts is the number of prompts; each has Tokens tokens that requests share.
@@ -86,6 +94,31 @@
 	// of all routers.
 	DataCentre int     `ini:"datacentre" validate:"min=0"`
 	Share      float64 `ini:"share" validate:"min=0,max=1"`
+	// Group is how many of them stop at a time, each Gap; zero means all at once.
+	Group int           `ini:"group" validate:"min=0"`
+	Gap   time.Duration `ini:"gap" validate:"min=0"`
+}
+
+// LagSection lets routers be slow to handle messages from other routers for a time.
+type LagSection struct {
+	Name string        `ini:"-name"`
+	At   time.Duration `ini:"at" validate:"min=0"`
+	For  time.Duration `ini:"for" validate:"gt=0"`
+	// Time is how much later they handle a message, Share the share of the routers.
+	Time  time.Duration `ini:"time" validate:"gt=0"`
+	Share float64       `ini:"share" validate:"gt=0,max=1"`
+}
+
+// ChangeSection changes the configuration Count times, each Gap from At on.
+type ChangeSection struct {
+	Name  string        `ini:"-name"`
+	At    time.Duration `ini:"at" validate:"min=0"`
+	Gap   time.Duration `ini:"gap" validate:"min=0"`
+	Count int           `ini:"count" validate:"min=1"`
+	// Bytes is the size of the configuration.
+	Bytes int `ini:"bytes" validate:"min=16"`
+	// Cut is the share of the routers that can't reach the store.
+	Cut float64 `ini:"cut" validate:"min=0,max=1"`
 }
 
 // LimitsSection holds what a run must keep; zero means that nothing is checked.
@@ -110,6 +143,10 @@
 	Sent    float64 `ini:"sent" validate:"min=0"`
 	Busiest float64 `ini:"busiest" validate:"min=0"`
 	Remote  float64 `ini:"remote" validate:"min=0"`
+	// Delay is the longest time that a message between two routers may take, and Applied
+	// that from a change of the configuration until all routers apply it.
+	Delay   time.Duration `ini:"delay" validate:"min=0"`
+	Applied time.Duration `ini:"applied" validate:"min=0"`
 	// Reread is the largest share of prompt tokens that engines may read though
 	// another engine has them.
 	Reread float64 `ini:"reread" validate:"min=0,max=1"`
--- a/lab/fleet/simulation.go
+++ b/lab/fleet/simulation.go
@@ -26,6 +26,8 @@
 	upstreams map[core.UpstreamID]*upstream
 	pools     map[string]*poolState
 	catalog   *catalog.Catalog
+	// changedAt is when the catalog last changed.
+	changedAt time.Time
 	figures   figures
 	requests  int
 }
@@ -39,6 +41,12 @@
 	stopped    bool
 	epoch      int
 	sent       int
+	// out and in are the directions of its link.
+	out, in link
+	// lag is how much later it handles messages.
+	lag time.Duration
+	// storeless is true if it can't reach the store.
+	storeless bool
 	// waiting holds by upstream what to do when quota is granted or denied.
 	waiting map[core.UpstreamID][]func(now time.Time)
 }
@@ -73,6 +81,12 @@
 	for _, l := range s.Losses {
 		sim.scheduleLoss(l)
 	}
+	for _, l := range s.Lags {
+		sim.scheduleLag(l)
+	}
+	for _, c := range s.Changes {
+		sim.scheduleChanges(c)
+	}
 	return sim
 }
 
@@ -80,7 +94,7 @@
 
 // newCatalog returns the catalog of the scenario, and creates the upstreams.
 func (sim *simulation) newCatalog() *catalog.Catalog {
-	c := &catalog.Catalog{Version: 1, Source: []byte("catalog"), Pools: map[core.Pool]catalog.Pool{}}
+	c := &catalog.Catalog{Version: 1, Source: catalogText(1, versionBytes), Pools: map[core.Pool]catalog.Pool{}}
 	for _, p := range sim.scenario.Pools {
 		pool := catalog.Pool{Name: core.Pool(p.Name)}
 		if p.Cache > 0 {
@@ -120,7 +134,7 @@
 	r.fleet = fleet.New(sim.now, fleet.Settings{
 		ID: r.member.ID, Address: r.member.Address, DataCentre: r.member.DataCentre, Incarnation: r.member.Incarnation,
 		Retry: retry.Limits{Ratio: 0.2, Slack: 600, Window: 10 * time.Second}, MaxLoadFactor: 2, Drain: 4 * time.Second, Evacuation: 5 * time.Second, LimitGrace: limitGrace,
-		ParseCatalog: func([]byte) (*catalog.Catalog, error) { return sim.catalog, nil },
+		ParseCatalog: sim.parseCatalog,
 		ParseEntry: func(id core.UpstreamID, _ []byte) (roster.Entry, error) {
 			return sim.upstreams[id].entry, nil
 		},
@@ -197,7 +211,7 @@
 	return sim.scenario.Fleet.Remote
 }
 
-// post encodes a message, counts its bytes and delivers it after the link's delay.
+// post encodes a message, counts its bytes and delivers it after the links' delays.
 func (sim *simulation) post(from *router, to core.RouterID, m fleet.Message) {
 	target := sim.byID[to]
 	data, err := wire.EncodeFleetMessage(m)
@@ -206,32 +220,45 @@
 	}
 	if sim.measuring() {
 		from.sent += len(data)
-		if from.member.DataCentre != target.member.DataCentre {
-			sim.figures.remoteBytes += len(data)
-		}
+		sim.figures.countMessage(m.Kind(), len(data), from.member.DataCentre == target.member.DataCentre)
 	}
-	sender := from.member
-	sim.after(sim.delay(from.member.DataCentre, target.member.DataCentre), func(now time.Time) {
-		if target.stopped {
-			return
-		}
-		received, err := wire.DecodeFleetMessage(data)
-		if err != nil {
-			return
-		}
-		effects := target.fleet.Receive(now, sender, received)
-		if effects.QuotaFor != "" {
-			target.wakeWaiting(now, effects.QuotaFor)
-		}
-		if effects.Reply != nil {
-			sim.post(target, sender.ID, *effects.Reply)
-		}
-		for _, e := range effects.Forward {
-			sim.post(target, e.To, e.Message)
-		}
+	sender, sentAt, epoch := from.member, sim.now, target.epoch
+	bits := sim.scenario.Fleet.Link
+	arrives := from.out.transfer(sim.now, len(data), bits).Add(sim.delay(from.member.DataCentre, target.member.DataCentre))
+	sim.events.add(arrives, func(now time.Time) {
+		sim.events.add(target.in.transfer(now, len(data), bits).Add(target.lag), func(now time.Time) {
+			if target.stopped || target.epoch != epoch {
+				return
+			}
+			if sim.measuring() {
+				sim.figures.delay = max(sim.figures.delay, now.Sub(sentAt))
+			}
+			sim.receive(now, target, sender, data)
+		})
 	})
 }
 
+// receive lets a router apply a message, and sends its replies.
+func (sim *simulation) receive(now time.Time, target *router, sender fleet.Member, data []byte) {
+	received, err := wire.DecodeFleetMessage(data)
+	if err != nil {
+		return
+	}
+	effects := target.fleet.Receive(now, sender, received)
+	if effects.QuotaFor != "" {
+		target.wakeWaiting(now, effects.QuotaFor)
+	}
+	if effects.Version > 0 {
+		sim.recordApplied(now, effects.Version)
+	}
+	if effects.Reply != nil {
+		sim.post(target, sender.ID, *effects.Reply)
+	}
+	for _, e := range effects.Forward {
+		sim.post(target, e.To, e.Message)
+	}
+}
+
 // measuring reports whether the warm-up is over.
 func (sim *simulation) measuring() bool { return sim.now.Sub(start) >= sim.scenario.Run.Warmup }
 
@@ -249,19 +276,40 @@
 	return sim.report()
 }
 
-// scheduleLoss stops routers and starts them again.
+// scheduleLoss stops routers, at once or in groups, and starts them again.
 func (sim *simulation) scheduleLoss(l LossSection) {
 	sim.after(sim.scenario.Run.Warmup+l.At, func(now time.Time) {
+		var lost []*router
 		for i, r := range sim.routers {
-			if l.Share == 0 && r.dataCentre != l.DataCentre {
-				continue
+			if (l.Share == 0 && r.dataCentre == l.DataCentre) || (l.Share > 0 && float64(i) < l.Share*float64(len(sim.routers))) {
+				lost = append(lost, r)
 			}
-			if l.Share > 0 && float64(i) >= l.Share*float64(len(sim.routers)) {
-				break
+		}
+		for i, r := range lost {
+			stopAt := now
+			if l.Group > 0 {
+				stopAt = now.Add(time.Duration(i/l.Group) * l.Gap)
 			}
-			r.stopped = true
-			r.epoch++
-			sim.events.add(now.Add(l.For), func(time.Time) { sim.startRouter(r) })
+			sim.events.add(stopAt, func(now time.Time) {
+				r.stopped = true
+				r.epoch++
+				sim.events.add(now.Add(l.For), func(time.Time) { sim.startRouter(r) })
+			})
 		}
 	})
 }
+
+// scheduleLag makes routers slow for a time.
+func (sim *simulation) scheduleLag(l LagSection) {
+	set := func(lag time.Duration) func(time.Time) {
+		return func(time.Time) {
+			for i, r := range sim.routers {
+				if float64(i) < l.Share*float64(len(sim.routers)) {
+					r.lag = lag
+				}
+			}
+		}
+	}
+	sim.after(sim.scenario.Run.Warmup+l.At, set(l.Time))
+	sim.after(sim.scenario.Run.Warmup+l.At+l.For, set(0))
+}
