--- a/core/fleet/full_upstream.go
+++ b/core/fleet/full_upstream.go
@@ -27,7 +27,7 @@
 	var full *Message
 	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
 		s := st.get(t.ID)
-		total, bound := report.Running+report.Waiting, int(st.bounds[t.Pool])
+		total, bound := report.Total(), int(st.bounds[t.Pool])
 		if bound > 0 && total >= bound && s.load.Total(now) < bound {
 			full = &Message{FullUpstream: &FullUpstream{Upstream: t.ID, Load: total}}
 		}
--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -94,6 +94,7 @@
 		"fetches-from":         cmdFetchesFrom,
 		"refused":              cmdRefused,
 		"running-at-most":      cmdRunningAtMost,
+		"messages-late":        cmdMessagesLate,
 		"readiness":            cmdReadiness,
 		"catalog-version":      cmdCatalogVersion,
 		"break-connection":     cmdBreakConnection,
--- a/core/fleet/status.go
+++ b/core/fleet/status.go
@@ -24,10 +24,13 @@
 	// Reader is true if the router reads the upstreams' entries for others.
 	// EntriesAgeMS is the age of its view of the entries in milliseconds; -1 if it
 	// has none.
-	Reader       bool             `json:"reader"`
-	EntriesAgeMS int64            `json:"known_ms"`
-	Peers        []PeerStatus     `json:"peers"`
-	Upstreams    []UpstreamStatus `json:"upstreams"`
+	Reader       bool  `json:"reader"`
+	EntriesAgeMS int64 `json:"known_ms"`
+	// MessageDelayMS is the longest recent delay of messages from other routers in
+	// milliseconds.
+	MessageDelayMS int64            `json:"late_ms"`
+	Peers          []PeerStatus     `json:"peers"`
+	Upstreams      []UpstreamStatus `json:"upstreams"`
 	// RefusedParts are the parts of prompts under which requests are refused, in
 	// hexadecimal as in the log.
 	RefusedParts []string `json:"refused"`
@@ -87,6 +90,7 @@
 func (f *Fleet) Status(now time.Time) Status {
 	s := Status{
 		Router: f.settings.ID, DataCentre: f.settings.DataCentre, Version: f.CatalogVersion(), Readiness: f.Readiness(now), Reader: f.isReader(now),
+		MessageDelayMS: f.MessageDelay(now).Milliseconds(),
 	}
 	f.members.Do(table.Hold{}, func(_ table.Hold, p *members) {
 		for _, m := range p.byID {
--- a/core/fleet/status_verbs_test.go
+++ b/core/fleet/status_verbs_test.go
@@ -25,6 +25,13 @@
 	ts.Fatalf("router %s: got no upstream %s", a[0], a[1])
 }
 
+// messages-late ROUTER DURATION: checks the longest recent delay of messages from others.
+func cmdMessagesLate(ts *testscript.TestScript, sim *simulation, a []string) {
+	if got := sim.routers[a[0]].MessageDelay(sim.now).String(); got != a[1] {
+		ts.Fatalf("delay of messages to %s: got %s, want %s", a[0], got, a[1])
+	}
+}
+
 // readiness ROUTER REASON|serving: checks the readiness of a router.
 func cmdReadiness(ts *testscript.TestScript, sim *simulation, a []string) {
 	want := a[1]
--- a/core/fleet/transit.go
+++ b/core/fleet/transit.go
@@ -41,6 +41,44 @@
 	return min(difference-smallest, transitWindow.Milliseconds())
 }
 
+// delayWindow is the time for which the longest delay of a message counts at least.
+const delayWindow = time.Second
+
+// longestDelay holds the longest delay of the messages of all other routers. The zero value
+// has none.
+type longestDelay struct {
+	// current is that of the current window, which began at startedAt, previous that of the
+	// one before.
+	current, previous time.Duration
+	startedAt         time.Time
+}
+
+// record adds the delay of a message.
+func (d *longestDelay) record(now time.Time, delay time.Duration) {
+	if age := now.Sub(d.startedAt); age >= delayWindow {
+		*d = longestDelay{previous: d.recent(now), startedAt: now}
+	}
+	d.current = max(d.current, delay)
+}
+
+// recent returns the longest delay of the current and the previous window.
+func (d *longestDelay) recent(now time.Time) time.Duration {
+	switch age := now.Sub(d.startedAt); {
+	case age < delayWindow:
+		return max(d.current, d.previous)
+	case age < 2*delayWindow:
+		return d.current
+	default:
+		return 0
+	}
+}
+
+// MessageDelay returns how much longer than the quickest ones messages of other routers have
+// taken within about a second, at most.
+func (f *Fleet) MessageDelay(now time.Time) time.Duration {
+	return table.Read(f.members, table.Hold{}, func(t *members) time.Duration { return t.delay.recent(now) })
+}
+
 // uptimeMS returns the time since the router's start in milliseconds, at least one.
 func (f *Fleet) uptimeMS(now time.Time) int64 { return max(now.Sub(f.started).Milliseconds(), 1) }
 
@@ -58,6 +96,7 @@
 		}
 		delay := m.transit.record(now, f.uptimeMS(now)-sentMS)
 		t.byID[from.ID] = m
+		t.delay.record(now, time.Duration(delay)*time.Millisecond)
 		return delay
 	})
 }
--- a/core/load/tracker.go
+++ b/core/load/tracker.go
@@ -13,6 +13,9 @@
 	Running, Waiting, Slots int
 }
 
+// Total returns the number of requests that run or wait.
+func (r Report) Total() int { return r.Running + r.Waiting }
+
 // Tracker estimates one upstream's load. The zero value is an upstream without load.
 type Tracker struct {
 	// Local is the number of this router's requests at the upstream.
@@ -55,7 +58,7 @@
 
 // ApplyReport records an upstream's report.
 func (t *Tracker) ApplyReport(now time.Time, r Report) {
-	t.reportedRemote = max(r.Running+r.Waiting-t.Local, 0)
+	t.reportedRemote = max(r.Total()-t.Local, 0)
 	t.reportedAt = now
 }
 
--- a/ctl/fleet.go
+++ b/ctl/fleet.go
@@ -54,12 +54,12 @@
 			longestSilenceMS = max(longestSilenceMS, p.LastSeenAgoMS)
 		}
 		rows = append(rows, []any{
-			s.Router, s.DataCentre, s.Version, s.Readiness, s.Reader, s.EntriesAgeMS,
+			s.Router, s.DataCentre, s.Version, s.Readiness, s.Reader, s.EntriesAgeMS, s.MessageDelayMS,
 			fmt.Sprintf("%d of %d", seenPeers, len(s.Peers)), longestSilenceMS,
 		})
 	}
 	return printTable([]any{
-		"router", "data centre", "version", "not ready", "reader", "entries ms old", "peers heard", "longest silence ms",
+		"router", "data centre", "version", "not ready", "reader", "entries ms old", "messages ms late", "peers heard", "longest silence ms",
 	}, rows)
 }
 
--- a/router/cluster/router.go
+++ b/router/cluster/router.go
@@ -47,6 +47,8 @@
 	storeRestored signal
 	// lastReadiness is the fleet.Readiness at the load balancer's last check.
 	lastReadiness atomic.Value
+	// messagesLate is true while messages from other routers are late.
+	messagesLate atomic.Bool
 }
 
 // Run starts the router, serves until p.Context is done, then shuts down
@@ -95,6 +97,9 @@
 		{Name: "cut_off_pools", Description: "pools of which this router can't reach any upstream", Read: func() int64 {
 			return int64(r.fleet.CutOffPools(time.Now()))
 		}},
+		{Name: "message_delay_ms", Description: "longest recent delay of messages from other routers in milliseconds", Read: func() int64 {
+			return r.fleet.MessageDelay(time.Now()).Milliseconds()
+		}},
 		{Name: "job_panics", Description: "panics that ended a job or an attempt", Read: worker.Panics},
 		{Name: "log_lines_left_out", Description: "log lines over the budget of their kind", Read: logs.SuppressedLines},
 	}
@@ -217,6 +222,7 @@
 	r.scheduler.Repeat(ctx, func(ctx context.Context) {
 		messages, wait := r.fleet.Outgoing(time.Now())
 		r.send(messages)
+		r.logMessageDelay(time.Now())
 		worker.Sleep(ctx, wait)
 	})
 	r.scheduler.Every(ctx, connSweepInterval, func(context.Context) { r.pool.CloseUnusable(time.Now()) })
@@ -228,6 +234,18 @@
 	}
 }
 
+// lateMessages is the delay from which on messages from other routers count as late: what
+// they say of loads is older than the requests that it counts.
+const lateMessages = 500 * time.Millisecond
+
+// logMessageDelay logs when messages from other routers begin to be late, and when that ends.
+func (r *Router) logMessageDelay(now time.Time) {
+	delay := r.fleet.MessageDelay(now)
+	if late := delay >= lateMessages; r.messagesLate.Swap(late) != late {
+		r.log.Info("messages_late_changed", zap.Bool("late", late), zap.Duration("delay", delay))
+	}
+}
+
 // startFeedReaders starts the goroutines that apply the operators' and the
 // upstreams' records in the store to the router's tables.
 func (r *Router) startFeedReaders(ctx context.Context) {
--- a/router/gateway/script_test.go
+++ b/router/gateway/script_test.go
@@ -132,6 +132,9 @@
 
 func (noMetrics) Ended(core.Pool, string) {}
 
+// LoadUnderestimate implements relay.Metrics.
+func (noMetrics) LoadUnderestimate(core.Pool, int) {}
+
 func (noMetrics) Request(core.Pool, string) {}
 
 func (noMetrics) FirstByte(core.Pool, time.Duration) {}
--- a/router/metrics/metrics.go
+++ b/router/metrics/metrics.go
@@ -18,13 +18,14 @@
 
 // Metrics holds the instruments. The zero value records nothing.
 type Metrics struct {
-	requests     metric.Int64Counter
-	attempts     metric.Int64Counter
-	outcomes     metric.Int64Counter
-	dropped      metric.Int64Counter
-	crashes      metric.Int64Counter
-	messageBytes metric.Int64Counter
-	firstByte    metric.Float64Histogram
+	requests      metric.Int64Counter
+	attempts      metric.Int64Counter
+	outcomes      metric.Int64Counter
+	dropped       metric.Int64Counter
+	crashes       metric.Int64Counter
+	messageBytes  metric.Int64Counter
+	firstByte     metric.Float64Histogram
+	underestimate metric.Int64Histogram
 }
 
 // Gauge is a metric whose value is read when metrics are collected.
@@ -34,6 +35,9 @@
 	Read        func() int64
 }
 
+// underestimateBuckets are the boundaries of load_underestimate in requests.
+var underestimateBuckets = []float64{0, 1, 2, 4, 8, 16, 32, 64}
+
 // New registers the instruments and gauges with the Prometheus exporter.
 func New(gauges ...Gauge) (*Metrics, error) {
 	exporter, err := prometheus.New()
@@ -63,6 +67,12 @@
 	if err != nil {
 		return nil, wrap.Err(err, "first_byte")
 	}
+	m.underestimate, err = meter.Int64Histogram("load_underestimate", metric.WithUnit("{request}"),
+		metric.WithExplicitBucketBoundaries(underestimateBuckets...),
+		metric.WithDescription("requests at an upstream by its own report beyond those that the router believed to be there"))
+	if err != nil {
+		return nil, wrap.Err(err, "load_underestimate")
+	}
 	return m, observe(meter, gauges)
 }
 
@@ -99,6 +109,14 @@
 	}
 }
 
+// LoadUnderestimate records by how many requests the load that an upstream reports exceeds
+// the one that the router believed when it chose the upstream; 0 if it doesn't.
+func (m *Metrics) LoadUnderestimate(pool core.Pool, requests int) {
+	if m.underestimate != nil {
+		m.underestimate.Record(context.Background(), int64(max(requests, 0)), metric.WithAttributes(poolAttribute(pool)))
+	}
+}
+
 // AttemptStarted counts an attempt to send a request to an upstream. Only package
 // exchange calls it.
 func (m *Metrics) AttemptStarted(pool core.Pool) { m.count(m.attempts, pool) }
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -14,6 +14,7 @@
 	"camphorpulley.org/core/catalog"
 	"camphorpulley.org/core/fleet"
 	"camphorpulley.org/core/health"
+	"camphorpulley.org/core/load"
 	"camphorpulley.org/router/httpclient"
 )
 
@@ -34,6 +35,9 @@
 	// status and headers are those of the response; zero if there was none.
 	status  int
 	headers ResponseHeaders
+	// reported is the load that the upstream has reported in the response; nil if it
+	// reported none.
+	reported *load.Report
 	// events is the number of events of a stream that have arrived, without empty ones.
 	events int
 	// resumed is true if the attempt is to continue a stream of which the caller has the
@@ -126,6 +130,7 @@
 // signed or declines the request: it may be a late copy of their responses.
 func (a *attempt) checkHeader(status int, h http.Header) error {
 	a.headers = a.forwarder.HeaderCodec.ParseResponse(status, h)
+	a.reported = a.headers.Load
 	anonymous := a.headers.RequestID == "" && a.reusedConn && (a.headers.Signed || a.headers.NotRun)
 	if anonymous || (a.headers.RequestID != "" && a.headers.RequestID != a.ID) {
 		return &httpclient.MismatchedResponseError{Want: a.ID, Got: a.headers.RequestID}
--- a/router/relay/attempt_log.go
+++ b/router/relay/attempt_log.go
@@ -9,6 +9,7 @@
 
 	"camphorpulley.org/base/logs"
 	"camphorpulley.org/core/health"
+	"camphorpulley.org/core/load"
 	"camphorpulley.org/core/prefix"
 )
 
@@ -20,7 +21,7 @@
 		zap.String("request", a.ID), zap.Int("attempt", a.id), zap.String("upstream", string(t.ID)), zap.String("release", t.Release), zap.Bool("detour", a.helper != ""),
 		zap.String("outcome", a.outcome.String()), zap.Int("status", a.status), zap.Bool("sent", a.sent), zap.Int("events", a.events), zap.String("limit", a.headers.Says.Limit.String()),
 		zap.String("brittle", a.headers.Says.Brittle.String()), zap.Bool("leaving", a.headers.Says.Leaving), zap.Duration("after", a.headers.Says.RetryAfter),
-		zap.Duration("took", took), zap.Int("load", t.Load), zap.Int("held", t.CachedTokens), zap.Int("prompt", t.SharedTokens),
+		zap.Duration("took", took), zap.Int("load", t.Load), zap.String("reported", reportedLoad(a.reported)), zap.Int("held", t.CachedTokens), zap.Int("prompt", t.SharedTokens),
 		zap.String("fetch", t.FetchFrom), zap.Int("candidates", t.CandidateCount), zap.Bool("rests", ejected), logs.Err(err),
 	}
 	if a.outcome == health.Broken && !a.underWay() && len(a.SharedParts) > 0 {
@@ -29,6 +30,14 @@
 	a.forwarder.Log.Info("attempt_finished", fields...)
 }
 
+// reportedLoad returns the number of requests in a report; empty if there is none.
+func reportedLoad(r *load.Report) string {
+	if r == nil {
+		return ""
+	}
+	return strconv.Itoa(r.Total())
+}
+
 // partNames returns the ids of parts in hexadecimal.
 func partNames(parts []prefix.Part) []string {
 	return lo.Map(parts, func(p prefix.Part, _ int) string { return strconv.FormatUint(uint64(p.ID), 16) })
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -41,6 +41,9 @@
 type Metrics interface {
 	// Ended counts a finished attempt by its outcome.
 	Ended(pool core.Pool, outcome string)
+	// LoadUnderestimate records by how many requests the load that an upstream reports
+	// exceeds the one that the router believed when it chose the upstream.
+	LoadUnderestimate(pool core.Pool, requests int)
 }
 
 // IncompleteResponseError reports a response that has been sent to the caller in
@@ -200,6 +203,9 @@
 	now := time.Now()
 	ejected := f.Fleet.FinishAttempt(now, target, a.outcome, a.headers.Load)
 	f.Metrics.Ended(s.Pool.Name, a.outcome.String())
+	if a.reported != nil && a.helper == "" {
+		f.Metrics.LoadUnderestimate(s.Pool.Name, a.reported.Total()-target.Load-1)
+	}
 	if ejected && a.outcome == health.TimedOut {
 		// The kept connections of an upstream that hangs would hold up further requests.
 		f.Conns.CloseIdle(target.Address)
