Request a newer configuration from one router at a time

With 20 neighbours a configuration of 280 KB took seconds of a link of 25 Mbit/s, and counts of running requests, digests and responses waited behind it. Routers went by old counts, and took a silence of 1.2 s for a partition.

Change: a router waits half a second for the store, requests the configuration alone, from one router at a time, and a router sends one copy after another.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -60,7 +60,7 @@
 	started  time.Time
 	// current is the catalog in force; requests read it without a lock.
 	current  atomic.Pointer[catalog.Catalog]
-	catalog  *table.Cell[catalog.Latest]
+	catalog  *table.Cell[catalogs]
 	members  *table.Cell[members]
 	feed     *table.Cell[feed.Progress]
 	roster   *table.Cell[upstreams]
@@ -72,6 +72,13 @@
 	budgets  *table.Cell[map[core.Pool]*retry.SharedBudget]
 }
 
+// catalogs is the table of the newest catalog and of its transfers between routers.
+type catalogs struct {
+	latest catalog.Latest
+	fetch  catalog.Fetch
+	supply catalog.Supply
+}
+
 // upstreams is the table of the upstreams from discovery.
 type upstreams struct {
 	roster roster.Roster
@@ -100,7 +107,7 @@
 	return &Fleet{
 		settings: s,
 		started:  now,
-		catalog:  table.New(table.RankConfig, catalog.Latest{}),
+		catalog:  table.New(table.RankConfig, catalogs{}),
 		members:  table.New(table.RankInstances, members{byID: map[core.RouterID]member{}}),
 		feed:     table.New(table.RankFeeds, feed.Progress{}),
 		roster:   table.New(table.RankUpstreams, upstreams{}),
@@ -123,8 +130,8 @@
 // whether it is.
 func (f *Fleet) ApplyCatalog(c *catalog.Catalog) bool {
 	var newer bool
-	f.catalog.Do(table.Hold{}, func(_ table.Hold, s *catalog.Latest) {
-		if newer = s.Update(c); newer {
+	f.catalog.Do(table.Hold{}, func(_ table.Hold, t *catalogs) {
+		if newer = t.latest.Update(c); newer {
 			f.current.Store(c.Index())
 		}
 	})
--- a/core/fleet/heartbeat.go
+++ b/core/fleet/heartbeat.go
@@ -176,17 +176,6 @@
 	}), changes
 }
 
-// snapshotRequest returns a request for a snapshot if the sender of a heartbeat or
-// digest has a newer catalog, if it knows upstreams and this router has none in service,
-// or if the router needs the cache contents that the sender knows; else nil.
-func (f *Fleet) snapshotRequest(now time.Time, from Member, b Heartbeat) *Message {
-	wantsParts := f.takeSnapshotRequest(from.ID)
-	if own := f.CatalogVersion(); wantsParts || b.Version > own || (b.UpstreamsInService > 0 && !f.anyInService(now)) {
-		return &Message{SnapshotRequest: &SnapshotRequest{Version: own, WithCachedParts: wantsParts}}
-	}
-	return nil
-}
-
 // maxCacheTokens returns the size of the largest KV cache among the pools' engines, in
 // tokens.
 func (f *Fleet) maxCacheTokens() int {
--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -3,13 +3,9 @@
 import (
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/poison"
-	"camphorpulley.org/core/prefix"
 	"camphorpulley.org/core/roster"
-	"camphorpulley.org/core/table"
 )
 
 // Message is a message between routers. Exactly one of the pointers and lists is not nil.
@@ -91,35 +87,6 @@
 	Errors []error
 }
 
-// EntryCopy is the unparsed text of an upstream's entry.
-type EntryCopy struct {
-	Upstream core.UpstreamID
-	Source   []byte
-}
-
-// SnapshotRequest requests a snapshot.
-type SnapshotRequest struct {
-	// Version is that of the requester's catalog.
-	Version uint64
-	// WithCachedParts is true if the known contents of the engines' caches are
-	// requested.
-	WithCachedParts bool
-}
-
-// Snapshot holds the data that a router needs to serve without the store.
-type Snapshot struct {
-	// Catalog is the text of the catalog; empty if the requester's is as new.
-	Catalog []byte
-	// Entries are those of the upstreams in use and of those that drain. Removed are the
-	// last ones of upstreams that are gone: the copy from which a store has come back may
-	// still hold them, or an older one of an upstream that drains.
-	Entries     []EntryCopy
-	Removed     []EntryCopy
-	CachedParts []prefix.CachedPart
-	// Statements are what upstreams say about themselves.
-	Statements []StatementReport
-}
-
 // Receive applies a message from another router and returns its effects.
 func (f *Fleet) Receive(now time.Time, from Member, m Message) Effects {
 	f.markMemberSeen(now, from)
@@ -176,75 +143,3 @@
 	}
 	return 0
 }
-
-// snapshot returns the reply to a request for a snapshot.
-func (f *Fleet) snapshot(now time.Time, w SnapshotRequest) *Snapshot {
-	s := &Snapshot{Statements: f.statementReports(now)}
-	if c := f.Catalog(); c != nil && c.Version > w.Version {
-		s.Catalog = c.Source
-	}
-	f.roster.Do(table.Hold{}, func(_ table.Hold, u *upstreams) {
-		for _, up := range u.roster.All() {
-			copied := EntryCopy{Upstream: up.ID, Source: up.Source}
-			switch {
-			case u.roster.AcceptsWork(now, up), up.Draining && up.RemovedAt.IsZero():
-				s.Entries = append(s.Entries, copied)
-			case !up.RemovedAt.IsZero() && up.RemovedInOutage == 0:
-				s.Removed = append(s.Removed, copied)
-			}
-		}
-	})
-	if w.WithCachedParts {
-		s.CachedParts = table.Read(f.parts, table.Hold{}, func(m *prefix.Map) []prefix.CachedPart { return m.All(now) })
-	}
-	return s
-}
-
-// applySnapshot applies a snapshot. Its entries count as unconfirmed.
-func (f *Fleet) applySnapshot(now time.Time, s Snapshot) Effects {
-	var e Effects
-	if len(s.Catalog) > 0 && f.settings.ParseCatalog != nil {
-		c, err := f.settings.ParseCatalog(s.Catalog)
-		if err != nil {
-			e.Errors = append(e.Errors, err)
-		} else if f.ApplyCatalog(c) {
-			e.Version = c.Version
-		}
-	}
-	for _, copied := range s.Entries {
-		entry, err := f.parseEntry(copied.Upstream, copied.Source)
-		if err != nil {
-			e.Errors = append(e.Errors, err)
-			continue
-		}
-		e.Changes = append(e.Changes, f.changeRoster(now, table.Hold{}, func(r *roster.Roster) []roster.Change {
-			return asList(r.PutUnconfirmed(now, *entry))
-		})...)
-	}
-	for _, copied := range s.Removed {
-		entry, err := f.parseEntry(copied.Upstream, copied.Source)
-		if err != nil {
-			e.Errors = append(e.Errors, err)
-			continue
-		}
-		e.Changes = append(e.Changes, f.changeRoster(now, table.Hold{}, func(r *roster.Roster) []roster.Change {
-			return asList(r.RemoveEntry(now, *entry))
-		})...)
-	}
-	f.proveParts(s.CachedParts)
-	f.parts.Do(table.Hold{}, func(_ table.Hold, m *prefix.Map) { m.AddFromPeer(now, s.CachedParts, f.maxCacheTokens()) })
-	return e
-}
-
-// parseEntry parses the text of an entry that another router has sent. It fails if the
-// settings have no parser.
-func (f *Fleet) parseEntry(id core.UpstreamID, source []byte) (*roster.Entry, error) {
-	if f.settings.ParseEntry == nil {
-		return nil, errors.Errorf("entry of upstream %s: no parser configured", id)
-	}
-	e, err := f.settings.ParseEntry(id, source)
-	if err != nil {
-		return nil, err
-	}
-	return &e, nil
-}
--- a/core/fleet/message_verbs_test.go
+++ b/core/fleet/message_verbs_test.go
@@ -96,6 +96,9 @@
 	if sim.routers[from].Settings().DataCentre != sim.routers[to].Settings().DataCentre {
 		sim.crossings++
 	}
+	if m.Snapshot != nil && len(m.Snapshot.Catalog) > 0 {
+		sim.copies[from]++
+	}
 	effects := sim.routers[to].Receive(sim.now, member(sim.routers[from]), m)
 	if effects.Reply != nil {
 		sim.deliver(to, from, *effects.Reply)
@@ -138,6 +141,15 @@
 	sim.crossings = 0
 }
 
+// copies ROUTER COUNT: checks how many copies of the catalog a router has sent since the
+// last check.
+func cmdCopies(ts *testscript.TestScript, sim *simulation, a []string) {
+	if want, err := strconv.Atoi(a[1]); err != nil || sim.copies[a[0]] != want {
+		ts.Fatalf("copies of the catalog sent by %s: got %d, want %s", a[0], sim.copies[a[0]], a[1])
+	}
+	delete(sim.copies, a[0])
+}
+
 // routers-known ROUTER COUNT: checks how many other routers a router takes to exist.
 func cmdRoutersKnown(ts *testscript.TestScript, sim *simulation, a []string) {
 	got := len(sim.routers[a[0]].Members(sim.now))
--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -41,8 +41,10 @@
 	frozen map[string]bool
 	// crossings counts the messages between data centres.
 	crossings int
-	requests  map[string]*sentRequest
-	slack     float64
+	// copies counts the copies of the catalog that each router has sent.
+	copies   map[string]int
+	requests map[string]*sentRequest
+	slack    float64
 }
 
 type simulationKey struct{}
@@ -57,7 +59,7 @@
 			env.Values[simulationKey{}] = &simulation{
 				now: start, routers: map[string]*fleet.Fleet{}, entries: map[core.UpstreamID]roster.Entry{},
 				pendingReads: map[string]uint64{}, regions: map[core.DataCentre]string{},
-				disconnected: map[[2]string]bool{}, delayed: map[[2]string]bool{}, frozen: map[string]bool{}, requests: map[string]*sentRequest{}, slack: 56, era: 1,
+				disconnected: map[[2]string]bool{}, delayed: map[[2]string]bool{}, frozen: map[string]bool{}, copies: map[string]int{}, requests: map[string]*sentRequest{}, slack: 56, era: 1,
 				catalog: catalog.Catalog{Pools: map[core.Pool]catalog.Pool{}},
 			}
 			return nil
@@ -111,6 +113,7 @@
 		"report":               cmdReport,
 		"freeze":               cmdFreeze,
 		"thaw":                 cmdThaw,
+		"copies":               cmdCopies,
 		"crossings":            cmdCrossings,
 		"routers-known":        cmdRoutersKnown,
 		"load":                 cmdLoad,
@@ -191,8 +194,9 @@
 		ID: core.RouterID(a[0]), DataCentre: core.DataCentre(a[1]), Address: a[0], Detour: "detour-" + a[0], MaxLoadFactor: 2,
 		Regions: sim.regions, Drain: 2 * time.Second, Evacuation: 5 * time.Second, Incarnation: core.Incarnation(sim.now.UnixMilli()),
 		Retry: retry.Limits{Ratio: 0.2, Slack: sim.slack, Window: 10 * time.Second},
-		ParseCatalog: func([]byte) (*catalog.Catalog, error) {
+		ParseCatalog: func(text []byte) (*catalog.Catalog, error) {
 			c := sim.catalog
+			c.Source = text
 			return &c, nil
 		},
 		ParseEntry: func(_ core.UpstreamID, text []byte) (roster.Entry, error) { return sim.written(text), nil },
--- /dev/null
+++ b/core/fleet/snapshot.go
@@ -0,0 +1,150 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"camphorpulley.org/core"
+	"camphorpulley.org/core/prefix"
+	"camphorpulley.org/core/roster"
+	"camphorpulley.org/core/table"
+)
+
+// EntryCopy is the unparsed text of an upstream's entry.
+type EntryCopy struct {
+	Upstream core.UpstreamID
+	Source   []byte
+}
+
+// SnapshotRequest requests a snapshot.
+type SnapshotRequest struct {
+	// Version is that of the requester's catalog.
+	Version uint64
+	// WithCachedParts is true if the known contents of the engines' caches are
+	// requested.
+	WithCachedParts bool
+	// CatalogOnly is true if nothing but the catalog is requested.
+	CatalogOnly bool
+}
+
+// Snapshot holds the data that a router needs to serve without the store.
+type Snapshot struct {
+	// Catalog is the text of the catalog; empty if the requester's is as new, or if the
+	// sender has just sent it to another router.
+	Catalog []byte
+	// Entries are those of the upstreams in use and of those that drain. Removed are the
+	// last ones of upstreams that are gone: the copy from which a store has come back may
+	// still hold them, or an older one of an upstream that drains.
+	Entries     []EntryCopy
+	Removed     []EntryCopy
+	CachedParts []prefix.CachedPart
+	// Statements are what upstreams say about themselves.
+	Statements []StatementReport
+}
+
+// snapshotRequest returns a request for a snapshot if the sender of a heartbeat or
+// digest has a newer catalog, if it knows upstreams and this router has none in service,
+// or if the router needs the cache contents that the sender knows; else nil. Only one
+// router is asked at a time.
+func (f *Fleet) snapshotRequest(now time.Time, from Member, b Heartbeat) *Message {
+	own := f.Catalog()
+	request := SnapshotRequest{Version: f.CatalogVersion(), WithCachedParts: f.takeSnapshotRequest(from.ID)}
+	bare := b.UpstreamsInService > 0 && !f.anyInService(now)
+	due := table.Read(f.catalog, table.Hold{}, func(t *catalogs) bool {
+		newer := t.fetch.Due(now, own, b.Version)
+		return newer || (bare && t.fetch.DueWithoutUpstreams(now))
+	})
+	if !due && !request.WithCachedParts {
+		return nil
+	}
+	request.CatalogOnly = own != nil && !bare && !request.WithCachedParts
+	return &Message{SnapshotRequest: &request}
+}
+
+// snapshot returns the reply to a request for a snapshot.
+func (f *Fleet) snapshot(now time.Time, w SnapshotRequest) *Snapshot {
+	text := f.catalogCopy(now, w.Version)
+	if w.CatalogOnly {
+		return &Snapshot{Catalog: text}
+	}
+	s := &Snapshot{Statements: f.statementReports(now), Catalog: text}
+	f.roster.Do(table.Hold{}, func(_ table.Hold, u *upstreams) {
+		for _, up := range u.roster.All() {
+			copied := EntryCopy{Upstream: up.ID, Source: up.Source}
+			switch {
+			case u.roster.AcceptsWork(now, up), up.Draining && up.RemovedAt.IsZero():
+				s.Entries = append(s.Entries, copied)
+			case !up.RemovedAt.IsZero() && up.RemovedInOutage == 0:
+				s.Removed = append(s.Removed, copied)
+			}
+		}
+	})
+	if w.WithCachedParts {
+		s.CachedParts = table.Read(f.parts, table.Hold{}, func(m *prefix.Map) []prefix.CachedPart { return m.All(now) })
+	}
+	return s
+}
+
+// catalogCopy returns the text of the catalog for a router that has an older version; empty
+// if that has none older, or if another router is just getting a copy.
+func (f *Fleet) catalogCopy(now time.Time, version uint64) []byte {
+	c := f.Catalog()
+	if c == nil || c.Version <= version {
+		return nil
+	}
+	if !table.Read(f.catalog, table.Hold{}, func(t *catalogs) bool { return t.supply.Take(now, len(c.Source)) }) {
+		return nil
+	}
+	return c.Source
+}
+
+// applySnapshot applies a snapshot. Its entries count as unconfirmed.
+func (f *Fleet) applySnapshot(now time.Time, s Snapshot) Effects {
+	var e Effects
+	f.catalog.Do(table.Hold{}, func(_ table.Hold, t *catalogs) { t.fetch.RecordReply() })
+	if len(s.Catalog) > 0 && f.settings.ParseCatalog != nil {
+		c, err := f.settings.ParseCatalog(s.Catalog)
+		if err != nil {
+			e.Errors = append(e.Errors, err)
+		} else if f.ApplyCatalog(c) {
+			e.Version = c.Version
+		}
+	}
+	for _, copied := range s.Entries {
+		entry, err := f.parseEntry(copied.Upstream, copied.Source)
+		if err != nil {
+			e.Errors = append(e.Errors, err)
+			continue
+		}
+		e.Changes = append(e.Changes, f.changeRoster(now, table.Hold{}, func(r *roster.Roster) []roster.Change {
+			return asList(r.PutUnconfirmed(now, *entry))
+		})...)
+	}
+	for _, copied := range s.Removed {
+		entry, err := f.parseEntry(copied.Upstream, copied.Source)
+		if err != nil {
+			e.Errors = append(e.Errors, err)
+			continue
+		}
+		e.Changes = append(e.Changes, f.changeRoster(now, table.Hold{}, func(r *roster.Roster) []roster.Change {
+			return asList(r.RemoveEntry(now, *entry))
+		})...)
+	}
+	f.proveParts(s.CachedParts)
+	f.parts.Do(table.Hold{}, func(_ table.Hold, m *prefix.Map) { m.AddFromPeer(now, s.CachedParts, f.maxCacheTokens()) })
+	return e
+}
+
+// parseEntry parses the text of an entry that another router has sent. It fails if the
+// settings have no parser.
+func (f *Fleet) parseEntry(id core.UpstreamID, source []byte) (*roster.Entry, error) {
+	if f.settings.ParseEntry == nil {
+		return nil, errors.Errorf("entry of upstream %s: no parser configured", id)
+	}
+	e, err := f.settings.ParseEntry(id, source)
+	if err != nil {
+		return nil, err
+	}
+	return &e, nil
+}
--- a/router/wire/fleet.go
+++ b/router/wire/fleet.go
@@ -142,6 +142,7 @@
 type fleetSnapshotRequest struct {
 	Version         uint64 `cbor:"1,keyasint"`
 	WithCachedParts bool   `cbor:"2,keyasint,omitempty"`
+	CatalogOnly     bool   `cbor:"3,keyasint,omitempty"`
 }
 
 type fleetSnapshot struct {
--- a/router/wire/fleet_test.go
+++ b/router/wire/fleet_test.go
@@ -44,6 +44,7 @@
 	{OriginReply: &fleet.OriginReply{Stream: 7, Report: lineage.Report{Knowledge: lineage.Recorded, Release: "v1"}}},
 	{SentMS: 12, FullUpstream: &fleet.FullUpstream{Upstream: "u", Load: 17, PauseMS: 900}},
 	{SnapshotRequest: &fleet.SnapshotRequest{Version: 2, WithCachedParts: true}},
+	{SnapshotRequest: &fleet.SnapshotRequest{Version: 3, CatalogOnly: true}},
 	{Snapshot: &fleet.Snapshot{
 		Catalog: []byte("c"), Entries: []fleet.EntryCopy{{Upstream: "u", Source: []byte("{}")}},
 		Removed:     []fleet.EntryCopy{{Upstream: "v", Source: []byte("{}")}},
