Spread a prompt by its demand while counts are late

Cause: each router keeps the bound by what it last heard, and all rank engines alike. While messages are late, whatever the reason, a prompt that many callers use fills the engine that has it until the counts come, and the next ones likewise; reports of upstreams, which are newer than late counts, were used for 0.3 s only, and reports that other routers pass on counted as new.

Change: a router estimates from its own requests alone how often all routers get a prompt, and spreads it over the engines that this needs, the same ones at all routers, at random. Reports are used for as long as they are newer than the mean count, whose age includes the delay of messages.

--- a/core/fleet/candidates.go
+++ b/core/fleet/candidates.go
@@ -67,14 +67,14 @@
 }
 
 // candidates returns the eligible upstreams as candidates for a policy, without the
-// fields that loadBound.mark sets.
-func (f *Fleet) candidates(now time.Time, st *states, r Request, eligible []roster.Upstream, cached []cachedTokens) []Candidate {
+// fields that loadBound.mark sets. peerAge is the mean age of the other routers' counts.
+func (f *Fleet) candidates(now time.Time, st *states, r Request, eligible []roster.Upstream, cached []cachedTokens, peerAge time.Duration) []Candidate {
 	all := make([]Candidate, len(eligible))
 	prompt := prefix.TotalTokens(r.SharedParts)
 	for i, u := range eligible {
 		s, reach := st.get(u.ID), st.reach(u.DataCentre)
 		all[i] = Candidate{
-			Upstream: u, Load: s.load.Total(now), CachedTokens: cached[i].shared,
+			Upstream: u, Load: s.load.Total(now, peerAge), CachedTokens: cached[i].shared,
 			PartsMissing: cached[i].shared < prompt, TotalCached: cached[i].total,
 			FailureRate: s.health.FailureRate(now), SameDataCentre: u.DataCentre == f.settings.DataCentre,
 			Score: chat.Score(r.AffinityKey, string(u.ID)), Draw: chat.Score(r.draw, string(u.ID)), state: s,
@@ -97,19 +97,23 @@
 	boundSlack = 2
 )
 
-// loadBound is the highest load that an upstream may have, in requests.
-type loadBound int
+// loadBound bounds the load of each upstream of a pool, in requests.
+type loadBound struct {
+	// Most is the highest load that an upstream may have, Mean that of all upstreams.
+	Most int
+	Mean float64
+}
 
 // poolBound returns the bound for a pool, a multiple of the mean load plus a slack. The
 // mean includes upstreams that get no new work, which lower it.
-func (f *Fleet) poolBound(now time.Time, st *states, pool []roster.Upstream) loadBound {
+func (f *Fleet) poolBound(now time.Time, st *states, pool []roster.Upstream, peerAge time.Duration) loadBound {
 	total := 0
 	for _, u := range pool {
-		total += st.get(u.ID).load.Total(now)
+		total += st.get(u.ID).load.Total(now, peerAge)
 	}
 	mean := float64(total) / float64(max(len(pool), 1))
 	multiple := 1 + (max(f.settings.MaxLoadFactor, 1)-1)*boundFraction
-	return loadBound(multiple*mean) + boundSlack
+	return loadBound{Most: int(multiple*mean) + boundSlack, Mean: mean}
 }
 
 // mark sets OverBound on candidates that one more request would put over the bound,
@@ -121,7 +125,7 @@
 	var local []uint64
 	full := 0
 	for i, c := range all {
-		all[i].OverBound = c.Load+1 > int(b)
+		all[i].OverBound = c.Load+1 > b.Most
 		switch {
 		case all[i].OverBound && c.usefulTokens > 0:
 			full++
--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -56,24 +56,35 @@
 	}
 	routers, rank, settled := f.membership(now)
 	cached := table.Read(f.parts, table.Hold{}, func(m *prefix.Map) []cachedTokens { return cachedTokensOf(now, m, eligible, r.SharedParts) })
-	peerAge := heartbeatInterval(len(f.neighbours(now)))
+	neighbours := len(f.neighbours(now))
+	peerAge := f.countAge(neighbours)
+	demanding := routers
+	if policy.LocalOnly() {
+		demanding = neighbours + 1
+	}
 	f.updateAllotments(now, lo.Map(eligible, func(u roster.Upstream, _ int) core.UpstreamID { return u.ID }))
 	var best Candidate
 	var all []Candidate
 	var ask *Envelope
 	var refusal *core.Refusal
 	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
-		all = f.candidates(now, st, r, eligible, cached)
+		all = f.candidates(now, st, r, eligible, cached, peerAge)
 		setSlotShares(all, routers, rank, settled)
-		bound := f.poolBound(now, st, pool)
+		bound := f.poolBound(now, st, pool, peerAge)
 		st.setBound(r.Pool.Name, bound)
+		if len(tried) == 0 && r.Asks == 0 && len(r.SharedParts) > 0 {
+			st.demand.Add(now, r.AffinityKey)
+		}
+		engines := st.enginesFor(now, r, bound, demanding)
 		candidates := affordable(now, f.limitRamp(), r, len(tried) > 0, bound, willing(now, f.settings.Drain, permitted(r, all)))
 		best, ask = firstWithQuota(candidates, func(left []Candidate) Candidate {
 			bound.mark(left)
 			st.setExpectedLoads(now, r.Pool.Name, peerAge, left)
-			return preferred(policy, usable(now, left, func(c Candidate) bool {
+			left = usable(now, left, func(c Candidate) bool {
 				return f.mayUseCold(now, c, r, routers, rank, settled)
-			}))
+			})
+			markSpread(policy, engines, left)
+			return preferred(policy, left)
 		}, func(c Candidate) (bool, *Envelope) { return f.takeQuota(now, r, c) })
 		switch {
 		case best.state == nil:
--- a/core/fleet/full_upstream.go
+++ b/core/fleet/full_upstream.go
@@ -25,10 +25,11 @@
 // router didn't know that; else nil.
 func (f *Fleet) RecordLoad(now time.Time, t Target, report load.Report) *Message {
 	var full *Message
+	peerAge := f.countAge(len(f.neighbours(now)))
 	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
 		s := st.get(t.ID)
-		total, bound := report.Total(), int(st.bounds[t.Pool])
-		if bound > 0 && total >= bound && s.load.Total(now) < bound {
+		total, bound := report.Total(), st.bounds[t.Pool].Most
+		if bound > 0 && total >= bound && s.load.Total(now, peerAge) < bound {
 			full = &Message{FullUpstream: &FullUpstream{Upstream: t.ID, Load: total}}
 		}
 		s.load.ApplyReport(now, report)
@@ -37,15 +38,15 @@
 }
 
 // applyFullUpstream applies a report that another router has received, if the upstream
-// is known.
-func (f *Fleet) applyFullUpstream(now time.Time, full FullUpstream) {
+// is known. The message took a number of milliseconds longer than the quickest ones.
+func (f *Fleet) applyFullUpstream(now time.Time, full FullUpstream, delayMS int64) {
 	f.roster.Do(table.Hold{}, func(held table.Hold, u *upstreams) {
 		if _, known := u.roster.Get(full.Upstream); !known {
 			return
 		}
 		f.states.Do(held, func(_ table.Hold, st *states) {
 			s := st.get(full.Upstream)
-			s.load.ApplyReport(now, load.Report{Running: full.Load})
+			s.load.ApplyReport(agoMS(now, delayMS), load.Report{Running: full.Load})
 			if pause := time.Duration(max(full.PauseMS, 0)) * time.Millisecond; pause > 0 {
 				s.pauseUntil(now.Add(min(pause, rejectionPause)))
 			}
--- a/core/fleet/members.go
+++ b/core/fleet/members.go
@@ -52,8 +52,8 @@
 	listed bool
 	// snapshotRequests counts the routers with snapshotRequested.
 	snapshotRequests int
-	// delay is the longest recent delay of their messages.
-	delay longestDelay
+	// delays are those of their messages.
+	delays delays
 }
 
 const (
--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -110,7 +110,7 @@
 		e.Forward = f.passOn(now, from, Message{Segment: &segment})
 		return e
 	case m.FullUpstream != nil:
-		f.applyFullUpstream(now, *m.FullUpstream)
+		f.applyFullUpstream(now, *m.FullUpstream, delayMS)
 		return Effects{Forward: f.passOn(now, from, m)}
 	case m.Digest != nil:
 		changes := f.mergeStatements(now, m.Digest.Heartbeat.Statements, delayMS)
--- a/core/fleet/policy.go
+++ b/core/fleet/policy.go
@@ -28,6 +28,9 @@
 	// TopRanked is true if the upstream is among the first by rendezvous of those under
 	// the bound. Overflowing is true if engines that have the prompt are over the bound.
 	TopRanked, Overflowing bool
+	// InSpread is true if the upstream is among those over which a prompt is spread that
+	// needs more engines than one.
+	InSpread bool
 	// TotalCached is the estimated number of tokens of all prompts in the cache.
 	TotalCached int
 	// FailureRate is the recent failure rate, from 0 to 1.
@@ -63,6 +66,9 @@
 type Policy interface {
 	// Better reports whether a is preferred to b.
 	Better(a, b Candidate) bool
+	// LocalOnly reports whether requests go to other data centres only if the local one
+	// has no room.
+	LocalOnly() bool
 }
 
 // preferred returns the best candidate; its state is nil if there are none.
@@ -128,7 +134,8 @@
 }
 
 // Affinity prefers, among engines under the bound on the load, the one that has the
-// most of the prompt in its cache, and chooses at random among those that have as much.
+// most of the prompt in its cache, and chooses at random among those that have as much, or
+// among all over which the prompt is spread.
 type Affinity struct{}
 
 // Better implements Policy.
@@ -142,6 +149,12 @@
 	if a.OverBound && a.Load != b.Load {
 		return a.Load < b.Load
 	}
+	if a.InSpread != b.InSpread {
+		return a.InSpread
+	}
+	if a.InSpread {
+		return a.Draw > b.Draw
+	}
 	if a.usefulTokens != b.usefulTokens {
 		return a.usefulTokens > b.usefulTokens
 	}
@@ -160,6 +173,9 @@
 	return a.Score > b.Score
 }
 
+// LocalOnly implements Policy.
+func (Affinity) LocalOnly() bool { return false }
+
 // closerOrDrawn prefers the local data centre, whose load is known best, and chooses at
 // random within one.
 func closerOrDrawn(a, b Candidate) bool {
@@ -200,6 +216,9 @@
 	return Affinity{}.Better(a, b)
 }
 
+// LocalOnly implements Policy.
+func (LocalFirst) LocalOnly() bool { return true }
+
 // FreePlaces chooses at random, with a probability in proportion to the free places of
 // each upstream. Routers that don't know of each other's latest requests would all
 // choose the upstream with the lowest load. It prefers the local data centre, which no
@@ -216,3 +235,6 @@
 	}
 	return a.race() < b.race()
 }
+
+// LocalOnly implements Policy.
+func (FreePlaces) LocalOnly() bool { return false }
--- a/core/fleet/quota.go
+++ b/core/fleet/quota.go
@@ -151,7 +151,7 @@
 	prompt := prefix.TotalTokens(r.SharedParts)
 	for _, c := range all {
 		anyLimited = anyLimited || c.Limited
-		if c.Limited || c.Excluded || c.Upstream.Cold(now) || c.Load+1 > int(bound) {
+		if c.Limited || c.Excluded || c.Upstream.Cold(now) || c.Load+1 > bound.Most {
 			continue
 		}
 		if leastLoad < 0 || c.Load < leastLoad {
--- a/core/fleet/status.go
+++ b/core/fleet/status.go
@@ -97,11 +97,12 @@
 			s.Peers = append(s.Peers, PeerStatus{Router: m.ID, DataCentre: m.DataCentre, LastSeenAgoMS: millisSince(now, m.lastSeen)})
 		}
 	})
+	peerAge := f.countAge(len(f.neighbours(now)))
 	slices.SortFunc(s.Peers, func(a, b PeerStatus) int { return cmp.Compare(a.Router, b.Router) })
 	f.feed.Do(table.Hold{}, func(held table.Hold, p *feed.Progress) {
 		s.EntriesAgeMS = millisSince(now, p.KnownUntil)
 		f.roster.Do(held, func(held table.Hold, u *upstreams) {
-			f.states.Do(held, func(held table.Hold, st *states) { s.Upstreams = f.upstreamStatuses(now, u, st) })
+			f.states.Do(held, func(held table.Hold, st *states) { s.Upstreams = f.upstreamStatuses(now, u, st, peerAge) })
 		})
 	})
 	f.parts.Do(table.Hold{}, func(_ table.Hold, m *prefix.Map) {
@@ -116,12 +117,12 @@
 }
 
 // upstreamStatuses returns the status of each upstream.
-func (f *Fleet) upstreamStatuses(now time.Time, u *upstreams, st *states) []UpstreamStatus {
+func (f *Fleet) upstreamStatuses(now time.Time, u *upstreams, st *states, peerAge time.Duration) []UpstreamStatus {
 	all := make([]UpstreamStatus, 0, len(u.roster.All()))
 	for _, up := range u.roster.All() {
 		state, reach := st.get(up.ID), st.reach(up.DataCentre)
 		d := UpstreamStatus{
-			ID: up.ID, Pool: up.Pool, DataCentre: up.DataCentre, LocalRequests: state.load.Local, Load: state.load.Total(now),
+			ID: up.ID, Pool: up.Pool, DataCentre: up.DataCentre, LocalRequests: state.load.Local, Load: state.load.Total(now, peerAge),
 			FailureRate: state.health.FailureRate(now), LastSeenAgoMS: millisSince(now, state.lastSeen),
 		}
 		switch {
--- a/core/fleet/transit.go
+++ b/core/fleet/transit.go
@@ -44,25 +44,31 @@
 // delayWindow is the time for which the longest delay of a message counts at least.
 const delayWindow = time.Second
 
-// longestDelay holds the longest delay of the messages of all other routers. The zero value
-// has none.
-type longestDelay struct {
-	// current is that of the current window, which began at startedAt, previous that of the
-	// one before.
+// meanDelayWeight is the weight of the newest message in the mean delay: that of about a
+// second in a data centre of twenty routers.
+const meanDelayWeight = 0.02
+
+// delays holds the longest and the mean delay of the messages of all other routers. The zero
+// value has none.
+type delays struct {
+	// current is the longest of the current window, which began at startedAt, previous that
+	// of the one before.
 	current, previous time.Duration
 	startedAt         time.Time
+	mean              time.Duration
 }
 
 // record adds the delay of a message.
-func (d *longestDelay) record(now time.Time, delay time.Duration) {
+func (d *delays) record(now time.Time, delay time.Duration) {
 	if age := now.Sub(d.startedAt); age >= delayWindow {
-		*d = longestDelay{previous: d.recent(now), startedAt: now}
+		d.current, d.previous, d.startedAt = 0, d.longest(now), now
 	}
 	d.current = max(d.current, delay)
+	d.mean += time.Duration(meanDelayWeight * float64(delay-d.mean))
 }
 
-// recent returns the longest delay of the current and the previous window.
-func (d *longestDelay) recent(now time.Time) time.Duration {
+// longest returns the longest delay of the current and the previous window.
+func (d *delays) longest(now time.Time) time.Duration {
 	switch age := now.Sub(d.startedAt); {
 	case age < delayWindow:
 		return max(d.current, d.previous)
@@ -76,7 +82,14 @@
 // MessageDelay returns how much longer than the quickest ones messages of other routers have
 // taken within about a second, at most.
 func (f *Fleet) MessageDelay(now time.Time) time.Duration {
-	return table.Read(f.members, table.Hold{}, func(t *members) time.Duration { return t.delay.recent(now) })
+	return table.Read(f.members, table.Hold{}, func(t *members) time.Duration { return t.delays.longest(now) })
+}
+
+// countAge returns the mean age of the counts that other routers have sent, by their number
+// in the data centre.
+func (f *Fleet) countAge(neighbours int) time.Duration {
+	delay := table.Read(f.members, table.Hold{}, func(t *members) time.Duration { return t.delays.mean })
+	return heartbeatInterval(neighbours) + delay
 }
 
 // uptimeMS returns the time since the router's start in milliseconds, at least one.
@@ -96,7 +109,7 @@
 		}
 		delay := m.transit.record(now, f.uptimeMS(now)-sentMS)
 		t.byID[from.ID] = m
-		t.delay.record(now, time.Duration(delay)*time.Millisecond)
+		t.delays.record(now, time.Duration(delay)*time.Millisecond)
 		return delay
 	})
 }
--- a/core/fleet/upstream_state.go
+++ b/core/fleet/upstream_state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"camphorpulley.org/core"
+	"camphorpulley.org/core/demand"
 	"camphorpulley.org/core/health"
 	"camphorpulley.org/core/lineage"
 	"camphorpulley.org/core/load"
@@ -85,6 +86,8 @@
 	runTimes     map[core.Pool]*load.RunTime
 	// bounds holds the bound on the load by pool, as of the last choice.
 	bounds map[core.Pool]loadBound
+	// demand counts this router's requests by affinity key.
+	demand demand.Keys
 	// refusals holds by pool the times of requests that were refused because of limits.
 	refusals map[core.Pool]*ratelimit.Window
 }
--- a/core/load/run_time.go
+++ b/core/load/run_time.go
@@ -27,9 +27,9 @@
 	r.square += runTimeWeight * (s*s - r.square)
 }
 
-// remaining returns the mean time until the requests that are running now end. Long
+// Remaining returns the mean time until the requests that are running now end. Long
 // requests are overrepresented among them.
-func (r *RunTime) remaining() time.Duration {
+func (r *RunTime) Remaining() time.Duration {
 	if r.mean <= 0 {
 		return 0
 	}
@@ -40,7 +40,7 @@
 // the usual one is expected to be left at an age, from 0 to 1: the requests that were
 // counted end, and others go to any upstream. It is 1 if no run time is known.
 func (r *RunTime) relevance(age time.Duration) float64 {
-	remaining := r.remaining()
+	remaining := r.Remaining()
 	if remaining <= 0 {
 		return 1
 	}
--- a/core/load/tracker.go
+++ b/core/load/tracker.go
@@ -56,10 +56,13 @@
 	usualTime = 3 * time.Second
 )
 
-// ApplyReport records an upstream's report.
-func (t *Tracker) ApplyReport(now time.Time, r Report) {
+// ApplyReport records a report that an upstream made at a time, unless a later one is known.
+func (t *Tracker) ApplyReport(at time.Time, r Report) {
+	if at.Before(t.reportedAt) {
+		return
+	}
 	t.reportedRemote = max(r.Total()-t.Local, 0)
-	t.reportedAt = now
+	t.reportedAt = at
 }
 
 // ApplyPeer records how many requests a router in the local data centre has at the
@@ -109,9 +112,10 @@
 // local data centre have at the upstream.
 func (t *Tracker) DataCentre(now time.Time) int { return t.Local + t.neighbours(now) }
 
-// Total returns the number of requests at the upstream as last known.
-func (t *Tracker) Total(now time.Time) int {
-	remote, _ := t.remote(now, 0)
+// Total returns the number of requests at the upstream as last known. peerAge is the mean
+// age of the other routers' counts.
+func (t *Tracker) Total(now time.Time, peerAge time.Duration) int {
+	remote, _ := t.remote(now, peerAge)
 	return t.Local + remote
 }
 
