--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -201,6 +201,7 @@
 			"public": false, "sticky": r.streams, "stream_resume": r.resumable,
 		})
 	}
+	listed = append(listed, s.idleRoutes()...)
 	engine := map[string]any{"slots": engineSlots, "kv_capacity_tokens": 100000}
 	text, err := json.Marshal(map[string]any{
 		"version": s.configVersion, "routes": listed,
@@ -219,6 +220,29 @@
 	s.ledger.RecordConfig(time.Now(), pools)
 }
 
+const (
+	// largeConfigEvery selects the seeds with a large configuration: its multiples.
+	largeConfigEvery = 3
+	// idleRouteCount is the number of routes without requests in a large configuration.
+	idleRouteCount = 1500
+)
+
+// idleRoutes returns the routes that make a configuration large; none for most seeds.
+func (s *soak) idleRoutes() []map[string]any {
+	if s.seed%largeConfigEvery != 0 {
+		return nil
+	}
+	all := make([]map[string]any, 0, idleRouteCount)
+	for i := range idleRouteCount {
+		name := fmt.Sprintf("idle-%d", i)
+		all = append(all, map[string]any{
+			"name": name, "host": name + "." + soakHost, "path_prefix": "/", "type": "safe", "timeout_ms": requestTimeout.Milliseconds(),
+			"target_latency_ms": 300, "priority": 1, "service": "apps-a", "max_attempts": 1, "public": false, "sticky": false, "stream_resume": false,
+		})
+	}
+	return all
+}
+
 // run starts the fleet and the callers, injects faults, and checks that the fleet
 // recovers. It returns the number of requests by outcome, and the violations.
 func (s *soak) run(ctx context.Context) (map[string]int, []ledger.Violation, error) {
