--- a/core/catalog/transfer.go
+++ b/core/catalog/transfer.go
@@ -7,7 +7,7 @@
 // and a version appears at all routers at once, so that copies are bounded at both ends.
 
 const (
-	// transferRate is the rate at which a router sends catalogs to others, in bytes per
+	// transferRate is the rate at which a router sends snapshots to others, in bytes per
 	// second: less than half of a link of 25 Mbit/s.
 	transferRate = 1.5e6
 	// readGrace is how long a router waits for the store before it requests a catalog that
@@ -71,8 +71,8 @@
 	return true
 }
 
-// Supply decides how often a router sends its catalog to others: one copy after another, at
-// transferRate. The zero value has sent none.
+// Supply decides how often a router sends its catalog, and entries beside it, to others: one
+// copy after another, at transferRate. The zero value has sent none.
 type Supply struct {
 	// FreeAt is when the last copy has passed.
 	FreeAt time.Time
--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -56,8 +56,7 @@
 	}
 	routers, rank, settled := f.membership(now)
 	cached := table.Read(f.parts, table.Hold{}, func(m *prefix.Map) []cachedTokens { return cachedTokensOf(now, m, eligible, r.SharedParts) })
-	neighbours := len(f.neighbours(now))
-	peerAge := f.countAge(neighbours)
+	peerAge, neighbours := f.countAge(now)
 	demanding := routers
 	if policy.LocalOnly() {
 		demanding = neighbours + 1
--- a/core/fleet/full_upstream.go
+++ b/core/fleet/full_upstream.go
@@ -25,7 +25,7 @@
 // router didn't know that; else nil.
 func (f *Fleet) RecordLoad(now time.Time, t Target, report load.Report) *Message {
 	var full *Message
-	peerAge := f.countAge(len(f.neighbours(now)))
+	peerAge, _ := f.countAge(now)
 	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
 		s := st.get(t.ID)
 		total, bound := report.Total(), st.bounds[t.Pool].Most
--- a/core/fleet/message_verbs_test.go
+++ b/core/fleet/message_verbs_test.go
@@ -96,7 +96,7 @@
 	if sim.routers[from].Settings().DataCentre != sim.routers[to].Settings().DataCentre {
 		sim.crossings++
 	}
-	if m.Snapshot != nil && len(m.Snapshot.Catalog) > 0 {
+	if m.Snapshot != nil && len(m.Snapshot.Catalog)+len(m.Snapshot.Entries) > 0 {
 		sim.copies[from]++
 	}
 	effects := sim.routers[to].Receive(sim.now, member(sim.routers[from]), m)
@@ -141,11 +141,23 @@
 	sim.crossings = 0
 }
 
-// copies ROUTER COUNT: checks how many copies of the catalog a router has sent since the
-// last check.
+// request-snapshot FROM TO VERSION: a router requests a snapshot as builds do that don't
+// request the catalog alone.
+func cmdRequestSnapshot(ts *testscript.TestScript, sim *simulation, a []string) {
+	version, err := strconv.ParseUint(a[2], 10, 64)
+	ts.Check(err)
+	sim.deliver(a[0], a[1], fleet.Message{SnapshotRequest: &fleet.SnapshotRequest{Version: version}})
+}
+
+// copies [ROUTER COUNT]: checks how many snapshots that aren't empty a router has sent since the
+// last check, or since copies without arguments.
 func cmdCopies(ts *testscript.TestScript, sim *simulation, a []string) {
+	if len(a) == 0 {
+		clear(sim.copies)
+		return
+	}
 	if want, err := strconv.Atoi(a[1]); err != nil || sim.copies[a[0]] != want {
-		ts.Fatalf("copies of the catalog sent by %s: got %d, want %s", a[0], sim.copies[a[0]], a[1])
+		ts.Fatalf("snapshots sent by %s: got %d, want %s", a[0], sim.copies[a[0]], a[1])
 	}
 	delete(sim.copies, a[0])
 }
--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -41,7 +41,7 @@
 	frozen map[string]bool
 	// crossings counts the messages between data centres.
 	crossings int
-	// copies counts the copies of the catalog that each router has sent.
+	// copies counts the snapshots that each router has sent and that aren't empty.
 	copies   map[string]int
 	requests map[string]*sentRequest
 	slack    float64
@@ -113,6 +113,7 @@
 		"report":               cmdReport,
 		"freeze":               cmdFreeze,
 		"thaw":                 cmdThaw,
+		"request-snapshot":     cmdRequestSnapshot,
 		"copies":               cmdCopies,
 		"crossings":            cmdCrossings,
 		"routers-known":        cmdRoutersKnown,
--- a/core/fleet/snapshot.go
+++ b/core/fleet/snapshot.go
@@ -30,8 +30,7 @@
 
 // Snapshot holds the data that a router needs to serve without the store.
 type Snapshot struct {
-	// Catalog is the text of the catalog; empty if the requester's is as new, or if the
-	// sender has just sent it to another router.
+	// Catalog is the text of the catalog; empty if the requester's is as new.
 	Catalog []byte
 	// Entries are those of the upstreams in use and of those that drain. Removed are the
 	// last ones of upstreams that are gone: the copy from which a store has come back may
@@ -62,41 +61,53 @@
 	return &Message{SnapshotRequest: &request}
 }
 
-// snapshot returns the reply to a request for a snapshot.
+// snapshot returns the reply to a request for a snapshot. It is empty if another router is
+// just getting a copy: the requester then asks elsewhere. Requests for cache contents, of
+// which a router makes few, are always served.
 func (f *Fleet) snapshot(now time.Time, w SnapshotRequest) *Snapshot {
-	text := f.catalogCopy(now, w.Version)
-	if w.CatalogOnly {
-		return &Snapshot{Catalog: text}
+	s := &Snapshot{}
+	if c := f.Catalog(); c != nil && c.Version > w.Version {
+		s.Catalog = c.Source
 	}
-	s := &Snapshot{Statements: f.statementReports(now), Catalog: text}
+	if !w.CatalogOnly {
+		s.Statements = f.statementReports(now)
+		s.Entries, s.Removed = f.entryCopies(now)
+	}
+	if w.WithCachedParts {
+		s.CachedParts = table.Read(f.parts, table.Hold{}, func(m *prefix.Map) []prefix.CachedPart { return m.All(now) })
+		return s
+	}
+	if !table.Read(f.catalog, table.Hold{}, func(t *catalogs) bool { return t.supply.Take(now, s.size()) }) {
+		return &Snapshot{}
+	}
+	return s
+}
+
+// size returns the number of bytes of the texts in the snapshot.
+func (s *Snapshot) size() int {
+	size := len(s.Catalog)
+	for _, list := range [][]EntryCopy{s.Entries, s.Removed} {
+		for _, copied := range list {
+			size += len(copied.Source)
+		}
+	}
+	return size
+}
+
+// entryCopies returns the entries of a snapshot.
+func (f *Fleet) entryCopies(now time.Time) (entries, removed []EntryCopy) {
 	f.roster.Do(table.Hold{}, func(_ table.Hold, u *upstreams) {
 		for _, up := range u.roster.All() {
 			copied := EntryCopy{Upstream: up.ID, Source: up.Source}
 			switch {
 			case u.roster.AcceptsWork(now, up), up.Draining && up.RemovedAt.IsZero():
-				s.Entries = append(s.Entries, copied)
+				entries = append(entries, copied)
 			case !up.RemovedAt.IsZero() && up.RemovedInOutage == 0:
-				s.Removed = append(s.Removed, copied)
+				removed = append(removed, copied)
 			}
 		}
 	})
-	if w.WithCachedParts {
-		s.CachedParts = table.Read(f.parts, table.Hold{}, func(m *prefix.Map) []prefix.CachedPart { return m.All(now) })
-	}
-	return s
-}
-
-// catalogCopy returns the text of the catalog for a router that has an older version; empty
-// if that has none older, or if another router is just getting a copy.
-func (f *Fleet) catalogCopy(now time.Time, version uint64) []byte {
-	c := f.Catalog()
-	if c == nil || c.Version <= version {
-		return nil
-	}
-	if !table.Read(f.catalog, table.Hold{}, func(t *catalogs) bool { return t.supply.Take(now, len(c.Source)) }) {
-		return nil
-	}
-	return c.Source
+	return entries, removed
 }
 
 // applySnapshot applies a snapshot. Its entries count as unconfirmed.
--- a/core/fleet/status.go
+++ b/core/fleet/status.go
@@ -97,7 +97,7 @@
 			s.Peers = append(s.Peers, PeerStatus{Router: m.ID, DataCentre: m.DataCentre, LastSeenAgoMS: millisSince(now, m.lastSeen)})
 		}
 	})
-	peerAge := f.countAge(len(f.neighbours(now)))
+	peerAge, _ := f.countAge(now)
 	slices.SortFunc(s.Peers, func(a, b PeerStatus) int { return cmp.Compare(a.Router, b.Router) })
 	f.feed.Do(table.Hold{}, func(held table.Hold, p *feed.Progress) {
 		s.EntriesAgeMS = millisSince(now, p.KnownUntil)
--- a/core/fleet/transit.go
+++ b/core/fleet/transit.go
@@ -85,11 +85,18 @@
 	return table.Read(f.members, table.Hold{}, func(t *members) time.Duration { return t.delays.longest(now) })
 }
 
-// countAge returns the mean age of the counts that other routers have sent, by their number
-// in the data centre.
-func (f *Fleet) countAge(neighbours int) time.Duration {
-	delay := table.Read(f.members, table.Hold{}, func(t *members) time.Duration { return t.delays.mean })
-	return heartbeatInterval(neighbours) + delay
+// countAge returns the mean age of the counts that other routers have sent, and the number of
+// other routers in the data centre.
+func (f *Fleet) countAge(now time.Time) (age time.Duration, neighbours int) {
+	f.members.Do(table.Hold{}, func(_ table.Hold, t *members) {
+		for _, m := range t.byID {
+			if m.DataCentre == f.settings.DataCentre && now.Sub(m.refreshedAt) <= memberTTL {
+				neighbours++
+			}
+		}
+		age = heartbeatInterval(neighbours) + t.delays.mean
+	})
+	return age, neighbours
 }
 
 // uptimeMS returns the time since the router's start in milliseconds, at least one.
