Spread a configuration in time where few routers reach the store

Cause: each router waited for the store from when it first heard of the version, again at each hop, also where its reads fail; and all routers of a data centre asked the same sender at once, which could serve one.

Change: heartbeats state for how long the version has been in force; a router whose reads fail doesn't wait; four routers ask the sender of a heartbeat, drawn at random; copies that occupy a quarter of a second of the link may be sent together, so that small configurations go out at once. Older builds state no age and are waited for as before.

--- a/core/catalog/transfer.go
+++ b/core/catalog/transfer.go
@@ -10,9 +10,12 @@
 	// transferRate is the rate at which a router sends snapshots to others, in bytes per
 	// second: less than half of a link of 25 Mbit/s.
 	transferRate = 1.5e6
-	// readGrace is how long a router waits for the store before it requests a catalog that
-	// another router has.
-	readGrace = 500 * time.Millisecond
+	// transferBacklog is for how long copies that were sent may still occupy the link when
+	// one more is sent.
+	transferBacklog = 250 * time.Millisecond
+	// readGrace is how long a router waits for the store, besides half of the time of a
+	// transfer, before it requests a catalog that another router has.
+	readGrace = 250 * time.Millisecond
 	// replyTime is how long a router waits for a requested catalog, besides its transfer,
 	// before it requests it from another router.
 	replyTime = 500 * time.Millisecond
@@ -26,44 +29,43 @@
 // Fetch decides when a router requests catalogs from others: from one at a time. The zero
 // value has requested none.
 type Fetch struct {
-	// Newest is the newest version that another router has stated, NewerSince when one newer
-	// than the catalog in force was first stated.
+	// Newest is the newest version that another router has stated, NewerSince when a router is
+	// first known to have applied one newer than the catalog in force.
 	Newest     uint64
 	NewerSince time.Time
 	// RequestedAt is when a catalog was last requested.
 	RequestedAt time.Time
+	// StoreFails is true if the last read of the store failed.
+	StoreFails bool
 }
 
-// Due reports whether a router with a catalog, nil if it has none, is to request one from a
-// router that states another version; if so, it counts as requested. A router without a
-// catalog doesn't wait for the store.
-func (f *Fetch) Due(now time.Time, own *Catalog, stated uint64) bool {
-	version, size := uint64(0), 0
-	if own != nil {
-		version, size = own.Version, len(own.Source)
-	}
+// Wants reports whether a router with a catalog, nil if it has none, wants the version that
+// another router states, which a router has applied at a time, as far as is known. A router
+// without a catalog, or one whose reads fail, doesn't wait for the store.
+func (f *Fetch) Wants(now time.Time, own *Catalog, stated uint64, appliedAt time.Time) bool {
+	version, size := own.versionAndSize()
 	if stated <= version {
 		return false
 	}
-	if f.Newest <= version {
-		f.NewerSince = now
+	if f.Newest <= version || appliedAt.Before(f.NewerSince) {
+		f.NewerSince = appliedAt
 	}
 	f.Newest = max(f.Newest, stated)
-	if own != nil && now.Sub(f.NewerSince) < readGrace {
-		return false
-	}
-	return f.take(now, size)
+	return own == nil || f.StoreFails || now.Sub(f.NewerSince) >= readGrace+transferTime(size)/2
 }
 
-// DueWithoutUpstreams reports whether a router that knows no upstreams is to request a
-// snapshot from one that does; if so, it counts as requested.
-func (f *Fetch) DueWithoutUpstreams(now time.Time) bool { return f.take(now, 0) }
-
-// RecordReply records that a reply to a request has come, with a catalog or without.
-func (f *Fetch) RecordReply() { f.RequestedAt = time.Time{} }
+// Since returns when a router is first known to have applied a version that is now applied.
+func (f *Fetch) Since(now time.Time, version uint64) time.Time {
+	if f.Newest != version {
+		return now
+	}
+	return f.NewerSince
+}
 
-// take counts a request unless the last one may still be answered.
-func (f *Fetch) take(now time.Time, size int) bool {
+// Take reports whether a router with a catalog, nil if it has none, may make a request; if so,
+// it counts as made. It may not while the last one may still be answered.
+func (f *Fetch) Take(now time.Time, own *Catalog) bool {
+	_, size := own.versionAndSize()
 	if !f.RequestedAt.IsZero() && now.Sub(f.RequestedAt) < replyTime+transferTime(size) {
 		return false
 	}
@@ -71,18 +73,33 @@
 	return true
 }
 
+// versionAndSize returns the version of a catalog and the size of its text in bytes; zero for
+// nil.
+func (c *Catalog) versionAndSize() (version uint64, size int) {
+	if c == nil {
+		return 0, 0
+	}
+	return c.Version, len(c.Source)
+}
+
+// RecordReply records that a reply to a request has come, with a catalog or without.
+func (f *Fetch) RecordReply() { f.RequestedAt = time.Time{} }
+
 // Supply decides how often a router sends its catalog, and entries beside it, to others: one
 // copy after another, at transferRate. The zero value has sent none.
 type Supply struct {
-	// FreeAt is when the last copy has passed.
+	// FreeAt is when the copies that were sent have passed.
 	FreeAt time.Time
 }
 
 // Take reports whether a copy of a size in bytes may be sent; if so, it counts as sent.
 func (s *Supply) Take(now time.Time, size int) bool {
-	if now.Before(s.FreeAt) {
+	if s.FreeAt.Sub(now) >= transferBacklog {
 		return false
 	}
-	s.FreeAt = now.Add(transferTime(size))
+	if s.FreeAt.Before(now) {
+		s.FreeAt = now
+	}
+	s.FreeAt = s.FreeAt.Add(transferTime(size))
 	return true
 }
--- a/core/catalog/transfer_test.go
+++ b/core/catalog/transfer_test.go
@@ -59,11 +59,13 @@
 	runSteps(t, "fetch.txt", func(now time.Time, verb string, args []string) string {
 		switch verb {
 		case "state":
-			return yes(f.Due(now, own, uint64(number(t, args[0]))))
+			return yes(f.Wants(now, own, uint64(number(t, args[0])), now) && f.Take(now, own))
 		case "apply":
 			own = &Catalog{Version: uint64(number(t, args[0])), Source: make([]byte, number(t, args[1]))}
 		case "reply":
 			f.RecordReply()
+		case "store":
+			f.StoreFails = args[0] == "fails"
 		}
 		return ""
 	})
--- a/core/fleet/digest.go
+++ b/core/fleet/digest.go
@@ -215,7 +215,7 @@
 			t.membersSentAt = now
 		}
 	})
-	d.Heartbeat.Version = f.CatalogVersion()
+	d.Heartbeat.Version, d.Heartbeat.VersionAgeMS = f.versionAndAge(now)
 	d.Heartbeat.Parts, d.Heartbeat.Statements = f.partEvidence(now), f.statementReports(now)
 	d.Heartbeat.UpstreamsInService = len(f.inService(now))
 	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -75,8 +75,10 @@
 // catalogs is the table of the newest catalog and of its transfers between routers.
 type catalogs struct {
 	latest catalog.Latest
-	fetch  catalog.Fetch
-	supply catalog.Supply
+	// appliedAt is when a router is first known to have applied it.
+	appliedAt time.Time
+	fetch     catalog.Fetch
+	supply    catalog.Supply
 }
 
 // upstreams is the table of the upstreams from discovery.
@@ -128,10 +130,11 @@
 
 // ApplyCatalog puts a catalog in force if it is newer than the current one, and reports
 // whether it is.
-func (f *Fleet) ApplyCatalog(c *catalog.Catalog) bool {
+func (f *Fleet) ApplyCatalog(now time.Time, c *catalog.Catalog) bool {
 	var newer bool
 	f.catalog.Do(table.Hold{}, func(_ table.Hold, t *catalogs) {
 		if newer = t.latest.Update(c); newer {
+			t.appliedAt = t.fetch.Since(now, c.Version)
 			f.current.Store(c.Index())
 		}
 	})
--- a/core/fleet/heartbeat.go
+++ b/core/fleet/heartbeat.go
@@ -12,8 +12,10 @@
 // Heartbeat is the periodic message to the other routers of the data centre: the
 // sender's current view, and what it has observed since its last heartbeat.
 type Heartbeat struct {
-	// Version is that of the catalog in force.
-	Version uint64
+	// Version is that of the catalog in force, VersionAgeMS the time in milliseconds since a
+	// router is first known to have applied it; zero if that isn't stated.
+	Version      uint64
+	VersionAgeMS int64
 	// UpstreamsInService is the number of upstreams that the sender knows and that may
 	// get work.
 	UpstreamsInService int
@@ -67,9 +69,7 @@
 // heartbeats. It also drops data on upstreams that were removed long ago.
 func (f *Fleet) NextHeartbeat(now time.Time) Heartbeat {
 	var b Heartbeat
-	if c := f.Catalog(); c != nil {
-		b.Version = c.Version
-	}
+	b.Version, b.VersionAgeMS = f.versionAndAge(now)
 	var dropped []core.UpstreamID
 	f.roster.Do(table.Hold{}, func(_ table.Hold, u *upstreams) {
 		dropped = u.roster.PruneRemoved(now)
--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -6,6 +6,7 @@
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/poison"
 	"camphorpulley.org/core/roster"
+	"camphorpulley.org/core/table"
 )
 
 // Message is a message between routers. Exactly one of the pointers and lists is not nil.
@@ -136,6 +137,17 @@
 	return Effects{}
 }
 
+// versionAndAge returns the version of the catalog in force, zero if there is none, and the time
+// in milliseconds since a router is first known to have applied it.
+func (f *Fleet) versionAndAge(now time.Time) (version uint64, ageMS int64) {
+	f.catalog.Do(table.Hold{}, func(_ table.Hold, t *catalogs) {
+		if c := t.latest.Current; c != nil {
+			version, ageMS = c.Version, max(now.Sub(t.appliedAt).Milliseconds(), 0)
+		}
+	})
+	return version, ageMS
+}
+
 // CatalogVersion returns the version of the catalog in force; zero if there is none.
 func (f *Fleet) CatalogVersion() uint64 {
 	if c := f.Catalog(); c != nil {
--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -41,6 +41,8 @@
 	frozen map[string]bool
 	// crossings counts the messages between data centres.
 	crossings int
+	// catalogBytes is the size of the catalog's text.
+	catalogBytes int
 	// copies counts the snapshots that each router has sent and that aren't empty.
 	copies   map[string]int
 	requests map[string]*sentRequest
@@ -73,6 +75,7 @@
 		"router":               cmdRouter,
 		"pool":                 cmdPool,
 		"route":                cmdRoute,
+		"catalog-size":         cmdCatalogSize,
 		"apply-catalog":        cmdApplyCatalog,
 		"upstream":             cmdUpstream,
 		"remove":               cmdRemove,
@@ -252,6 +255,13 @@
 	})
 }
 
+// catalog-size BYTES: sets the size of the text of the next versions of the catalog.
+func cmdCatalogSize(ts *testscript.TestScript, sim *simulation, a []string) {
+	var err error
+	sim.catalogBytes, err = strconv.Atoi(a[0])
+	ts.Check(err)
+}
+
 // apply-catalog VERSION [ROUTER...]: routers, or all, apply the catalog as a version.
 func cmdApplyCatalog(ts *testscript.TestScript, sim *simulation, a []string) {
 	version, err := strconv.ParseUint(a[0], 10, 64)
@@ -259,8 +269,8 @@
 	sim.catalog.Version = max(version, sim.catalog.Version)
 	sim.each(a[1:], func(f *fleet.Fleet) {
 		c := sim.catalog
-		c.Version, c.Source = version, []byte("catalog")
-		f.ApplyCatalog(&c)
+		c.Version, c.Source = version, make([]byte, max(sim.catalogBytes, 1))
+		f.ApplyCatalog(sim.now, &c)
 	})
 }
 
--- a/core/fleet/snapshot.go
+++ b/core/fleet/snapshot.go
@@ -1,11 +1,13 @@
 package fleet
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"camphorpulley.org/core"
+	"camphorpulley.org/core/chat"
 	"camphorpulley.org/core/prefix"
 	"camphorpulley.org/core/roster"
 	"camphorpulley.org/core/table"
@@ -50,9 +52,9 @@
 	own := f.Catalog()
 	request := SnapshotRequest{Version: f.CatalogVersion(), WithCachedParts: f.takeSnapshotRequest(from.ID)}
 	bare := b.UpstreamsInService > 0 && !f.anyInService(now)
+	drawn := f.asks(now, from)
 	due := table.Read(f.catalog, table.Hold{}, func(t *catalogs) bool {
-		newer := t.fetch.Due(now, own, b.Version)
-		return newer || (bare && t.fetch.DueWithoutUpstreams(now))
+		return (t.fetch.Wants(now, own, b.Version, agoMS(now, b.VersionAgeMS)) || bare) && drawn && t.fetch.Take(now, own)
 	})
 	if !due && !request.WithCachedParts {
 		return nil
@@ -61,6 +63,22 @@
 	return &Message{SnapshotRequest: &request}
 }
 
+// askersPerHeartbeat is how many of the routers that get a heartbeat request a snapshot from
+// its sender, on average, if all want one.
+const askersPerHeartbeat = 4
+
+// asks reports at random whether the router requests a snapshot that it wants from the sender
+// of a message: all routers of a data centre get a heartbeat at once, and the sender could
+// serve few of them.
+func (f *Fleet) asks(now time.Time, from Member) bool {
+	_, neighbours := f.countAge(now)
+	if from.DataCentre != f.settings.DataCentre || neighbours <= askersPerHeartbeat {
+		return true
+	}
+	draw := chat.Score(chat.Key("", string(f.settings.ID), nil), string(from.ID)+strconv.FormatInt(now.UnixMilli(), 10))
+	return draw%uint64(neighbours) < askersPerHeartbeat
+}
+
 // snapshot returns the reply to a request for a snapshot. It is empty if another router is
 // just getting a copy: the requester then asks elsewhere. Requests for cache contents, of
 // which a router makes few, are always served.
@@ -83,6 +101,11 @@
 	return s
 }
 
+// RecordCatalogRead records whether a read of the operators' records in the store succeeded.
+func (f *Fleet) RecordCatalogRead(succeeded bool) {
+	f.catalog.Do(table.Hold{}, func(_ table.Hold, t *catalogs) { t.fetch.StoreFails = !succeeded })
+}
+
 // size returns the number of bytes of the texts in the snapshot.
 func (s *Snapshot) size() int {
 	size := len(s.Catalog)
@@ -118,7 +141,7 @@
 		c, err := f.settings.ParseCatalog(s.Catalog)
 		if err != nil {
 			e.Errors = append(e.Errors, err)
-		} else if f.ApplyCatalog(c) {
+		} else if f.ApplyCatalog(now, c) {
 			e.Version = c.Version
 		}
 	}
--- a/lab/fleet/change.go
+++ b/lab/fleet/change.go
@@ -58,7 +58,7 @@
 	answered := now.Add(time.Duration(sim.random.Int64N(int64(storeDelay))))
 	sim.events.add(answered, func(now time.Time) {
 		sim.events.add(r.in.transfer(now, len(c.Source), sim.scenario.Fleet.Link), func(now time.Time) {
-			if r.epoch == epoch && r.fleet.ApplyCatalog(&c) {
+			if r.epoch == epoch && r.fleet.ApplyCatalog(now, &c) {
 				sim.recordApplied(now, c.Version)
 			}
 		})
--- a/lab/fleet/simulation.go
+++ b/lab/fleet/simulation.go
@@ -143,7 +143,7 @@
 		r.fleet.AddMember(sim.now, other.member)
 	}
 	r.fleet.MarkMembersListed()
-	r.fleet.ApplyCatalog(sim.catalog)
+	r.fleet.ApplyCatalog(sim.now, sim.catalog)
 	sim.readEntries(r)
 	epoch := r.epoch
 	var send func(time.Time)
--- a/router/cluster/entry_reader_test.go
+++ b/router/cluster/entry_reader_test.go
@@ -24,7 +24,7 @@
 			return roster.Entry{ID: id, Pool: "p", Address: "127.0.0.1:1", Source: text}, nil
 		},
 	})
-	tables.ApplyCatalog(&catalog.Catalog{Version: 1})
+	tables.ApplyCatalog(time.Now(), &catalog.Catalog{Version: 1})
 	return tables
 }
 
--- a/router/cluster/feed_reader.go
+++ b/router/cluster/feed_reader.go
@@ -78,6 +78,9 @@
 	if ctx.Err() != nil {
 		return
 	}
+	if f.feed == OperatorFeed {
+		f.fleet.RecordCatalogRead(err == nil)
+	}
 	var gap *GapError
 	switch {
 	case errors.As(err, &gap):
@@ -197,7 +200,7 @@
 	case e.Err != nil:
 		f.log.Warn("record_invalid", zap.String("feed", f.feed.String()), logs.Err(e.Err))
 	case e.Catalog != nil:
-		if f.fleet.ApplyCatalog(e.Catalog) {
+		if f.fleet.ApplyCatalog(now, e.Catalog) {
 			f.log.Info("catalog_applied", zap.Uint64("version", e.Catalog.Version), zap.Int("routes", len(e.Catalog.Routes)),
 				zap.Int("keys", len(e.Catalog.Keys)))
 		}
--- a/router/gateway/script_test.go
+++ b/router/gateway/script_test.go
@@ -104,7 +104,7 @@
 			EventTimeout: 100 * time.Millisecond, MaxRuns: 2, Public: true, Pools: []catalog.PoolWeight{{Pool: "p", Weight: 1}},
 		}
 	}
-	fl.ApplyCatalog(&catalog.Catalog{
+	fl.ApplyCatalog(time.Now(), &catalog.Catalog{
 		Version: 1, Pools: map[core.Pool]catalog.Pool{"p": {Name: "p"}},
 		Routes: []catalog.Route{
 			route("safe", catalog.Idempotent, false), route("at-most-once", catalog.AtMostOnce, false),
--- a/router/wire/fleet.go
+++ b/router/wire/fleet.go
@@ -90,6 +90,7 @@
 	Parts              []fleetEvidence   `cbor:"9,keyasint,omitempty"`
 	Statements         []fleetStatement  `cbor:"10,keyasint,omitempty"`
 	CutOff             []core.Pool       `cbor:"11,keyasint,omitempty"`
+	VersionAgeMS       int64             `cbor:"12,keyasint,omitempty"`
 }
 
 type fleetResults struct {
@@ -190,7 +191,7 @@
 
 func encodeFleetHeartbeat(b fleet.Heartbeat) *fleetHeartbeat {
 	return &fleetHeartbeat{
-		Version: b.Version, UpstreamsInService: b.UpstreamsInService,
+		Version: b.Version, VersionAgeMS: b.VersionAgeMS, UpstreamsInService: b.UpstreamsInService,
 		Running:     lo.Map(b.Running, func(r fleet.Running, _ int) fleetRunning { return fleetRunning(r) }),
 		Ejections:   lo.Map(b.Ejections, func(r fleet.Ejection, _ int) fleetEjection { return fleetEjection(r) }),
 		CachedParts: encodeCachedParts(b.CachedParts),
@@ -204,7 +205,7 @@
 
 func decodeFleetHeartbeat(b fleetHeartbeat) *fleet.Heartbeat {
 	return &fleet.Heartbeat{
-		Version: b.Version, UpstreamsInService: b.UpstreamsInService,
+		Version: b.Version, VersionAgeMS: b.VersionAgeMS, UpstreamsInService: b.UpstreamsInService,
 		Running:     lo.Map(b.Running, func(r fleetRunning, _ int) fleet.Running { return fleet.Running(r) }),
 		Ejections:   lo.Map(b.Ejections, func(r fleetEjection, _ int) fleet.Ejection { return fleet.Ejection(r) }),
 		CachedParts: decodeCachedParts(b.CachedParts),
--- a/router/wire/fleet_test.go
+++ b/router/wire/fleet_test.go
@@ -22,7 +22,7 @@
 		Results:     []fleet.ResultCount{{Upstream: "u", Successes: 3, Failures: 1}},
 		Parts:       partEvidence,
 		Statements:  []fleet.StatementReport{statementReport},
-		CutOff:      []core.Pool{"p"},
+		CutOff:      []core.Pool{"p"}, VersionAgeMS: 250,
 	}},
 	{Statements: []fleet.StatementReport{statementReport, {Upstream: "v"}}},
 	{QuotaRequest: &fleet.QuotaRequest{Limit: statementReport, Count: 2, Preferred: true}},
