--- a/lab/soak/main.go
+++ b/lab/soak/main.go
@@ -40,6 +40,7 @@
 				&cli.IntFlag{Name: "routers", Value: 4, Usage: "number of routers"},
 				&cli.IntFlag{Name: "callers", Value: 24, Usage: "number of callers"},
 				&cli.StringFlag{Name: "program", Value: "bin/camphorpulley-platform", Usage: "path of the router's executable"},
+				&cli.StringFlag{Name: "previous", Usage: "path of an earlier build's executable; each router runs one of the two and is replaced by the other halfway"},
 				&cli.StringFlag{Name: "dir", Value: "run/soak", Usage: "folder for the routers' settings and logs"},
 				&cli.BoolFlag{Name: "unread", Usage: "send the routers' logs to pipes that nobody reads"},
 				&cli.BoolFlag{Name: "planned", Usage: "inject planned work only, for every seed"},
@@ -66,7 +67,7 @@
 	for _, seed := range seeds {
 		o := options{
 			seed: seed, faultTime: c.Duration("for"), routers: c.Int("routers"), callers: c.Int("callers"),
-			plannedOnly: c.Bool("planned") || seed%plannedOnlyEvery == 0, unreadLogs: c.Bool("unread"), program: c.String("program"),
+			plannedOnly: c.Bool("planned") || seed%plannedOnlyEvery == 0, unreadLogs: c.Bool("unread"), program: c.String("program"), previous: c.String("previous"),
 			dir: filepath.Join(c.String("dir"), strconv.FormatUint(seed, 10)), logLevel: c.String("level"),
 		}
 		s := &soak{options: o, log: logs.New(o.logLevel), ledger: &ledger.Ledger{}, store: &store.Store{}}
--- a/lab/soak/router.go
+++ b/lab/soak/router.go
@@ -62,6 +62,8 @@
 	// process is nil while no process runs.
 	process *os.Process
 	starts  int
+	// program is the path of the executable that the next process runs.
+	program string
 	// failedChecks is the number of readiness checks in a row that failed.
 	failedChecks int
 }
@@ -121,17 +123,24 @@
 	return writer, err
 }
 
+// executable returns the path of the executable that the next process runs.
+func (r *router) executable() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.program
+}
+
 // supervise runs the process, restarts it whenever it exits, and kills it when ctx
 // ends. It returns an error if the log can't be opened or the process can't be
 // started.
-func (r *router) supervise(ctx context.Context, program string, unread bool, log *zap.Logger, started func()) error {
+func (r *router) supervise(ctx context.Context, unread bool, log *zap.Logger, started func()) error {
 	out, err := r.openLog(unread)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = out.Close() }()
 	for ctx.Err() == nil {
-		cmd := exec.Command(program, "run", r.settingsFile)
+		cmd := exec.Command(r.executable(), "run", r.settingsFile)
 		cmd.Stdout, cmd.Stderr = out, out
 		started()
 		if err := cmd.Start(); err != nil {
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -31,8 +31,9 @@
 	plannedOnly bool
 	// unreadLogs sends the routers' logs to pipes that nobody reads.
 	unreadLogs bool
-	// program is the path of the router's executable.
-	program string
+	// program is the path of the router's executable, previous that of an earlier build
+	// beside which it runs; empty if there is none.
+	program, previous string
 	// dir is the folder for the routers' settings and logs.
 	dir      string
 	logLevel string
@@ -117,11 +118,15 @@
 		if err != nil {
 			return err
 		}
+		r.program = s.program
 		s.routers = append(s.routers, r)
 	}
+	if s.previous != "" {
+		s.drawBuilds(rand.New(rand.NewPCG(s.seed, 4<<32)))
+	}
 	for _, r := range s.routers {
 		s.wg.Go(func() {
-			if err := r.supervise(ctx, s.program, s.unreadLogs, s.log, func() { s.ledger.ForgetStatements(r.id) }); err != nil {
+			if err := r.supervise(ctx, s.unreadLogs, s.log, func() { s.ledger.ForgetStatements(r.id) }); err != nil {
 				s.ledger.RecordViolation(time.Now(), "harness", "supervise router %s: %v", r.id, err)
 			}
 		})
@@ -262,6 +267,9 @@
 	recordStartupEnd(time.Now())
 	s.wg.Go(func() { s.letRunnersSpeak(ctx, rand.New(rand.NewPCG(s.seed, 2<<32))) })
 	s.wg.Go(func() { s.restoreStore(ctx, rand.New(rand.NewPCG(s.seed, 3<<32))) })
+	if s.previous != "" {
+		s.wg.Go(func() { s.replaceRouters(ctx, rand.New(rand.NewPCG(s.seed, 5<<32))) })
+	}
 	s.injectFaults(ctx, rand.New(rand.NewPCG(s.seed, 1<<32)))
 	sleep(ctx, settleTime)
 	s.checkRecovery(ctx)
