--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -71,8 +71,8 @@
 		setSlotShares(all, routers, rank, settled)
 		bound := f.poolBound(now, st, pool, peerAge)
 		st.setBound(r.Pool.Name, bound)
-		if len(tried) == 0 && r.Asks == 0 && len(r.SharedParts) > 0 {
-			st.demand.Add(now, r.AffinityKey)
+		if len(tried) == 0 && r.Asks == 0 {
+			st.recordDemand(now, r)
 		}
 		engines := st.enginesFor(now, r, bound, demanding)
 		candidates := affordable(now, f.limitRamp(), r, len(tried) > 0, bound, willing(now, f.settings.Drain, permitted(r, all)))
--- a/core/fleet/spread.go
+++ b/core/fleet/spread.go
@@ -45,6 +45,13 @@
 	}
 }
 
+// recordDemand counts a request towards the demand for its prompt.
+func (st *states) recordDemand(now time.Time, r Request) {
+	if r.Pool.Engine != nil && len(r.SharedParts) > 0 {
+		st.demand.Add(now, r.AffinityKey)
+	}
+}
+
 // enginesFor returns the number of engines that the prompt of a request needs, of which a
 // number of routers get requests; zero if the request shares no prompt.
 func (st *states) enginesFor(now time.Time, r Request, b loadBound, routers int) int {
--- a/lab/fleet/simulation.go
+++ b/lab/fleet/simulation.go
@@ -11,7 +11,6 @@
 	"camphorpulley.org/core/fleet"
 	"camphorpulley.org/core/retry"
 	"camphorpulley.org/core/roster"
-	"camphorpulley.org/router/wire"
 )
 
 // simulation runs the decisions of all routers of a fleet in simulated time. Nothing
@@ -203,62 +202,6 @@
 	sim.events.add(sim.now.Add(d), event)
 }
 
-// delay returns the one-way delay between two data centres.
-func (sim *simulation) delay(a, b core.DataCentre) time.Duration {
-	if a == b {
-		return sim.scenario.Fleet.Local
-	}
-	return sim.scenario.Fleet.Remote
-}
-
-// post encodes a message, counts its bytes and delivers it after the links' delays.
-func (sim *simulation) post(from *router, to core.RouterID, m fleet.Message) {
-	target := sim.byID[to]
-	data, err := wire.EncodeFleetMessage(m)
-	if target == nil || err != nil {
-		return
-	}
-	if sim.measuring() {
-		from.sent += len(data)
-		sim.figures.countMessage(m.Kind(), len(data), from.member.DataCentre == target.member.DataCentre)
-	}
-	sender, sentAt, epoch := from.member, sim.now, target.epoch
-	bits := sim.scenario.Fleet.Link
-	arrives := from.out.transfer(sim.now, len(data), bits).Add(sim.delay(from.member.DataCentre, target.member.DataCentre))
-	sim.events.add(arrives, func(now time.Time) {
-		sim.events.add(target.in.transfer(now, len(data), bits).Add(target.lag), func(now time.Time) {
-			if target.stopped || target.epoch != epoch {
-				return
-			}
-			if sim.measuring() {
-				sim.figures.delay = max(sim.figures.delay, now.Sub(sentAt))
-			}
-			sim.receive(now, target, sender, data)
-		})
-	})
-}
-
-// receive lets a router apply a message, and sends its replies.
-func (sim *simulation) receive(now time.Time, target *router, sender fleet.Member, data []byte) {
-	received, err := wire.DecodeFleetMessage(data)
-	if err != nil {
-		return
-	}
-	effects := target.fleet.Receive(now, sender, received)
-	if effects.QuotaFor != "" {
-		target.wakeWaiting(now, effects.QuotaFor)
-	}
-	if effects.Version > 0 {
-		sim.recordApplied(now, effects.Version)
-	}
-	if effects.Reply != nil {
-		sim.post(target, sender.ID, *effects.Reply)
-	}
-	for _, e := range effects.Forward {
-		sim.post(target, e.To, e.Message)
-	}
-}
-
 // measuring reports whether the warm-up is over.
 func (sim *simulation) measuring() bool { return sim.now.Sub(start) >= sim.scenario.Run.Warmup }
 
@@ -275,41 +218,3 @@
 	}
 	return sim.report()
 }
-
-// scheduleLoss stops routers, at once or in groups, and starts them again.
-func (sim *simulation) scheduleLoss(l LossSection) {
-	sim.after(sim.scenario.Run.Warmup+l.At, func(now time.Time) {
-		var lost []*router
-		for i, r := range sim.routers {
-			if (l.Share == 0 && r.dataCentre == l.DataCentre) || (l.Share > 0 && float64(i) < l.Share*float64(len(sim.routers))) {
-				lost = append(lost, r)
-			}
-		}
-		for i, r := range lost {
-			stopAt := now
-			if l.Group > 0 {
-				stopAt = now.Add(time.Duration(i/l.Group) * l.Gap)
-			}
-			sim.events.add(stopAt, func(now time.Time) {
-				r.stopped = true
-				r.epoch++
-				sim.events.add(now.Add(l.For), func(time.Time) { sim.startRouter(r) })
-			})
-		}
-	})
-}
-
-// scheduleLag makes routers slow for a time.
-func (sim *simulation) scheduleLag(l LagSection) {
-	set := func(lag time.Duration) func(time.Time) {
-		return func(time.Time) {
-			for i, r := range sim.routers {
-				if float64(i) < l.Share*float64(len(sim.routers)) {
-					r.lag = lag
-				}
-			}
-		}
-	}
-	sim.after(sim.scenario.Run.Warmup+l.At, set(l.Time))
-	sim.after(sim.scenario.Run.Warmup+l.At+l.For, set(0))
-}
