Send the configuration to a router that is behind from one router at a time

Each router that had a newer revision than the sender of a heartbeat sent it the whole configuration, with each heartbeat, also while that one was just reading it from the log.

--- a/core/node/fleet_test.go
+++ b/core/node/fleet_test.go
@@ -30,9 +30,11 @@
 	inTransit  []packet
 	loss       func() bool
 	failures   []string
-	denied     int
-	finished   int
-	delay      time.Duration
+	// copies counts the snapshots that were delivered to each router.
+	copies   map[core.RouterID]int
+	denied   int
+	finished int
+	delay    time.Duration
 	// unchecked turns off the check of engines' limits.
 	unchecked bool
 }
@@ -92,6 +94,7 @@
 		engines:    map[core.UpstreamID]*engine{},
 		requests:   map[string]*request{},
 		partitions: map[[2]core.RouterID]bool{},
+		copies:     map[core.RouterID]int{},
 		loss:       func() bool { return false },
 		delay:      fleetStep,
 	}
@@ -461,6 +464,9 @@
 		to.inbox = append(to.inbox, p)
 		return
 	}
+	if p.m.Snapshot != nil {
+		f.copies[p.to]++
+	}
 	handshake := p.from
 	f.apply(p.to, to.node.Receive(f.now, p.from, node.Message{Handshake: &handshake}))
 	f.apply(p.to, to.node.Receive(f.now, p.from, p.m))
--- a/core/node/heartbeat.go
+++ b/core/node/heartbeat.go
@@ -11,7 +11,7 @@
 
 // receiveHeartbeat applies a heartbeat. It answers with a heartbeat if the sender
 // requests claims, and with a snapshot of the configuration if the sender's
-// revision is older.
+// revision is older and it is this router's turn to send one.
 func (n *Node) receiveHeartbeat(now time.Time, from Handshake, hb Heartbeat) Effects {
 	n.updatePeer(now, from, hb)
 	n.applyHealth(now, from, hb.Health)
@@ -23,11 +23,9 @@
 	if hb.RequestClaims {
 		e.send(from.Router, Message{Heartbeat: n.heartbeatTo(n.view(now), from.Router)})
 	}
-	n.config.Do(table.Hold{}, func(_ table.Hold, c *configuration) {
-		if snapshot := c.tracker.Snapshot(); snapshot.Revision.Number > hb.Revision {
-			e.send(from.Router, Message{Snapshot: &snapshot})
-		}
-	})
+	if snapshot := n.configurationFor(now, from.Router, hb.Revision); snapshot != nil {
+		e.send(from.Router, Message{Snapshot: snapshot})
+	}
 	return e
 }
 
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -82,6 +82,8 @@
 	// claimsRequested is cleared by each heartbeat and not read: requests for claims
 	// are answered at once.
 	claimsRequested bool
+	// lag is that of the other router's configuration.
+	lag lag
 }
 
 type upstreams struct {
--- a/core/node/script_test.go
+++ b/core/node/script_test.go
@@ -63,6 +63,7 @@
 		"inflight":    cmdInflight,
 		"coordinator": cmdCoordinator,
 		"revision":    cmdRevision,
+		"copies":      cmdCopies,
 		"running":     cmdRunning,
 		"drain":       cmdDrain,
 		"show":        cmdShow,
@@ -221,6 +222,16 @@
 	}
 }
 
+// copies ROUTER MOST: checks that a router has got copies of the configuration from others,
+// and how many since the last check.
+func cmdCopies(ts *testscript.TestScript, f *fleet, a []string) {
+	id := core.RouterID(a[0])
+	if got, most := f.copies[id], number(ts, a[1]); got == 0 || got > most {
+		ts.Fatalf("copies of the configuration sent to %s: got %d, want some and at most %d", id, got, most)
+	}
+	delete(f.copies, id)
+}
+
 // show: prints the state of every upstream at every router.
 func cmdShow(ts *testscript.TestScript, f *fleet, _ []string) {
 	for _, id := range f.routerIDs() {
