Rank the engines of the data centre for requests that stay there

Cause: such requests stay in the data centre, but the first engines by rendezvous were taken from all data centres, so that mostly none of them is there. A prompt that no local engine has then went to the local engine with the emptiest cache, which is the same at all routers: a new one gets the requests of all until they hear of each other.

Change: for these requests the local engines alone are ranked.

local-first-spread failed before (4 of 10 requests at one engine, at most 3).

--- a/core/fleet/candidates.go
+++ b/core/fleet/candidates.go
@@ -119,8 +119,8 @@
 // mark sets OverBound on candidates that one more request would put over the bound,
 // TopRanked on the first ones by rendezvous among the others, and Overflowing. The more
 // engines that have the prompt are over the bound, the more are top-ranked; they are
-// then those of the local data centre if it has any.
-func (b loadBound) mark(all []Candidate) {
+// then those of the local data centre if it has any, as they are if requests go to that alone.
+func (b loadBound) mark(localOnly bool, all []Candidate) {
 	scores := make([]uint64, 0, len(all))
 	var local []uint64
 	full := 0
@@ -136,7 +136,7 @@
 			}
 		}
 	}
-	if full > 0 && len(local) > 0 {
+	if (full > 0 || localOnly) && len(local) > 0 {
 		scores = local
 	}
 	if len(scores) == 0 {
--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -77,7 +77,7 @@
 		engines := st.enginesFor(now, r, bound, demanding)
 		candidates := affordable(now, f.limitRamp(), r, len(tried) > 0, bound, willing(now, f.settings.Drain, permitted(r, all)))
 		best, ask = firstWithQuota(candidates, func(left []Candidate) Candidate {
-			bound.mark(left)
+			bound.mark(policy.LocalOnly(), left)
 			st.setExpectedLoads(now, r.Pool.Name, peerAge, left)
 			left = usable(now, left, func(c Candidate) bool {
 				return f.mayUseCold(now, c, r, routers, rank, settled)
