Spread prompts over several engines while routers hear nothing from each other

Cause: counts age while other routers are silent or late, and the first requests of all routers for a prompt still went to the one engine that has it; a delay showed only once the late messages had arrived.

Change: counts are at least as old as the last messages of the live routers of the data centre; once they are a second old, each prompt is spread over three engines.

--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -74,7 +74,7 @@
 		if len(tried) == 0 && r.Asks == 0 {
 			st.recordDemand(now, r)
 		}
-		engines := st.enginesFor(now, r, bound, demanding)
+		engines := st.enginesFor(now, r, bound, demanding, peerAge)
 		candidates := affordable(now, f.limitRamp(), r, len(tried) > 0, bound, willing(now, f.settings.Drain, permitted(r, all)))
 		best, ask = firstWithQuota(candidates, func(left []Candidate) Candidate {
 			bound.mark(policy.LocalOnly(), left)
--- a/core/fleet/spread.go
+++ b/core/fleet/spread.go
@@ -16,6 +16,10 @@
 // requests of one prompt are to take at each of its engines: they don't arrive evenly.
 const spreadFraction = 0.5
 
+// lateAge is the mean age of counts from which on each prompt is spread over topChoices
+// engines: what all routers send to one engine within that time could fill it.
+const lateAge = time.Second
+
 // enginesNeeded returns the number of engines that the requests of a prompt need which come
 // at a rate per second and run for a time on average.
 func (b loadBound) enginesNeeded(rate float64, runTime time.Duration) int {
@@ -53,11 +57,16 @@
 }
 
 // enginesFor returns the number of engines that the prompt of a request needs, of which a
-// number of routers get requests; zero if the request shares no prompt.
-func (st *states) enginesFor(now time.Time, r Request, b loadBound, routers int) int {
+// number of routers get requests; zero if the request shares no prompt. countAge is the mean
+// age of the other routers' counts.
+func (st *states) enginesFor(now time.Time, r Request, b loadBound, routers int, countAge time.Duration) int {
 	if r.Pool.Engine == nil || len(r.SharedParts) == 0 {
 		return 0
 	}
 	rate := st.demand.Rate(now, r.AffinityKey, routers)
-	return b.enginesNeeded(rate, st.runTime(r.Pool.Name).Remaining())
+	needed := b.enginesNeeded(rate, st.runTime(r.Pool.Name).Remaining())
+	if countAge >= lateAge {
+		needed = max(needed, topChoices)
+	}
+	return needed
 }
--- a/core/fleet/transit.go
+++ b/core/fleet/transit.go
@@ -86,15 +86,22 @@
 }
 
 // countAge returns the mean age of the counts that other routers have sent, and the number of
-// other routers in the data centre.
+// other routers in the data centre. If those are silent, the counts are at least as old as
+// their last messages.
 func (f *Fleet) countAge(now time.Time) (age time.Duration, neighbours int) {
 	f.members.Do(table.Hold{}, func(_ table.Hold, t *members) {
+		live, silence := 0, time.Duration(0)
 		for _, m := range t.byID {
-			if m.DataCentre == f.settings.DataCentre && now.Sub(m.refreshedAt) <= memberTTL {
-				neighbours++
+			if m.DataCentre != f.settings.DataCentre || now.Sub(m.refreshedAt) > memberTTL {
+				continue
+			}
+			neighbours++
+			if !m.lastSeen.IsZero() && m.live(now) {
+				live++
+				silence += now.Sub(m.lastSeen)
 			}
 		}
-		age = heartbeatInterval(neighbours) + t.delays.mean
+		age = max(heartbeatInterval(neighbours), silence/time.Duration(max(live, 1))) + t.delays.mean
 	})
 	return age, neighbours
 }
