--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the scripts of the cases start, with the standard library alone.
 set -euo pipefail
 cd "$(dirname "$0")/standin"
-GOWORK=off GOPROXY=off go build -o ../bin/standin .
+GOWORK=off GOPROXY=off go build -buildvcs=false -o ../bin/standin .
