--- a/review/standin/env.go
+++ b/review/standin/env.go
@@ -71,7 +71,7 @@
 	for _, zone := range e.zones {
 		for i := range perZone {
 			one := c
-			one.zone, one.id = zone, fmt.Sprintf("i-%s-%s%s-%d", c.service, c.name, strings.TrimPrefix(zone, "levant-"), i+1)
+			one.zone, one.id = zone, fmt.Sprintf("i-%s-%s-%d", c.service, strings.TrimPrefix(zone, "levant-"), i+1)
 			r, err := e.addRunner(one)
 			if err != nil {
 				return nil, err
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -16,9 +16,8 @@
 
 // runnerConfig describes a runner.
 type runnerConfig struct {
-	// name tells pools of one service apart.
-	name, id, service, zone, version string
-	slots                            int
+	id, service, zone, version string
+	slots                      int
 	// events is the number of events of a stream, eventTime the time for each.
 	events    int
 	eventTime time.Duration
--- a/review/standin/versions.go
+++ b/review/standin/versions.go
@@ -9,18 +9,27 @@
 	"time"
 )
 
-// mixVersions ends a release: half of the runners of a service serve with the next version of
-// their software, and the others are restarted with it one after the other, each under its id. No client's stream may hold events of both.
+// mixVersions ends a release: most runners of a service serve with the next version of their
+// software, and the others are restarted with it one after the other, each under its id. No
+// client's stream may hold events of both.
 func mixVersions(e *env, trouble bool) (bool, error) {
-	newer, err := e.addPool(runnerConfig{name: "new", service: "camphor", version: "v2", slots: 64, events: 48, eventTime: 40 * time.Millisecond}, 2)
-	if err != nil {
-		return false, err
-	}
-	older, err := e.addPool(runnerConfig{name: "old", service: "camphor", version: "v1", slots: 64, events: 48, eventTime: 40 * time.Millisecond}, 2)
-	if err != nil {
-		return false, err
+	var older []*runner
+	for i := range engines {
+		c := runnerConfig{
+			id: fmt.Sprintf("i-camphor-%d", i+1), zone: e.zones[i%len(e.zones)], service: "camphor", version: "v2",
+			slots: 64, events: 48, eventTime: 40 * time.Millisecond,
+		}
+		if i < restarts {
+			c.version = "v1"
+		}
+		r, err := e.addRunner(c)
+		if err != nil {
+			return false, err
+		}
+		if i < restarts {
+			older = append(older, r)
+		}
 	}
-	e.log.event("%d runners of version v2, %d of version v1", len(newer), len(older))
 	if _, err := e.addPool(runnerConfig{service: "orders", version: "v1", slots: 6, workTime: 30 * time.Millisecond}, 1); err != nil {
 		return false, err
 	}
@@ -74,8 +83,12 @@
 const (
 	// streamsPerSecond is the rate of die-spec in zfe-press.
 	streamsPerSecond = 22.9
+	// engines is the number of runners of camphor, restarts how many of them are restarted, at most the share of 0.49 that a
+	// release takes in zfe-press.
+	engines  = 12
+	restarts = 5
 	// restartTime is how long a runner is down when it is restarted, restartGap the time
-	// between the restarts of two, as of a release in zfe-press.
+	// between the restarts of two, that of the same release.
 	restartTime = 200 * time.Millisecond
 	restartGap  = 710 * time.Millisecond
 	// prompts is the number of prompts that several streams share.
