--- /dev/null
+++ b/base/dial/conn.go
@@ -0,0 +1,116 @@
+package dial
+
+import (
+	"io"
+	"net"
+	"os"
+	"syscall"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
+
+	"camphorpulley.org/base/wrap"
+	"camphorpulley.org/core/table"
+)
+
+// Conn is a TCP connection whose Read returns io.EOF only once the peer has closed its
+// direction. The kernel reports a reset or a time-out to one call, which may be a Write; a
+// net.TCPConn then returns io.EOF to the reader, as at the end of a response.
+type Conn struct {
+	net.Conn
+	tcp *net.TCPConn
+	// writes holds the error of the first write that failed. It is locked during a write,
+	// so that a reader that needs it waits for the write's end.
+	writes table.Cell[error]
+	// readErr is the error of the first read that failed; the reader alone uses it.
+	readErr error
+}
+
+// LostError reports that a connection was lost before the peer closed it.
+type LostError struct {
+	Cause error
+}
+
+// Error implements error.
+func (e *LostError) Error() string { return "connection lost: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *LostError) Unwrap() error { return e.Cause }
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	var n int
+	var err error
+	c.writes.Do(table.Hold{}, func(_ table.Hold, failed *error) {
+		n, err = c.Conn.Write(p)
+		if *failed == nil {
+			*failed = err
+		}
+	})
+	return n, err
+}
+
+// Read implements net.Conn. In place of io.EOF, the error is a *LostError if the peer hasn't
+// closed its direction.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		if cause := c.loss(); cause != nil {
+			return n, &LostError{Cause: cause}
+		}
+		return n, err
+	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && c.readErr == nil {
+		c.readErr = err
+	}
+	return n, err
+}
+
+// loss returns the error with which the connection was lost, at the end of what can be read;
+// nil if the peer has closed its direction.
+func (c *Conn) loss() error {
+	if c.readErr != nil {
+		return c.readErr
+	}
+	info, err := c.info()
+	if err == nil && info.State != tcpClose {
+		return nil
+	}
+	// A write on a closed socket doesn't block.
+	failed := table.Read(&c.writes, table.Hold{}, func(failed *error) error { return *failed })
+	if errors.Is(failed, syscall.EPIPE) {
+		// The reset has come after the peer had closed its direction.
+		return nil
+	}
+	return failed
+}
+
+// tcpClose is the state of a socket that was reset or has timed out. It is also that of one
+// on which a reset has followed the end of the peer's bytes.
+const tcpClose = 7
+
+// info returns the kernel's information on the connection.
+func (c *Conn) info() (*unix.TCPInfo, error) {
+	raw, err := c.tcp.SyscallConn()
+	if err != nil {
+		return nil, wrap.Err(err, "access socket")
+	}
+	var info *unix.TCPInfo
+	var optionErr error
+	err = raw.Control(func(fd uintptr) {
+		info, optionErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if err == nil {
+		err = optionErr
+	}
+	return info, wrap.Err(err, "query connection state")
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) { return c.tcp.SyscallConn() }
+
+// Reset closes the connection and discards what waits to be sent.
+func (c *Conn) Reset() {
+	_ = c.tcp.SetLinger(0)
+	_ = c.tcp.Close()
+}
--- a/base/dial/dial.go
+++ b/base/dial/dial.go
@@ -1,5 +1,5 @@
-// Package dial opens TCP connections that fail when the peer stops
-// acknowledging data.
+// Package dial opens TCP connections. A connection that was lost doesn't look like one that
+// the peer has closed, and one whose peer has stopped to acknowledge data fails.
 package dial
 
 import (
@@ -19,11 +19,28 @@
 const UserTimeout = time.Second
 
 // TCP opens a TCP connection over IPv4, or fails once timeout has passed. The
-// connection fails once sent bytes stay unacknowledged for UserTimeout.
+// connection fails once sent bytes stay unacknowledged for UserTimeout. It is a *Conn.
 func TCP(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	c, err := Open(ctx, address, timeout)
+	if err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// Open is like TCP, for callers that need more than a net.Conn.
+func Open(ctx context.Context, address string, timeout time.Duration) (*Conn, error) {
 	d := net.Dialer{Timeout: timeout, KeepAlive: -1, Control: setUserTimeout}
-	conn, err := d.DialContext(ctx, "tcp4", address)
-	return conn, wrap.Err(err, "connect")
+	raw, err := d.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, wrap.Err(err, "connect")
+	}
+	tcp, ok := raw.(*net.TCPConn)
+	if !ok {
+		_ = raw.Close()
+		return nil, wrap.Err(net.UnknownNetworkError(raw.LocalAddr().Network()), "connect")
+	}
+	return &Conn{Conn: tcp, tcp: tcp}, nil
 }
 
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
--- a/router/gateway/upstream_verbs_test.go
+++ b/router/gateway/upstream_verbs_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"camphorpulley.org/base/dial/dialtest"
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/roster"
 )
@@ -94,7 +95,7 @@
 					return
 				}
 			}
-		case "reset":
+		case "reset", "early-reset":
 			time.Sleep(20 * time.Millisecond)
 			_ = c.(*net.TCPConn).SetLinger(0)
 			return
@@ -135,7 +136,7 @@
 // upstream NAME [DC [RELEASE]]: starts an upstream in a data centre, "a" by default, whose
 // entry states a software release, by default none.
 func cmdUpstream(ts *testscript.TestScript, f *fixture, a []string) {
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	ln, err := dialtest.Listen()
 	ts.Check(err)
 	u := &upstream{listener: ln}
 	f.upstreams[a[0]] = u
@@ -162,8 +163,9 @@
 	_ = f.upstreams[a[0]].listener.Close()
 }
 
-// respond UPSTREAM FILE keep|close|reset|hang|early: adds to the upstream's next
-// responses. Line ends up to the first empty line of the file become CR LF. An empty
+// respond UPSTREAM FILE keep|close|reset|hang|early|early-reset: adds to the upstream's next
+// responses. The early ones are sent before the request's body is read; early-reset then
+// resets the connection with the body unread. Line ends up to the first empty line of the file become CR LF. An empty
 // file sends nothing.
 func cmdRespond(ts *testscript.TestScript, f *fixture, a []string) {
 	data := rawResponse(ts.ReadFile(a[1]))
--- a/router/httpclient/pool.go
+++ b/router/httpclient/pool.go
@@ -10,7 +10,6 @@
 import (
 	"bufio"
 	"context"
-	"net"
 	"time"
 
 	"camphorpulley.org/base/dial"
@@ -23,7 +22,7 @@
 
 // Conn is a connection to an upstream.
 type Conn struct {
-	net.Conn
+	*dial.Conn
 	Reader *bufio.Reader
 	// limit bounds what Reader reads while a head is expected.
 	limit   *headLimit
@@ -67,7 +66,7 @@
 		}
 		_ = c.Close()
 	}
-	raw, err := dial.TCP(ctx, address, o.ConnectTimeout)
+	raw, err := dial.Open(ctx, address, o.ConnectTimeout)
 	if err != nil {
 		return nil, err
 	}
--- a/router/httpclient/reusable.go
+++ b/router/httpclient/reusable.go
@@ -1,7 +1,6 @@
 package httpclient
 
 import (
-	"net"
 	"syscall"
 
 	"github.com/go-faster/errors"
@@ -10,11 +9,7 @@
 // reusable reports whether an idle connection is still open and has no unread
 // bytes. Bytes that arrived after the last response belong to no request.
 func (c *Conn) reusable() bool {
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/router/httpclient/roundtrip.go
+++ b/router/httpclient/roundtrip.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -69,7 +68,7 @@
 // returned. The connection is closed when ctx ends, and after an error.
 func (c *Conn) Do(ctx context.Context, r Request, deadline time.Time, checkHead func(status int, h http.Header) error) (*Response, error) {
 	resp := &Response{conn: c, writeResult: make(chan error, 1)}
-	resp.detach = context.AfterFunc(ctx, c.reset)
+	resp.detach = context.AfterFunc(ctx, c.Reset)
 	if err := c.SetDeadline(deadline); err != nil {
 		resp.Abort()
 		return nil, wrap.Err(err, "set deadline")
@@ -160,16 +159,8 @@
 // the request is discarded.
 func (resp *Response) Abort() {
 	resp.detach()
-	resp.conn.reset()
-}
-
-// reset closes the connection and discards what waits to be sent: a request that was given
-// up must not arrive once the path to the upstream is back.
-func (c *Conn) reset() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = c.Close()
+	// A request that was given up must not arrive once the path to the upstream is back.
+	resp.conn.Reset()
 }
 
 // Release returns the connection to a pool if it can be used again: the request
