--- a/base/dial/conn.go
+++ b/base/dial/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"syscall"
+	"time"
 
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
@@ -22,8 +23,13 @@
 	// writes holds the error of the first write that failed. It is locked during a write,
 	// so that a reader that needs it waits for the write's end.
 	writes table.Cell[error]
-	// readErr is the error of the first read that failed; the reader alone uses it.
+	// The reader alone uses what follows. readErr is the error of the first read that failed.
 	readErr error
+	// checked is true if a waiting Read checks that the peer acknowledges what it is sent.
+	checked  bool
+	liveness Liveness
+	// deadline is that of Read; zero if there is none.
+	deadline time.Time
 }
 
 // LostError reports that a connection was lost before the peer closed it.
@@ -53,7 +59,7 @@
 // Read implements net.Conn. In place of io.EOF, the error is a *LostError if the peer hasn't
 // closed its direction.
 func (c *Conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.wait(p)
 	if errors.Is(err, io.EOF) {
 		if cause := c.loss(); cause != nil {
 			return n, &LostError{Cause: cause}
@@ -66,6 +72,46 @@
 	return n, err
 }
 
+// wait reads, and checks the connection while nothing arrives.
+func (c *Conn) wait(p []byte) (int, error) {
+	if !c.checked {
+		return c.Conn.Read(p)
+	}
+	for {
+		until := time.Now().Add(checkInterval)
+		if !c.deadline.IsZero() && c.deadline.Before(until) {
+			until = c.deadline
+		}
+		if err := c.Conn.SetReadDeadline(until); err != nil {
+			return 0, err
+		}
+		n, err := c.Conn.Read(p)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.liveness = Liveness{}
+			return n, err
+		}
+		now := time.Now()
+		if info, infoErr := c.info(); infoErr == nil && c.liveness.Lost(now, info) {
+			return 0, &LostError{Cause: syscall.ETIMEDOUT}
+		}
+		if !c.deadline.IsZero() && !now.Before(c.deadline) {
+			return n, err
+		}
+	}
+}
+
+// SetDeadline implements net.Conn. Only the reader may call it.
+func (c *Conn) SetDeadline(t time.Time) error {
+	c.deadline = t
+	return c.Conn.SetDeadline(t)
+}
+
+// SetReadDeadline implements net.Conn. Only the reader may call it.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.deadline = t
+	return c.Conn.SetReadDeadline(t)
+}
+
 // loss returns the error with which the connection was lost, at the end of what can be read;
 // nil if the peer has closed its direction.
 func (c *Conn) loss() error {
--- a/base/dial/dial.go
+++ b/base/dial/dial.go
@@ -13,24 +13,35 @@
 	"camphorpulley.org/base/wrap"
 )
 
-// UserTimeout is how long sent bytes may stay unacknowledged before the kernel
-// closes the connection: well above the time of a retransmission, and below the
+// UserTimeout is how long sent bytes may stay unacknowledged before a
+// connection fails: well above the time of a retransmission, and below the
 // time-outs of callers.
 const UserTimeout = time.Second
 
-// TCP opens a TCP connection over IPv4, or fails once timeout has passed. The
-// connection fails once sent bytes stay unacknowledged for UserTimeout. It is a *Conn.
+// TCP opens a TCP connection over IPv4, or fails once timeout has passed. The kernel closes
+// the connection once sent bytes stay unacknowledged for UserTimeout, and also once the peer
+// has read nothing for that long while bytes wait to be sent. It is a *Conn.
 func TCP(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
-	c, err := Open(ctx, address, timeout)
+	c, err := open(ctx, address, timeout, setUserTimeout)
 	if err != nil {
 		return nil, err
 	}
 	return c, nil
 }
 
-// Open is like TCP, for callers that need more than a net.Conn.
+// Open is like TCP, except that the peer may read as late as it likes while it acknowledges
+// what it is sent. A Read fails once sent bytes stay unacknowledged for UserTimeout.
 func Open(ctx context.Context, address string, timeout time.Duration) (*Conn, error) {
-	d := net.Dialer{Timeout: timeout, KeepAlive: -1, Control: setUserTimeout}
+	c, err := open(ctx, address, timeout, nil)
+	if err != nil {
+		return nil, err
+	}
+	c.checked = true
+	return c, nil
+}
+
+func open(ctx context.Context, address string, timeout time.Duration, control func(network, address string, raw syscall.RawConn) error) (*Conn, error) {
+	d := net.Dialer{Timeout: timeout, KeepAlive: -1, Control: control}
 	raw, err := d.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, wrap.Err(err, "connect")
--- a/base/dial/script_test.go
+++ b/base/dial/script_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/rogpeppe/go-internal/testscript"
+	"golang.org/x/sys/unix"
 
 	"camphorpulley.org/base/dial"
 	"camphorpulley.org/base/dial/dialtest"
@@ -28,7 +29,7 @@
 			return err
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"write": with(cmdWrite), "await-write": with(cmdAwaitWrite), "read": with(cmdRead), "peer-sends": with(cmdPeerSends),
+			"begin-read": with(cmdBeginRead), "sample": with(cmdSample), "write": with(cmdWrite), "await-write": with(cmdAwaitWrite), "read": with(cmdRead), "peer-sends": with(cmdPeerSends),
 			"peer-reads": with(cmdPeerReads), "peer-ends": with(cmdPeerEnds), "pause": with(cmdPause),
 		},
 	})
@@ -40,8 +41,16 @@
 type pair struct {
 	conn *dial.Conn
 	peer *net.TCPConn
-	// written receives the result of the last write.
+	// written receives the result of the last write, and read what was read up to an error.
 	written chan error
+	read    chan readResult
+	// liveness is what the samples of a script are shown to.
+	liveness dial.Liveness
+}
+
+type readResult struct {
+	text string
+	err  error
 }
 
 // testTimeout bounds each wait of a script.
@@ -104,9 +113,23 @@
 	return "ok"
 }
 
-// read TEXT end|lost: reads up to an error and checks the text before it and the error.
+// begin-read: begins to read up to an error.
+func cmdBeginRead(_ *testscript.TestScript, p *pair, _ []string) {
+	p.read = make(chan readResult, 1)
+	go func() {
+		text, err := io.ReadAll(p.conn)
+		p.read <- readResult{text: string(text), err: err}
+	}()
+}
+
+// read TEXT end|lost: reads up to an error, unless begin-read has begun, and checks the text
+// before the error and the error.
 func cmdRead(ts *testscript.TestScript, p *pair, a []string) {
-	got, err := io.ReadAll(p.conn)
+	if p.read == nil {
+		cmdBeginRead(ts, p, nil)
+	}
+	r := <-p.read
+	got, err := r.text, r.err
 	end := "end"
 	var lost *dial.LostError
 	switch {
@@ -115,7 +138,7 @@
 	case err != nil:
 		end = err.Error()
 	}
-	if string(got) != a[0] || end != a[1] {
+	if got != a[0] || end != a[1] {
 		ts.Fatalf("read: got %q and %s, want %q and %s", got, end, a[0], a[1])
 	}
 }
@@ -155,3 +178,21 @@
 	ts.Check(err)
 	time.Sleep(d)
 }
+
+// sample AT UNACKED RECEIVED alive|lost: shows a state of a connection at a time, with so many
+// segments in flight and received, and checks what is concluded.
+func cmdSample(ts *testscript.TestScript, p *pair, a []string) {
+	at, err := time.ParseDuration(a[0])
+	ts.Check(err)
+	unacked, err := strconv.ParseUint(a[1], 10, 32)
+	ts.Check(err)
+	received, err := strconv.ParseUint(a[2], 10, 32)
+	ts.Check(err)
+	got := "alive"
+	if p.liveness.Lost(time.Unix(1000, 0).Add(at), &unix.TCPInfo{Unacked: uint32(unacked), Segs_in: uint32(received)}) {
+		got = "lost"
+	}
+	if got != a[3] {
+		ts.Fatalf("connection at %s: got %s, want %s", a[0], got, a[3])
+	}
+}
--- a/router/gateway/upstream_verbs_test.go
+++ b/router/gateway/upstream_verbs_test.go
@@ -35,10 +35,12 @@
 // response is the bytes of one response and what the upstream does after it: keep
 // the connection, close it, reset it, or hang, that is, send no more until the
 // router closes it. With early, it responds before it reads the body of the
-// request, and then keeps the connection.
+// request, and then keeps the connection. With late, it sends the first half, reads the
+// body after lateRead, sends the rest and closes the connection; with busy, it reads the
+// body and responds after lateRead.
 type response struct {
 	data []byte
-	// after is keep, close, reset, hang, early or endless.
+	// after is keep, close, reset, hang, early, early-reset, late, busy or endless.
 	after string
 	// An endless response repeats piece, with a pause before each, until the router
 	// closes the connection.
@@ -77,15 +79,23 @@
 			next, u.responses = u.responses[0], u.responses[1:]
 		}
 		u.mu.Unlock()
-		early := strings.HasPrefix(next.after, "early")
+		early := strings.HasPrefix(next.after, "early") || next.after == "late"
 		body := []byte("(unread)")
+		if next.after == "busy" {
+			time.Sleep(lateRead)
+		}
 		if !early {
 			if body, err = io.ReadAll(r.Body); err != nil {
 				return
 			}
 		}
 		u.record(r, body)
-		if _, err := c.Write(bytes.ReplaceAll(next.data, []byte("$ID"), []byte(r.Header.Get("X-Id")))); err != nil {
+		data := bytes.ReplaceAll(next.data, []byte("$ID"), []byte(r.Header.Get("X-Id")))
+		if next.after == "late" {
+			respondLate(c, r, data)
+			return
+		}
+		if _, err := c.Write(data); err != nil {
 			return
 		}
 		switch next.after {
@@ -111,6 +121,22 @@
 	}
 }
 
+// lateRead is how late an upstream reads a body: later than dial.UserTimeout, and within
+// routeTimeout.
+const lateRead = 1700 * time.Millisecond
+
+// respondLate sends half of a response, reads the body of the request later and sends the rest.
+func respondLate(c net.Conn, r *http.Request, data []byte) {
+	if _, err := c.Write(data[:len(data)/2]); err != nil {
+		return
+	}
+	time.Sleep(lateRead)
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	_, _ = c.Write(data[len(data)/2:])
+}
+
 // repeat sends the pieces of an endless response until the router closes the connection.
 func (u *upstream) repeat(c net.Conn, r response) {
 	for {
@@ -163,9 +189,9 @@
 	_ = f.upstreams[a[0]].listener.Close()
 }
 
-// respond UPSTREAM FILE keep|close|reset|hang|early|early-reset: adds to the upstream's next
-// responses. The early ones are sent before the request's body is read; early-reset then
-// resets the connection with the body unread. Line ends up to the first empty line of the file become CR LF. An empty
+// respond UPSTREAM FILE keep|close|reset|hang|early|early-reset|late|busy: adds to the
+// upstream's next responses. The early ones are sent before the request's body is read;
+// early-reset then resets the connection with the body unread. Line ends up to the first empty line of the file become CR LF. An empty
 // file sends nothing.
 func cmdRespond(ts *testscript.TestScript, f *fixture, a []string) {
 	data := rawResponse(ts.ReadFile(a[1]))
