--- a/base/dial/conn.go
+++ b/base/dial/conn.go
@@ -49,7 +49,7 @@
 	var err error
 	c.writes.Do(table.Hold{}, func(_ table.Hold, failed *error) {
 		n, err = c.Conn.Write(p)
-		if *failed == nil {
+		if *failed == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			*failed = err
 		}
 	})
--- a/core/fleet/admit.go
+++ b/core/fleet/admit.go
@@ -217,6 +217,14 @@
 	return permitted
 }
 
+// permitsRetry reports whether the retry budget permits one more attempt, without charging it.
+func (f *Fleet) permitsRetry(now time.Time, r Request) bool {
+	routers := f.routerCount(now)
+	var permitted bool
+	f.withBudget(r.Pool.Name, func(b *retry.SharedBudget) { permitted = b.Permits(now, f.settings.Retry, routers) })
+	return permitted
+}
+
 // withBudget calls fn with the retry budget of a pool, creating it on first use.
 func (f *Fleet) withBudget(p core.Pool, fn func(*retry.SharedBudget)) {
 	f.budgets.Do(table.Hold{}, func(_ table.Hold, all *map[core.Pool]*retry.SharedBudget) {
--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -47,6 +48,12 @@
 // permitted region and not yet tried), or if cold ones are at their rate limit or
 // limited ones at the limit that they name, and there are no others.
 func Choose[P Policy](now time.Time, f *Fleet, policy P, r Request, tried []core.UpstreamID) (Target, *core.Refusal) {
+	return choose(now, f, policy, r, tried, false)
+}
+
+// choose is Choose. With held, the request is at an upstream that may still answer: it isn't
+// refused, and excluded upstreams are no better.
+func choose[P Policy](now time.Time, f *Fleet, policy P, r Request, tried []core.UpstreamID, held bool) (Target, *core.Refusal) {
 	eligible, pool := f.eligible(now, r, tried)
 	if r.Origin.Begun && !r.Origin.Known {
 		return Target{}, originUnknown()
@@ -82,10 +89,15 @@
 			left = usable(now, left, func(c Candidate) bool {
 				return f.mayUseCold(now, c, r, routers, rank, settled)
 			})
+			if held {
+				left = slices.DeleteFunc(left, func(c Candidate) bool { return c.Excluded })
+			}
 			markSpread(policy, engines, left)
 			return preferred(policy, left)
 		}, func(c Candidate) (bool, *Envelope) { return f.takeQuota(now, r, c) })
 		switch {
+		case best.state == nil && held:
+			refusal = noUpstream("no other upstream takes the request")
 		case best.state == nil:
 			refusal = st.refuseChoice(now, r, all, routers)
 		case ask == nil:
@@ -98,11 +110,16 @@
 	if refusal != nil || ask != nil {
 		return Target{Upstream: best.Upstream, Ask: ask}, refusal
 	}
-	t := Target{Upstream: best.Upstream, Load: best.Load, CachedTokens: best.CachedTokens, SharedTokens: prefix.TotalTokens(r.SharedParts), Certain: best.Certain, ChosenAt: now, CandidateCount: len(all)}
+	return f.newTarget(now, r, best, len(all)), nil
+}
+
+// newTarget returns the target for a chosen candidate.
+func (f *Fleet) newTarget(now time.Time, r Request, best Candidate, candidates int) Target {
+	t := Target{Upstream: best.Upstream, Load: best.Load, CachedTokens: best.CachedTokens, SharedTokens: prefix.TotalTokens(r.SharedParts), Certain: best.Certain, ChosenAt: now, CandidateCount: candidates}
 	if r.Pool.Engine != nil && t.CachedTokens < t.SharedTokens {
 		t.FetchFrom = f.fetchSource(now, r, best)
 	}
-	return t, nil
+	return t
 }
 
 // RecordPrefill records that an engine has the shared parts of a request's prompt in
--- a/core/fleet/request_verbs_test.go
+++ b/core/fleet/request_verbs_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -86,6 +87,24 @@
 	}
 }
 
+// secure NAME UPSTREAM|none: a request whose upstream is silent secures another one, and goes
+// there, or stays.
+func cmdSecure(ts *testscript.TestScript, sim *simulation, a []string) {
+	s := sim.requests[a[0]]
+	exchange := s.request.NewExchange()
+	tried := append(slices.Clone(s.tried), s.target.ID)
+	target, refusal := fleet.Secure(sim.now, s.router, fleet.Affinity{}, s.request, fleet.Attempted{Exchange: &exchange, Runs: 1, Tried: tried})
+	got := "none"
+	if refusal == nil && target.Ask == nil {
+		got = string(target.ID)
+		s.router.FinishAttempt(sim.now, s.target, health.TimedOut, nil)
+		s.tried, s.target = tried, target
+	}
+	if got != a[1] {
+		ts.Fatalf("request %s: got %s (%v), want %s", a[0], got, refusal, a[1])
+	}
+}
+
 // retry NAME: makes another attempt at another upstream.
 func cmdRetry(_ *testscript.TestScript, sim *simulation, a []string) {
 	s := sim.requests[a[0]]
--- a/core/fleet/retry.go
+++ b/core/fleet/retry.go
@@ -19,13 +19,15 @@
 // minTimeLeft remains. If sent, the failed attempt reached an upstream, and the next
 // one is charged to the retry budget. Runs is how many attempts may have run.
 func (f *Fleet) MayRetry(now time.Time, r Request, e *answer.Exchange, sent bool, runs int) bool {
+	return r.mayTryAgain(now, e, runs) && (!sent || f.TakeRetry(now, r))
+}
+
+// mayTryAgain reports whether the limits of the request itself permit another attempt.
+func (r Request) mayTryAgain(now time.Time, e *answer.Exchange, runs int) bool {
 	if !e.MayRetry() || e.Attempts() >= maxAttempts || r.Deadline.Sub(now) < minTimeLeft {
 		return false
 	}
-	if runs > 0 && runs >= r.Route.MaxRuns {
-		return false
-	}
-	return !sent || f.TakeRetry(now, r)
+	return runs == 0 || runs < r.Route.MaxRuns
 }
 
 const (
@@ -60,9 +62,9 @@
 	return r.Route.Repeatable() && runs < r.Route.MaxRuns
 }
 
-// FirstByteDeadline returns the time by which the target must begin its response in
+// FirstByteDeadline returns the time by which the target should begin its response in
 // the given run: the request's deadline, or earlier if the request may run again and
-// its route has an objective. An engine without parts of the prompt gets additional
+// its route has an objective. A target that is later is left only for another one. An engine without parts of the prompt gets additional
 // time to prefill them.
 func (r Request) FirstByteDeadline(now time.Time, t Target, run int) time.Time {
 	if !r.mayRunAgain(run) || r.Route.LatencyObjective <= 0 {
@@ -74,8 +76,9 @@
 	return earlier(now.Add(wait), r.Deadline)
 }
 
-// NextEventDeadline returns the time by which the next event of a stream must arrive:
-// the request's deadline, or earlier if a stream may run again.
+// NextEventDeadline returns the time by which the next event of a stream should arrive: the
+// request's deadline, or earlier if a stream may run again. An upstream that is later is left
+// only for another one.
 func (r Request) NextEventDeadline(now time.Time, run int) time.Time {
 	if !r.mayRunAgain(run) || r.Route.Kind != catalog.Stream {
 		return r.Deadline
--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -94,6 +94,7 @@
 		"advance":              cmdAdvance,
 		"send":                 cmdSend,
 		"retry":                cmdRetry,
+		"secure":               cmdSecure,
 		"finish":               cmdFinish,
 		"sent-to":              cmdSentTo,
 		"fetches-from":         cmdFetchesFrom,
--- a/core/retry/shared.go
+++ b/core/retry/shared.go
@@ -38,13 +38,18 @@
 	s.requests[s.step%stepCount]++
 }
 
-// Take reports whether a retry may be made, and counts it if so. routers is the
-// number of routers that share the budget.
-func (s *SharedBudget) Take(now time.Time, l Limits, routers int) bool {
+// Permits reports whether a retry may be made. routers is the number of routers that share
+// the budget.
+func (s *SharedBudget) Permits(now time.Time, l Limits, routers int) bool {
 	s.slide(now, l)
 	requests, retries := lo.Sum(s.requests[:]), lo.Sum(s.retries[:])
 	limit := safetyFactor * (l.Ratio*float64(requests) + l.Slack/float64(max(routers, 1)))
-	if float64(retries+1) > limit {
+	return float64(retries+1) <= limit
+}
+
+// Take is like Permits, and counts the retry if it may be made.
+func (s *SharedBudget) Take(now time.Time, l Limits, routers int) bool {
+	if !s.Permits(now, l, routers) {
 		return false
 	}
 	s.retries[s.step%(stepCount+1)]++
--- a/router/gateway/script_test.go
+++ b/router/gateway/script_test.go
@@ -132,6 +132,9 @@
 
 func (noMetrics) Ended(core.Pool, string) {}
 
+// Kept implements relay.Metrics.
+func (noMetrics) Kept(core.Pool) {}
+
 // LoadUnderestimate implements relay.Metrics.
 func (noMetrics) LoadUnderestimate(core.Pool, int) {}
 
--- a/router/gateway/upstream_verbs_test.go
+++ b/router/gateway/upstream_verbs_test.go
@@ -36,11 +36,11 @@
 // the connection, close it, reset it, or hang, that is, send no more until the
 // router closes it. With early, it responds before it reads the body of the
 // request, and then keeps the connection. With late, it sends the first half, reads the
-// body after lateRead, sends the rest and closes the connection; with busy, it reads the
-// body and responds after lateRead.
+// body after lateRead, sends the rest and closes the connection; with pause, it does so once
+// it has read the body; with busy, it reads the body and responds after lateRead.
 type response struct {
 	data []byte
-	// after is keep, close, reset, hang, early, early-reset, late, busy or endless.
+	// after is keep, close, reset, hang, early, early-reset, late, pause, busy or endless.
 	after string
 	// An endless response repeats piece, with a pause before each, until the router
 	// closes the connection.
@@ -91,7 +91,7 @@
 		}
 		u.record(r, body)
 		data := bytes.ReplaceAll(next.data, []byte("$ID"), []byte(r.Header.Get("X-Id")))
-		if next.after == "late" {
+		if next.after == "late" || next.after == "pause" {
 			respondLate(c, r, data)
 			return
 		}
@@ -189,7 +189,7 @@
 	_ = f.upstreams[a[0]].listener.Close()
 }
 
-// respond UPSTREAM FILE keep|close|reset|hang|early|early-reset|late|busy: adds to the
+// respond UPSTREAM FILE keep|close|reset|hang|early|early-reset|late|pause|busy: adds to the
 // upstream's next responses. The early ones are sent before the request's body is read;
 // early-reset then resets the connection with the body unread. Line ends up to the first empty line of the file become CR LF. An empty
 // file sends nothing.
--- a/router/httpclient/pool.go
+++ b/router/httpclient/pool.go
@@ -24,8 +24,9 @@
 type Conn struct {
 	*dial.Conn
 	Reader *bufio.Reader
-	// limit bounds what Reader reads while a head is expected.
+	// limit bounds what Reader reads while a head is expected, and wait for how long it waits.
 	limit   *headLimit
+	wait    *boundedWait
 	address string
 	// reused is true if the connection has carried a request before.
 	reused bool
@@ -70,8 +71,9 @@
 	if err != nil {
 		return nil, err
 	}
-	limit := &headLimit{conn: raw}
-	return &Conn{Conn: raw, Reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, address: address}, nil
+	wait := &boundedWait{conn: raw}
+	limit := &headLimit{conn: wait}
+	return &Conn{Conn: raw, Reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, wait: wait, address: address}, nil
 }
 
 // take removes the most recently used connection from the pool and returns it. It
@@ -100,7 +102,7 @@
 	}
 	c.lastUsed, c.reused = now, true
 	c.expiresAt = now.Add(min(keepAlive-keepAliveMargin, maxKeepTime))
-	if c.Reader.Buffered() > 0 || !c.expiresAt.After(now) || c.SetDeadline(time.Time{}) != nil {
+	if c.Reader.Buffered() > 0 || !c.expiresAt.After(now) || c.wait.set(Wait{}) != nil || c.SetDeadline(time.Time{}) != nil {
 		_ = c.Close()
 		return
 	}
--- a/router/httpclient/roundtrip.go
+++ b/router/httpclient/roundtrip.go
@@ -23,6 +23,8 @@
 	Body              []byte
 	// HasBody reports whether the caller sent a body, even an empty one.
 	HasBody bool
+	// Deadline is when the request is given up whatever has arrived.
+	Deadline time.Time
 }
 
 // Response is an upstream's response with an unread body. It holds its connection
@@ -62,16 +64,16 @@
 	maxLateBodyBytes = 1 << 20
 )
 
-// Do sends a request and waits until deadline for the header of its response.
+// Do sends a request and waits for the header of its response.
 // CheckHead returns a *MismatchedResponseError for a response that belongs to
 // another request; such late responses are skipped. Any other error of checkHead is
 // returned. The connection is closed when ctx ends, and after an error.
-func (c *Conn) Do(ctx context.Context, r Request, deadline time.Time, checkHead func(status int, h http.Header) error) (*Response, error) {
+func (c *Conn) Do(ctx context.Context, r Request, w Wait, checkHead func(status int, h http.Header) error) (*Response, error) {
 	resp := &Response{conn: c, writeResult: make(chan error, 1)}
 	resp.detach = context.AfterFunc(ctx, c.Reset)
-	if err := c.SetDeadline(deadline); err != nil {
+	if err := resp.SetWait(w); err != nil {
 		resp.Abort()
-		return nil, wrap.Err(err, "set deadline")
+		return nil, err
 	}
 	if err := resp.send(r); err != nil {
 		resp.Abort()
@@ -97,10 +99,14 @@
 	head.WriteString("\r\n")
 	if len(r.Body) <= maxInlineBytes {
 		head.Write(r.Body)
-		_, err := resp.conn.Write(head.Bytes())
+		err := resp.conn.wait.write(head.Bytes())
 		resp.writeResult <- err
 		return err
 	}
+	// The upstream may read a long body as late as it likes, and respond meanwhile.
+	if err := resp.conn.SetWriteDeadline(r.Deadline); err != nil {
+		return err
+	}
 	go func() {
 		_, err := resp.conn.Write(head.Bytes())
 		if err == nil {
@@ -150,9 +156,9 @@
 	return n, err
 }
 
-// SetDeadline sets the time after which reads and writes on the connection fail.
-func (resp *Response) SetDeadline(t time.Time) error {
-	return wrap.Err(resp.conn.SetDeadline(t), "set deadline")
+// SetWait replaces the bound on the wait for the next bytes of the response.
+func (resp *Response) SetWait(w Wait) error {
+	return wrap.Err(resp.conn.wait.set(w), "set deadline")
 }
 
 // Abort resets the connection, whatever was read. What the upstream has not received yet of
--- a/router/metrics/metrics.go
+++ b/router/metrics/metrics.go
@@ -21,6 +21,7 @@
 	requests      metric.Int64Counter
 	attempts      metric.Int64Counter
 	outcomes      metric.Int64Counter
+	kept          metric.Int64Counter
 	dropped       metric.Int64Counter
 	crashes       metric.Int64Counter
 	messageBytes  metric.Int64Counter
@@ -53,6 +54,7 @@
 		{&m.requests, "requests", "requests by pool and outcome"},
 		{&m.attempts, "attempts", "attempts at upstreams"},
 		{&m.outcomes, "attempt_outcomes", "attempts by pool and outcome"},
+		{&m.kept, "attempts_kept", "overdue attempts that went on, since no other upstream took the request"},
 		{&m.dropped, "dropped_parts", "late, doubled or crossed parts of answers"},
 		{&m.crashes, "crashes", "requests that were running when an upstream crashed"},
 		{&m.messageBytes, "message_bytes", "bytes of messages to other routers by kind and reach"},
@@ -129,6 +131,10 @@
 	}
 }
 
+// Kept counts an overdue attempt that goes on, since no other upstream takes the request.
+// Only package relay calls it.
+func (m *Metrics) Kept(pool core.Pool) { m.count(m.kept, pool) }
+
 // DroppedEvent counts an event that was dropped rather than delivered: a duplicate,
 // or a late one of an earlier attempt.
 func (m *Metrics) DroppedEvent(pool core.Pool) { m.count(m.dropped, pool) }
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -43,6 +43,8 @@
 	// resumed is true if the attempt is to continue a stream of which the caller has the
 	// header.
 	resumed bool
+	// kept is true once the attempt was overdue while no other upstream took the request.
+	kept bool
 	// outcome is what the fleet is told of the attempt.
 	outcome health.Outcome
 }
@@ -62,9 +64,8 @@
 	a.sent = true
 	a.Runs++
 	a.exchange.SetPhase(a.id, answer.Sent)
-	deadline := a.patience(now, a.FirstByteDeadline(now, a.target, a.Runs))
 	a.reusedConn = c.Reused()
-	resp, err := c.Do(a.ctx, a.request(now), deadline, a.checkHeader)
+	resp, err := c.Do(a.ctx, a.request(now), a.waitUntil(now, a.FirstByteDeadline(now, a.target, a.Runs)), a.checkHeader)
 	if err != nil {
 		a.outcome = a.markFailed(err)
 		return err
@@ -113,7 +114,7 @@
 		Call: a.Call, Target: a.target, TimeLeft: a.Deadline.Sub(now),
 		LastEventID: a.sequence.Last, HasLastEventID: a.sequence.HasLast,
 	}
-	r := httpclient.Request{Method: a.Method, URI: a.URI, Host: a.Host, Body: a.Body, HasBody: a.HasBody}
+	r := httpclient.Request{Method: a.Method, URI: a.URI, Host: a.Host, Body: a.Body, HasBody: a.HasBody, Deadline: a.Deadline}
 	if a.helper == "" {
 		r.Header = a.forwarder.HeaderCodec.AttemptHeader(info)
 		return r
@@ -199,7 +200,7 @@
 // forwardBuffered reads the whole response before it passes it on to the caller.
 func (a *attempt) forwardBuffered(resp *httpclient.Response) error {
 	var body []byte
-	err := resp.SetDeadline(a.Deadline)
+	err := resp.SetWait(httpclient.Wait{Until: a.Deadline})
 	if err == nil {
 		reader := bodyReader{body: resp, buffered: &a.forwarder.buffered}
 		defer reader.release()
--- a/router/relay/detour.go
+++ b/router/relay/detour.go
@@ -102,14 +102,20 @@
 // countRuns counts the runs that another router has made: those that its response states, or
 // as many as the route permits if nothing is known.
 func (a *attempt) countRuns(before int) {
-	switch {
-	case !a.sent || a.outcome == health.Shed:
+	if !a.sent || a.outcome == health.Shed {
 		a.Runs = before
-	case a.helperRuns > 0:
-		a.Runs = a.helperRuns
-	default:
-		a.Runs = max(before+1, a.Route.MaxRuns)
+		return
 	}
+	a.Runs = a.runsAtHelper(before + 1)
+}
+
+// runsAtHelper returns how often upstreams may have run the request once another router has
+// it. Least is the least number.
+func (a *attempt) runsAtHelper(least int) int {
+	if a.helperRuns > 0 {
+		return a.helperRuns
+	}
+	return max(least, a.Route.MaxRuns)
 }
 
 // readRefusal handles the response of another router that has refused the request. It
@@ -141,7 +147,7 @@
 
 // discard reads the rest of a short response, so that the connection can be used again.
 func (a *attempt) discard(resp *httpclient.Response) {
-	err := resp.SetDeadline(time.Now().Add(maxDiscardTime))
+	err := resp.SetWait(httpclient.Wait{Until: time.Now().Add(maxDiscardTime)})
 	if err == nil {
 		_, err = io.Copy(io.Discard, io.LimitReader(resp, maxDiscardBytes))
 	}
@@ -152,22 +158,6 @@
 	resp.Release(time.Now(), a.forwarder.Conns)
 }
 
-// detourSlack is how many times longer than an upstream another router may take, which may
-// have to try a second one.
-const detourSlack = 2
-
-// patience returns the deadline for the next bytes: that of an upstream, or a later one at
-// another router.
-func (a *attempt) patience(now, deadline time.Time) time.Time {
-	if a.helper == "" {
-		return deadline
-	}
-	if later := now.Add(detourSlack * deadline.Sub(now)); later.Before(a.Deadline) {
-		return later
-	}
-	return a.Deadline
-}
-
 // Probe opens connections to upstreams of the pools from which the router is cut off, and
 // records which ones could be opened. A request that had to wait for that would be late.
 func (f *Forwarder) Probe(ctx context.Context) {
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -41,6 +42,9 @@
 type Metrics interface {
 	// Ended counts a finished attempt by its outcome.
 	Ended(pool core.Pool, outcome string)
+	// Kept counts an attempt that is overdue and goes on, since no other upstream takes the
+	// request.
+	Kept(pool core.Pool)
 	// LoadUnderestimate records by how many requests the load that an upstream reports
 	// exceeds the one that the router believed when it chose the upstream.
 	LoadUnderestimate(pool core.Pool, requests int)
@@ -80,6 +84,8 @@
 	exchange  answer.Exchange
 	sequence  answer.EventSequence
 	tried     []core.UpstreamID
+	// next is the target that was secured for the next attempt; nil if there is none.
+	next *fleet.Target
 	// streamStarted reports whether the header of a stream was sent to the caller, and
 	// contentType is the one that it states. It stays false for buffered responses.
 	streamStarted bool
@@ -113,6 +119,7 @@
 func (f *Forwarder) Forward(ctx context.Context, c *Call, w ResponseWriter) error {
 	s := &callState{Call: c, forwarder: f, ctx: ctx, writer: w, exchange: c.NewExchange()}
 	s.sequence = answer.EventSequence{Last: c.LastEventID, HasLast: c.HasLastEventID}
+	defer s.releaseNext()
 	if c.ResumesStream() {
 		s.findOrigin(time.Now())
 	}
@@ -124,15 +131,18 @@
 		if refusal := s.checkParts(now); refusal != nil {
 			return s.fail(now, s.withCertainty(now, refusal))
 		}
-		if refusal := f.Fleet.RefuseRelayed(now, s.Request, s.detours.Unreached); refusal != nil {
-			return s.fail(now, s.withCertainty(now, refusal))
-		}
-		if done, err := s.takeDetour(); done {
-			return err
-		}
-		target, refusal := s.chooseTarget(now)
-		if refusal != nil {
-			return s.fail(now, s.withCertainty(now, refusal))
+		target, secured := s.takeNext()
+		if !secured {
+			if refusal := f.Fleet.RefuseRelayed(now, s.Request, s.detours.Unreached); refusal != nil {
+				return s.fail(now, s.withCertainty(now, refusal))
+			}
+			if done, err := s.takeDetour(); done {
+				return err
+			}
+			var refusal *core.Refusal
+			if target, refusal = s.chooseTarget(now, ""); refusal != nil {
+				return s.fail(now, s.withCertainty(now, refusal))
+			}
 		}
 		if target.Ask != nil {
 			s.awaitQuota(target)
@@ -145,7 +155,7 @@
 		s.tried = append(s.tried, target.ID)
 		now = time.Now()
 		var writeErr *CallerWriteError
-		if ctx.Err() != nil || errors.As(err, &writeErr) || !f.Fleet.MayRetry(now, c.Request, &s.exchange, sent, s.Runs) {
+		if ctx.Err() != nil || errors.As(err, &writeErr) || (s.next == nil && !f.Fleet.MayRetry(now, c.Request, &s.exchange, sent, s.Runs)) {
 			return s.fail(now, f.Fleet.Refuse(now, c.Request, &s.exchange, err.Error()))
 		}
 	}
@@ -161,16 +171,26 @@
 }
 
 // chooseTarget returns the upstream for the next attempt. The policy depends on the
-// pool, the kind of request, and whether a connection has failed.
-func (s *callState) chooseTarget(now time.Time) (fleet.Target, *core.Refusal) {
+// pool, the kind of request, and whether a connection has failed. At is the upstream that
+// the request is at, where it stays if chooseTarget refuses; empty if it is at none.
+func (s *callState) chooseTarget(now time.Time, at core.UpstreamID) (fleet.Target, *core.Refusal) {
 	switch {
 	case s.Pool.Engine == nil:
-		return fleet.Choose(now, s.forwarder.Fleet, fleet.FreePlaces{}, s.Request, s.tried)
+		return chooseBy(now, s, fleet.FreePlaces{}, at)
 	case s.Route.Repeatable() && !s.connectFailed:
-		return fleet.Choose(now, s.forwarder.Fleet, fleet.Affinity{}, s.Request, s.tried)
+		return chooseBy(now, s, fleet.Affinity{}, at)
 	default:
-		return fleet.Choose(now, s.forwarder.Fleet, fleet.LocalFirst{}, s.Request, s.tried)
+		return chooseBy(now, s, fleet.LocalFirst{}, at)
+	}
+}
+
+func chooseBy[P fleet.Policy](now time.Time, s *callState, policy P, at core.UpstreamID) (fleet.Target, *core.Refusal) {
+	if at == "" {
+		return fleet.Choose(now, s.forwarder.Fleet, policy, s.Request, s.tried)
 	}
+	return fleet.Secure(now, s.forwarder.Fleet, policy, s.Request, fleet.Attempted{
+		Exchange: &s.exchange, Runs: s.Runs, Tried: append(slices.Clone(s.tried), at),
+	})
 }
 
 // fail ends a call that no attempt has completed. It sends the upstream's own
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -176,5 +176,5 @@
 		return nil
 	}
 	now := time.Now()
-	return resp.SetDeadline(a.patience(now, a.NextEventDeadline(now, a.Runs)))
+	return resp.SetWait(a.waitUntil(now, a.NextEventDeadline(now, a.Runs)))
 }
