--- a/base/logservice/client.go
+++ b/base/logservice/client.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"sync"
 	"time"
 
 	"camphorpulley.org/base/wrap"
@@ -41,10 +42,14 @@
 	ListAddress string
 	// Timeout bounds each call, in addition to the wait of a Read; zero means
 	// DefaultTimeout.
-	Timeout time.Duration
-	http    fasthttp.Client
+	Timeout   time.Duration
+	configure sync.Once
+	http      fasthttp.Client
 }
 
+// maxResponseBytes bounds the body of a response: a page of MaxPageSize long records.
+const maxResponseBytes = 32 << 20
+
 // DefaultTimeout is the default of Client.Timeout.
 const DefaultTimeout = 3 * time.Second
 
@@ -78,6 +83,7 @@
 }
 
 func (c *Client) call(operation, method, uri string, body []byte, wait time.Duration, result any) error {
+	c.configure.Do(func() { c.http.MaxResponseBodySize = maxResponseBytes })
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
--- a/ctl/fetch.go
+++ b/ctl/fetch.go
@@ -12,8 +12,12 @@
 	"github.com/valyala/fasthttp"
 )
 
-// callTimeout bounds a call to a router.
-const callTimeout = 2 * time.Second
+const (
+	// callTimeout bounds a call to a router.
+	callTimeout = 2 * time.Second
+	// maxResponseBytes bounds the body of a router's response.
+	maxResponseBytes = 8 << 20
+)
 
 // errPartial reports that some routers, but not all, failed to respond.
 var errPartial = errors.New("some routers did not respond; see the errors above")
@@ -21,7 +25,8 @@
 // fetch reads JSON from a path at a router's operator or metrics address.
 func fetch[T any](address, path string) (T, error) {
 	var result T
-	status, body, err := fasthttp.GetTimeout(nil, "http://"+address+path, callTimeout)
+	client := fasthttp.Client{MaxResponseBodySize: maxResponseBytes}
+	status, body, err := client.GetTimeout(nil, "http://"+address+path, callTimeout)
 	if err != nil {
 		return result, wrap.Err(err, address)
 	}
--- a/router/backend/client.go
+++ b/router/backend/client.go
@@ -24,6 +24,8 @@
 	dialTimeout = 250 * time.Millisecond
 	// loadTimeout is the timeout for reading a load report.
 	loadTimeout = time.Second
+	// maxLoadBytes bounds the body of a load report.
+	maxLoadBytes = 64 << 10
 	// maxConnsPerUpstream is the largest number of connections to one upstream.
 	maxConnsPerUpstream = 4096
 	// idleConnTimeout is how long an unused connection is kept.
@@ -179,7 +181,7 @@
 	if err := w.Flush(); err != nil {
 		return load, err
 	}
-	if err := resp.Read(bufio.NewReader(conn)); err != nil {
+	if err := resp.ReadLimitBody(bufio.NewReader(conn), maxLoadBytes); err != nil {
 		return load, err
 	}
 	if err := json.Unmarshal(resp.Body(), &load); err != nil {
--- a/router/httpclient/pool.go
+++ b/router/httpclient/pool.go
@@ -25,7 +25,7 @@
 	*dial.Conn
 	Reader *bufio.Reader
 	// limit bounds what Reader reads while a head is expected, and wait for how long it waits.
-	limit   *headLimit
+	limit   *dial.HeadLimit
 	wait    *boundedWait
 	address string
 	// reused is true if the connection has carried a request before.
@@ -72,7 +72,7 @@
 		return nil, err
 	}
 	wait := &boundedWait{conn: raw}
-	limit := &headLimit{conn: wait}
+	limit := &dial.HeadLimit{Source: wait}
 	return &Conn{Conn: raw, Reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, wait: wait, address: address}, nil
 }
 
--- a/router/httpclient/roundtrip.go
+++ b/router/httpclient/roundtrip.go
@@ -53,6 +53,9 @@
 }
 
 const (
+	// maxHeadBytes bounds the status lines and headers that are read for one request,
+	// interim responses and trailers included.
+	maxHeadBytes = 64 << 10
 	// maxInlineBytes is the largest body that is written before the response is
 	// read. A larger one is written concurrently, because an upstream may respond
 	// before it has read the whole body.
@@ -122,13 +125,13 @@
 func (resp *Response) readHead(r Request, checkHead func(status int, h http.Header) error) error {
 	request := &http.Request{Method: r.Method}
 	for range maxSkipped + 1 {
-		resp.conn.limit.expectHead()
+		resp.conn.limit.Expect(maxHeadBytes)
 		//nolint:bodyclose // The body ends with the connection, in Release or Abort.
 		received, err := http.ReadResponse(resp.conn.Reader, request)
 		if err != nil {
 			return wrap.Err(err, "read answer")
 		}
-		resp.conn.limit.endHead()
+		resp.conn.limit.End()
 		if received.StatusCode < http.StatusOK {
 			continue
 		}
--- a/router/peer/link.go
+++ b/router/peer/link.go
@@ -82,10 +82,17 @@
 	if address == "" || (!l.connected.Swap(false) && time.Since(l.lastFailure) < redialPause) {
 		return false
 	}
+	var opened *handshakeConn
 	dialer := websocket.Dialer{
 		HandshakeTimeout: dialTimeout, ReadBufferSize: connBufferBytes, WriteBufferSize: connBufferBytes,
 		NetDialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			return dial.TCP(ctx, address, dialTimeout)
+			raw, err := dial.TCP(ctx, address, dialTimeout)
+			if err != nil {
+				return nil, err
+			}
+			opened = &handshakeConn{Conn: raw, head: dial.HeadLimit{Source: raw}}
+			opened.head.Expect(maxHandshakeBytes)
+			return opened, nil
 		},
 	}
 	conn, _, err := dialer.DialContext(l.network.ctx, "ws://"+address+websocketPath, nil)
@@ -95,6 +102,7 @@
 		l.network.handler.Disconnected(l.to)
 		return false
 	}
+	opened.head.End()
 	l.conn = conn
 	l.address = address
 	go l.watchForClose(conn)
@@ -109,6 +117,18 @@
 	return true
 }
 
+// maxHandshakeBytes bounds the response to a WebSocket handshake.
+const maxHandshakeBytes = 16 << 10
+
+// handshakeConn is a dialled connection on which the response to the handshake is bounded.
+type handshakeConn struct {
+	net.Conn
+	head dial.HeadLimit
+}
+
+// Read implements net.Conn.
+func (c *handshakeConn) Read(p []byte) (int, error) { return c.head.Read(p) }
+
 // watchForClose reads from a dialled connection until it breaks. Peers send nothing
 // on connections that they accepted.
 func (l *link[H, M]) watchForClose(conn *websocket.Conn) {
