--- a/base/worker/panic_test.go
+++ b/base/worker/panic_test.go
@@ -39,6 +39,12 @@
 				Sleep(ctx, time.Millisecond)
 			})
 		},
+		"once": func(job func(int), count int) {
+			var s Scheduler
+			for i := range count {
+				s.Once(t.Context(), func(context.Context) { job(i) })
+			}
+		},
 		"every": func(job func(int), _ int) {
 			var s Scheduler
 			i := -1
--- a/base/worker/scheduler.go
+++ b/base/worker/scheduler.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Scheduler runs periodic jobs, each on a goroutine of its own. The zero value
+// Scheduler runs jobs beside the requests, most of them periodic, each on a goroutine of its own. The zero value
 // is ready for use.
 type Scheduler struct {
 	wg sync.WaitGroup
@@ -48,5 +48,14 @@
 	}()
 }
 
+// Once starts a job that calls fn once.
+func (s *Scheduler) Once(ctx context.Context, fn func(context.Context)) {
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		_ = Protect(func() { fn(ctx) })
+	}()
+}
+
 // Wait returns once all jobs have ended.
 func (s *Scheduler) Wait() { s.wg.Wait() }
--- a/router/cluster/cache_inventory.go
+++ b/router/cluster/cache_inventory.go
@@ -39,9 +39,7 @@
 	}
 	inventories := make(map[core.UpstreamID][]prefix.Part, len(engines))
 	for _, u := range engines {
-		queryCtx, cancel := context.WithTimeout(ctx, inventoryTimeout)
-		parts, err := r.adapter.FetchCache(queryCtx, u.Address)
-		cancel()
+		parts, err := r.fetchCacheInventory(ctx, u.Address)
 		r.log.Info("cache_inventory_fetched", zap.String("upstream", string(u.ID)), zap.Int("parts", len(parts)), logs.Err(err))
 		if err == nil {
 			inventories[u.ID] = parts
@@ -54,3 +52,14 @@
 		r.fleet.RecordInventory(time.Now(), id, parts)
 	}
 }
+
+// fetchCacheInventory asks one engine. What it responds ends neither the process nor the
+// queries of the others.
+func (r *Router) fetchCacheInventory(ctx context.Context, address string) (parts []prefix.Part, err error) {
+	queryCtx, cancel := context.WithTimeout(ctx, inventoryTimeout)
+	defer cancel()
+	if panicked := worker.Protect(func() { parts, err = r.adapter.FetchCache(queryCtx, address) }); panicked != nil {
+		return nil, panicked
+	}
+	return parts, err
+}
--- a/router/cluster/router.go
+++ b/router/cluster/router.go
@@ -230,7 +230,7 @@
 	r.scheduler.Every(ctx, partSweepInterval, func(context.Context) { logPartChanges(r.log, "", r.fleet.ExpireParts(time.Now())) })
 	r.scheduler.Repeat(ctx, r.registrationStep(member))
 	if !r.settings.Router.FirstStart {
-		go r.fetchCacheInventories(ctx)
+		r.scheduler.Once(ctx, r.fetchCacheInventories)
 	}
 }
 
--- a/router/peer/link.go
+++ b/router/peer/link.go
@@ -105,7 +105,7 @@
 	opened.head.End()
 	l.conn = conn
 	l.address = address
-	go l.watchForClose(conn)
+	go func() { _ = worker.Protect(func() { l.watchForClose(conn) }) }()
 	handshake, err := l.network.protocol.Encode(l.network.protocol.NewHandshake(l.network.self))
 	if err == nil {
 		err = l.writeMessage(handshake)
--- a/router/relay/detour.go
+++ b/router/relay/detour.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"camphorpulley.org/base/logs"
+	"camphorpulley.org/base/worker"
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/answer"
 	"camphorpulley.org/core/fleet"
@@ -164,15 +165,18 @@
 	now := time.Now()
 	var probes sync.WaitGroup
 	for _, u := range f.Fleet.ProbeTargets(now) {
-		probes.Go(func() {
-			err := f.Conns.Warm(ctx, now, u.Address, fleet.ProbeTimeout)
-			f.Log.Info("pool_cut_off", zap.String("pool", string(u.Pool)), zap.String("upstream", string(u.ID)), zap.Bool("reached", err == nil), logs.Err(err))
-			if err != nil {
-				f.Fleet.RecordUnreached(time.Now(), u)
-				return
-			}
-			f.Fleet.RecordReached(time.Now(), u)
-		})
+		probes.Go(func() { _ = worker.Protect(func() { f.probe(ctx, now, u) }) })
 	}
 	probes.Wait()
 }
+
+// probe opens a connection to an upstream and records whether that was possible.
+func (f *Forwarder) probe(ctx context.Context, now time.Time, u roster.Upstream) {
+	err := f.Conns.Warm(ctx, now, u.Address, fleet.ProbeTimeout)
+	f.Log.Info("pool_cut_off", zap.String("pool", string(u.Pool)), zap.String("upstream", string(u.ID)), zap.Bool("reached", err == nil), logs.Err(err))
+	if err != nil {
+		f.Fleet.RecordUnreached(time.Now(), u)
+		return
+	}
+	f.Fleet.RecordReached(time.Now(), u)
+}
