--- a/core/fleet/feed.go
+++ b/core/fleet/feed.go
@@ -24,8 +24,8 @@
 	maxAgeFraction = 0.75
 )
 
-// FeedSegment is a contiguous segment of the upstreams' feed. Records that change
-// nothing may be omitted.
+// FeedSegment is a contiguous segment of the upstreams' feed. Records that change nothing at
+// a router that knows what the feed has said so far may be omitted.
 type FeedSegment struct {
 	// Era is the era of the store in which the segment was read; zero if it isn't known.
 	// From is the offset of the first record, Next that of the record after the last.
@@ -174,29 +174,30 @@
 }
 
 // applyRecords applies the records of a segment without a gap, except those already
-// known. It returns the changes and the records that caused them. fromStore is true if
-// the router itself has read the segment.
+// known. It returns the changes and the records that other routers may need. fromStore is
+// true if the router itself has read the segment.
 func (f *Fleet) applyRecords(now, startedAt time.Time, held table.Hold, p *feed.Progress, r FeedSegment, fromStore bool) ([]roster.Change, []Record) {
 	f.roster.Do(held, func(_ table.Hold, u *upstreams) { u.roster.SetStoreAvailable(now, true) })
 	var changes []roster.Change
-	var effective []Record
+	var needed []Record
 	for _, rec := range r.Records {
 		if rec.Offset < p.Next || (rec.Entry == nil && len(rec.Source) > 0) {
 			continue
 		}
-		made := f.changeRoster(now, held, func(s *roster.Roster) []roster.Change {
-			if rec.Entry == nil {
-				return asList(s.Remove(now, rec.Upstream))
-			}
-			return asList(s.Put(now, *rec.Entry))
-		})
-		if len(made) > 0 {
-			changes, effective = append(changes, made...), append(effective, rec)
+		var news bool
+		changes = append(changes, f.changeRoster(now, held, func(s *roster.Roster) []roster.Change {
+			var change roster.Change
+			var changed bool
+			change, changed, news = s.ApplyRecord(now, rec.Upstream, rec.Entry)
+			return asList(change, changed)
+		})...)
+		if news {
+			needed = append(needed, rec)
 		}
 	}
 	p.Advance(r.Next, startedAt, fromStore)
 	removed := f.changeRoster(now, held, func(s *roster.Roster) []roster.Change { return s.RemoveUnconfirmed(now, startedAt) })
-	return append(changes, removed...), effective
+	return append(changes, removed...), needed
 }
 
 // asList returns a list of the change if ok, else nil.
--- a/core/roster/entry.go
+++ b/core/roster/entry.go
@@ -49,6 +49,9 @@
 	// UnconfirmedSince is when another router sent the entry; zero once it was
 	// read from the store.
 	UnconfirmedSince time.Time
+	// Ahead is true if another router's copy has brought the entry or its removal, and the
+	// feed hasn't reached it.
+	Ahead bool
 }
 
 // coldUntilTolerance is how much the end of the cold time of one process may
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -64,7 +64,7 @@
 
 func (r *Roster) put(now time.Time, e Entry, unconfirmedSince time.Time) (Change, bool) {
 	old, known := r.byID[e.ID]
-	if known && (e.StartedMS < old.StartedMS || (e.StartedMS == old.StartedMS && e.Sequence < old.Sequence)) {
+	if known && old.laterThan(e) {
 		return Change{}, false
 	}
 	confirmed := unconfirmedSince.IsZero() && !old.UnconfirmedSince.IsZero()
@@ -120,13 +120,17 @@
 func (r *Roster) RemoveEntry(now time.Time, e Entry) (Change, bool) {
 	old, known := r.byID[e.ID]
 	if !known {
-		r.store(Upstream{Entry: e, RemovedAt: now})
+		r.store(Upstream{Entry: e, RemovedAt: now, Ahead: true})
 		return Change{}, false
 	}
-	if old.StartedMS > e.StartedMS || (old.StartedMS == e.StartedMS && old.Sequence > e.Sequence) {
+	if old.laterThan(e) {
 		return Change{}, false
 	}
-	return r.Remove(now, e.ID)
+	change, changed := r.Remove(now, e.ID)
+	if changed {
+		r.markAhead(e.ID)
+	}
+	return change, changed
 }
 
 // ReplaceAll applies a complete read of the store: it puts all entries and removes
@@ -144,6 +148,7 @@
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(r.byID)) {
+		r.clearAhead(id)
 		if listed[id] {
 			continue
 		}
--- a/core/roster/unconfirmed.go
+++ b/core/roster/unconfirmed.go
@@ -10,7 +10,11 @@
 	if old, known := r.byID[e.ID]; known && old.RemovedAt.IsZero() {
 		unconfirmedSince = old.UnconfirmedSince
 	}
-	return r.put(now, e, unconfirmedSince)
+	change, changed := r.put(now, e, unconfirmedSince)
+	if changed {
+		r.markAhead(e.ID)
+	}
+	return change, changed
 }
 
 // RemoveUnconfirmed removes the entries that were received from other routers
