--- a/core/fleet/lineage.go
+++ b/core/fleet/lineage.go
@@ -68,6 +68,29 @@
 	return r.Route.Kind == catalog.Stream && r.Route.Deterministic && !r.Origin.Begun
 }
 
+// DependsOnProcess reports whether a stream depends on which process answers at a target: it
+// goes on there, or callers may resume it and the process is in doubt.
+func (r Request) DependsOnProcess(t Target) bool {
+	return t.Release != "" && r.Route.Kind == catalog.Stream && r.Route.Deterministic && (r.Origin.Begun || !t.Certain)
+}
+
+// RecordIdentity records when the process that answers at a target has started, in
+// milliseconds since the Unix epoch, and reports whether it is the one of the entry. If it
+// isn't, the entry is in doubt.
+func (f *Fleet) RecordIdentity(now time.Time, t Target, startedMS int64) bool {
+	same := startedMS == t.StartedMS
+	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
+		s := st.get(t.ID)
+		switch {
+		case !same:
+			s.recordUnreachable(now, t.Upstream)
+		case s.doubt.StartedMS == startedMS && s.doubt.Since.Before(now):
+			s.doubt = lineage.Doubt{}
+		}
+	})
+	return same
+}
+
 // RecordBeginning records the release of an attempt that may begin a stream, before it is
 // sent, and returns the messages that tell its holders. There are none while the pool has
 // had a single release for as long as a stream lasts.
--- a/router/cluster/router.go
+++ b/router/cluster/router.go
@@ -66,7 +66,7 @@
 	r.metrics = instruments
 	r.gateway = &gateway.Handler{
 		Fleet: r.fleet, HeaderCodec: a.Incoming, Log: p.Log, Metrics: instruments,
-		Forwarder: &relay.Forwarder{Fleet: r.fleet, HeaderCodec: a.Outgoing, Log: p.Log, Conns: r.pool, Metrics: instruments},
+		Forwarder: &relay.Forwarder{Fleet: r.fleet, HeaderCodec: a.Outgoing, Log: p.Log, Conns: r.pool, Metrics: instruments, Identity: a.Identity},
 	}
 	r.detours = &gateway.Handler{Fleet: r.fleet, HeaderCodec: a.Incoming, Log: p.Log, Metrics: instruments, Forwarder: r.gateway.Forwarder, Relayed: true}
 	r.gateway.Forwarder.Notify = func(m fleet.Message) { r.send(r.fleet.Spread(time.Now(), m)) }
--- a/router/cluster/store.go
+++ b/router/cluster/store.go
@@ -106,6 +106,8 @@
 	// upstream's entry.
 	ParseCatalog func(text []byte) (*catalog.Catalog, error)
 	ParseEntry   func(id core.UpstreamID, text []byte) (roster.Entry, error)
+	// Identity is how to ask an upstream which process answers.
+	Identity relay.Identity
 	// FetchCache asks the engine at an address which prompt parts its cache holds.
 	FetchCache func(ctx context.Context, address string) ([]prefix.Part, error)
 }
--- a/router/gateway/script_test.go
+++ b/router/gateway/script_test.go
@@ -48,7 +48,7 @@
 			"set-timeout": with(cmdSetTimeout), "set-parts": with(cmdSetParts), "time-left": with(cmdTimeLeft),
 			"respond-endless": with(cmdRespondEndless), "sent-at-most": with(cmdSentAtMost), "took-at-most": with(cmdTookAtMost),
 			"each-cut": with(cmdEachCut), "request-while-closing": with(cmdRequestWhileClosing), "helper": with(cmdHelper), "cut-off": with(cmdCutOff), "stop-helper-in": with(cmdStopHelperIn), "relayed": with(cmdRelayed),
-			"requests": with(cmdRequests), "received-at-most": with(cmdReceivedAtMost), "heap-at-most": with(cmdHeapAtMost),
+			"started": with(cmdStarted), "requests": with(cmdRequests), "received-at-most": with(cmdReceivedAtMost), "heap-at-most": with(cmdHeapAtMost),
 		},
 	})
 }
@@ -92,6 +92,9 @@
 	return f
 }
 
+// identityURI is where upstreams state the start of their process.
+const identityURI = "/identity"
+
 // newGateway returns the gateway of a router, and its tables.
 func newGateway(id core.RouterID, pool *httpclient.Pool) (*fleet.Fleet, *gateway.Handler) {
 	fl := fleet.New(time.Now(), fleet.Settings{
@@ -114,7 +117,9 @@
 	})
 	handler := &gateway.Handler{
 		Fleet: fl, HeaderCodec: headerCodec{}, Log: zap.NewNop(), Metrics: noMetrics{},
-		Forwarder: &relay.Forwarder{Fleet: fl, HeaderCodec: headerCodec{}, Log: zap.NewNop(), Conns: pool, Metrics: noMetrics{}},
+		Forwarder: &relay.Forwarder{Fleet: fl, HeaderCodec: headerCodec{}, Log: zap.NewNop(), Conns: pool, Metrics: noMetrics{}, Identity: relay.Identity{
+			URI: identityURI, Parse: func(body []byte) (int64, error) { return strconv.ParseInt(string(body), 10, 64) },
+		}},
 	}
 	return fl, handler
 }
--- a/router/gateway/upstream_verbs_test.go
+++ b/router/gateway/upstream_verbs_test.go
@@ -30,6 +30,8 @@
 	closedConnections int
 	// endlessBytes is the number of bytes sent by endless responses.
 	endlessBytes int
+	// started is the start of its process in milliseconds that the upstream states.
+	started string
 }
 
 // response is the bytes of one response and what the upstream does after it: keep
@@ -73,6 +75,12 @@
 		if err != nil {
 			return
 		}
+		if r.URL.Path == identityURI {
+			if _, err := c.Write(u.identity()); err != nil {
+				return
+			}
+			continue
+		}
 		u.mu.Lock()
 		var next response
 		if len(u.responses) > 0 {
@@ -137,6 +145,21 @@
 	_, _ = c.Write(data[len(data)/2:])
 }
 
+// identity returns the response in which the upstream states the start of its process.
+func (u *upstream) identity() []byte {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(u.started), u.started)
+}
+
+// started UPSTREAM MS: the upstream states another start of its process than its entry.
+func cmdStarted(_ *testscript.TestScript, f *fixture, a []string) {
+	u := f.upstreams[a[0]]
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.started = a[1]
+}
+
 // repeat sends the pieces of an endless response until the router closes the connection.
 func (u *upstream) repeat(c net.Conn, r response) {
 	for {
@@ -164,7 +187,7 @@
 func cmdUpstream(ts *testscript.TestScript, f *fixture, a []string) {
 	ln, err := dialtest.Listen()
 	ts.Check(err)
-	u := &upstream{listener: ln}
+	u := &upstream{listener: ln, started: "0"}
 	f.upstreams[a[0]] = u
 	go u.serve()
 	dc := core.DataCentre("a")
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -58,6 +58,9 @@
 		a.connectFailed = true
 		return err
 	}
+	if err := a.identify(c); err != nil {
+		return err
+	}
 	if a.helper == "" {
 		a.recordBeginning()
 	}
@@ -160,6 +163,11 @@
 	if errors.As(err, &large) && large.Shared {
 		return health.Unknown
 	}
+	return a.contactOutcome(err)
+}
+
+// contactOutcome returns the outcome for the error of a connection.
+func (a *attempt) contactOutcome(err error) health.Outcome {
 	var timeout interface{ Timeout() bool }
 	if errors.As(err, &timeout) && timeout.Timeout() {
 		return a.unlessCancelled(health.TimedOut)
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -26,6 +26,8 @@
 	Log         *zap.Logger
 	Conns       *httpclient.Pool
 	Metrics     Metrics
+	// Identity is how to ask an upstream which process answers.
+	Identity Identity
 	// Notify sends a message to all other routers. It doesn't wait, and may be nil.
 	Notify func(fleet.Message)
 	// Send sends a message to one router. It doesn't wait, and may be nil.
