--- a/core/fleet/detour.go
+++ b/core/fleet/detour.go
@@ -200,7 +200,7 @@
 	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
 		s := st.get(u.ID)
 		s.reachability = st.reach(u.DataCentre)
-		s.recordUnreachable(now, u)
+		s.raiseDoubt(now, u)
 		s.reachability.RecordFailure(now, u.ID)
 		if s.health.Observe(now, health.Unreachable) {
 			s.ejectedLocally = true
@@ -208,8 +208,8 @@
 	})
 }
 
-// recordUnreachable raises the doubt whether the process of an upstream still runs.
-func (s *state) recordUnreachable(now time.Time, u roster.Upstream) {
+// raiseDoubt raises the doubt whether the process of an upstream still runs.
+func (s *state) raiseDoubt(now time.Time, u roster.Upstream) {
 	s.doubt = lineage.Doubt{Since: now, StartedMS: u.StartedMS, Sequence: u.Sequence}
 }
 
--- a/core/fleet/lineage.go
+++ b/core/fleet/lineage.go
@@ -83,7 +83,7 @@
 		s := st.get(t.ID)
 		switch {
 		case !same:
-			s.recordUnreachable(now, t.Upstream)
+			s.raiseDoubt(now, t.Upstream)
 		case s.doubt.StartedMS == startedMS && s.doubt.Since.Before(now):
 			s.doubt = lineage.Doubt{}
 		}
--- a/core/fleet/outcome.go
+++ b/core/fleet/outcome.go
@@ -38,7 +38,7 @@
 			s.ejectedLocally = true
 		}
 		if o == health.Unreachable {
-			s.recordUnreachable(now, t.Upstream)
+			s.raiseDoubt(now, t.Upstream)
 		}
 		if o.ContactFailure() {
 			s.reachability.RecordFailure(now, t.ID)
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -61,6 +61,7 @@
 	if err := a.identify(c); err != nil {
 		return err
 	}
+	now = time.Now()
 	if a.helper == "" {
 		a.recordBeginning()
 	}
