Log which connection an attempt used and what was passed over on it

A line attempt_finished said neither to which address an attempt went nor over which connection, so that a copy of a refusal couldn't be told from a refusal, and two entries with one address not from two upstreams.

Change: address, conn (the number of the connection), reused and skipped (answers to other requests that came in place of the expected one) in attempt_finished.

--- a/router/httpclient/pool.go
+++ b/router/httpclient/pool.go
@@ -10,6 +10,7 @@
 import (
 	"bufio"
 	"context"
+	"sync/atomic"
 	"time"
 
 	"camphorpulley.org/base/dial"
@@ -28,6 +29,8 @@
 	limit   *dial.HeadLimit
 	wait    *boundedWait
 	address string
+	// serial numbers the connections of a pool from one on.
+	serial uint64
 	// reused is true if the connection has carried a request before.
 	reused bool
 	// lastUsed is when the last response ended. After expiresAt, the idle
@@ -39,9 +42,14 @@
 // earlier response may then arrive in place of the expected one.
 func (c *Conn) Reused() bool { return c.reused }
 
+// Serial returns the number of the connection among those that its pool has opened.
+func (c *Conn) Serial() uint64 { return c.serial }
+
 // Pool holds idle connections by address. The zero value is empty.
 type Pool struct {
 	idle table.Cell[map[string][]*Conn]
+	// opened is the number of connections that were opened.
+	opened atomic.Uint64
 }
 
 // Options are the time limits of Pool.Get.
@@ -73,7 +81,9 @@
 	}
 	wait := &boundedWait{conn: raw}
 	limit := &dial.HeadLimit{Source: wait}
-	return &Conn{Conn: raw, Reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, wait: wait, address: address}, nil
+	return &Conn{
+		Conn: raw, Reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, wait: wait, address: address, serial: p.opened.Add(1),
+	}, nil
 }
 
 // take removes the most recently used connection from the pool and returns it. It
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -30,8 +30,13 @@
 	// id is the number of the attempt within the call.
 	id int
 	// sent is true once a connection is open: bytes may then have been sent.
-	// reusedConn is true if the connection has carried an earlier request.
+	// reusedConn is true if the connection, whose number is conn, has carried an earlier
+	// request.
 	sent, reusedConn bool
+	conn             uint64
+	// skipped is the number of responses to other requests that came in place of the
+	// expected one.
+	skipped int
 	// status and headers are those of the response; zero if there was none.
 	status  int
 	headers ResponseHeaders
@@ -68,7 +73,7 @@
 	a.sent = true
 	a.Runs++
 	a.exchange.SetPhase(a.id, answer.Sent)
-	a.reusedConn = c.Reused()
+	a.reusedConn, a.conn = c.Reused(), c.Serial()
 	resp, err := c.Do(a.ctx, a.request(now), a.waitUntil(now, a.FirstByteDeadline(now, a.target, a.Runs)), a.checkHeader)
 	if err != nil {
 		a.outcome = a.markFailed(err)
@@ -138,6 +143,7 @@
 	a.reported = a.headers.Load
 	anonymous := a.headers.RequestID == "" && a.reusedConn && (a.headers.Signed || a.headers.NotRun)
 	if anonymous || (a.headers.RequestID != "" && a.headers.RequestID != a.ID) {
+		a.skipped++
 		return &httpclient.MismatchedResponseError{Want: a.ID, Got: a.headers.RequestID}
 	}
 	return nil
