Show that a copy of a refusal is taken for the answer to the same request

refused-again: an upstream that was started again at its address has two entries. It refuses a request for the first one, which is then sent to the second one over the connection that was used last; the copy of the refusal comes ahead of the answer and bears the same id.

refused-again.txtar:14: requests received by all upstreams: got 3, want 2

identity-copied: the copy of an earlier refusal answers the question which process is at the address.

identity-copied.txtar:12: response: got error unexpected EOF, want status [200]

--- a/router/gateway/script_test.go
+++ b/router/gateway/script_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"testing"
@@ -31,6 +32,14 @@
 // load the machine: upstreams that send bytes without end.
 func TestEndless(t *testing.T) { runScripts(t, "testdata/endless") }
 
+// TestKnownRed runs the scripts in testdata/red, which KNOWN-RED.txt lists.
+func TestKnownRed(t *testing.T) {
+	if os.Getenv("KNOWN_RED") == "" {
+		t.Skip("listed in KNOWN-RED.txt; set KNOWN_RED to run it")
+	}
+	runScripts(t, "testdata/red")
+}
+
 func runScripts(t *testing.T, dir string) {
 	testscript.Run(t, testscript.Params{
 		Dir: dir,
@@ -48,7 +57,7 @@
 			"set-timeout": with(cmdSetTimeout), "set-parts": with(cmdSetParts), "time-left": with(cmdTimeLeft),
 			"respond-endless": with(cmdRespondEndless), "sent-at-most": with(cmdSentAtMost), "took-at-most": with(cmdTookAtMost),
 			"each-cut": with(cmdEachCut), "request-while-closing": with(cmdRequestWhileClosing), "helper": with(cmdHelper), "cut-off": with(cmdCutOff), "stop-helper-in": with(cmdStopHelperIn), "relayed": with(cmdRelayed),
-			"started": with(cmdStarted), "requests": with(cmdRequests), "received-at-most": with(cmdReceivedAtMost), "heap-at-most": with(cmdHeapAtMost),
+			"started": with(cmdStarted), "entry": with(cmdEntry), "requests": with(cmdRequests), "received-at-most": with(cmdReceivedAtMost), "heap-at-most": with(cmdHeapAtMost),
 		},
 	})
 }
--- a/router/gateway/upstream_verbs_test.go
+++ b/router/gateway/upstream_verbs_test.go
@@ -39,10 +39,12 @@
 // router closes it. With early, it responds before it reads the body of the
 // request, and then keeps the connection. With late, it sends the first half, reads the
 // body after lateRead, sends the rest and closes the connection; with pause, it does so once
-// it has read the body; with busy, it reads the body and responds after lateRead.
+// it has read the body; with busy, it reads the body and responds after lateRead. With copied,
+// it keeps the connection and sends the response once more there, ahead of the next one.
 type response struct {
 	data []byte
-	// after is keep, close, reset, hang, early, early-reset, late, pause, busy or endless.
+	// after is keep, close, reset, hang, early, early-reset, late, pause, busy, copied or
+	// endless.
 	after string
 	// An endless response repeats piece, with a pause before each, until the router
 	// closes the connection.
@@ -70,11 +72,16 @@
 		u.mu.Unlock()
 	}()
 	reader := bufio.NewReader(c)
+	var earlier []byte
 	for {
 		r, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
+		if _, err := c.Write(earlier); err != nil {
+			return
+		}
+		earlier = nil
 		if r.URL.Path == identityURI {
 			if _, err := c.Write(u.identity()); err != nil {
 				return
@@ -113,6 +120,8 @@
 					return
 				}
 			}
+		case "copied":
+			earlier = data
 		case "reset", "early-reset":
 			time.Sleep(20 * time.Millisecond)
 			_ = c.(*net.TCPConn).SetLinger(0)
@@ -167,7 +176,7 @@
 	_ = f.upstreams[a[0]].listener.Close()
 }
 
-// respond UPSTREAM FILE keep|close|reset|hang|early|early-reset|late|pause|busy: adds to the
+// respond UPSTREAM FILE keep|close|reset|hang|early|early-reset|late|pause|busy|copied: adds to the
 // upstream's next responses. The early ones are sent before the request's body is read;
 // early-reset then resets the connection with the body unread. Line ends up to the first empty line of the file become CR LF. An empty
 // file sends nothing.
