Don't send a request again over the connection on which it was refused or has failed

Cause: a call excludes upstreams by id, and connections are pooled by address. An upstream that was started again at its address has two entries until the old one expires. A request that the new process refuses under the old id goes to the new one over the same connection, the last that was used. If the upstream sends its refusal once more, ahead of the next answer, the copy bears the id of the request that is under way: it was taken for a refusal, the connection went back to the pool with a request on it, and the request was sent to another upstream.

Change: what isn't the last answer of a request excludes the request from the connection; the pool hands out another one, or opens one. The connection stays in use for other requests, whose id differs.

--- a/router/httpclient/pool.go
+++ b/router/httpclient/pool.go
@@ -10,6 +10,7 @@
 import (
 	"bufio"
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -33,6 +34,8 @@
 	serial uint64
 	// reused is true if the connection has carried a request before.
 	reused bool
+	// excluded holds the ids of the requests that the connection must not carry again.
+	excluded []string
 	// lastUsed is when the last response ended. After expiresAt, the idle
 	// connection isn't used, because the upstream may close it.
 	lastUsed, expiresAt time.Time
@@ -52,13 +55,16 @@
 	opened atomic.Uint64
 }
 
-// Options are the time limits of Pool.Get.
+// Options are what Pool.Get goes by.
 type Options struct {
 	// ConnectTimeout bounds the opening of a new connection.
 	ConnectTimeout time.Duration
 	// MaxIdle is how long a pooled connection may have been idle; zero always
 	// opens a new one.
 	MaxIdle time.Duration
+	// RequestID is the request that the connection is for; empty for any. A connection
+	// from which it is excluded isn't used.
+	RequestID string
 }
 
 // Get returns a pooled connection to an address that was idle for less than
@@ -66,7 +72,7 @@
 // dialler.
 func (p *Pool) Get(ctx context.Context, now time.Time, address string, o Options) (*Conn, error) {
 	for {
-		c := p.take(now, address, o.MaxIdle)
+		c := p.take(now, address, o)
 		if c == nil {
 			break
 		}
@@ -86,20 +92,21 @@
 	}, nil
 }
 
-// take removes the most recently used connection from the pool and returns it. It
-// returns nil if that connection has expired or was idle for maxIdle or longer.
-func (p *Pool) take(now time.Time, address string, maxIdle time.Duration) *Conn {
+// take removes the most recently used connection that o permits from the pool and returns
+// it; nil if there is none.
+func (p *Pool) take(now time.Time, address string, o Options) *Conn {
 	return table.Read(&p.idle, table.Hold{}, func(all *map[string][]*Conn) *Conn {
 		conns := (*all)[address]
-		if len(conns) == 0 {
-			return nil
-		}
-		c := conns[len(conns)-1]
-		if now.Sub(c.lastUsed) >= maxIdle || now.After(c.expiresAt) {
-			return nil
+		for i, c := range slices.Backward(conns) {
+			if now.Sub(c.lastUsed) >= o.MaxIdle || now.After(c.expiresAt) {
+				return nil
+			}
+			if !slices.Contains(c.excluded, o.RequestID) {
+				(*all)[address] = slices.Delete(conns, i, i+1)
+				return c
+			}
 		}
-		(*all)[address] = conns[:len(conns)-1]
-		return c
+		return nil
 	})
 }
 
@@ -112,7 +119,7 @@
 	}
 	c.lastUsed, c.reused = now, true
 	c.expiresAt = now.Add(min(keepAlive-keepAliveMargin, maxKeepTime))
-	if c.Reader.Buffered() > 0 || !c.expiresAt.After(now) || c.wait.set(Wait{}) != nil || c.SetDeadline(time.Time{}) != nil {
+	if c.Reader.Buffered() > 0 || len(c.excluded) > maxExcluded || !c.expiresAt.After(now) || c.wait.set(Wait{}) != nil || c.SetDeadline(time.Time{}) != nil {
 		_ = c.Close()
 		return
 	}
@@ -134,6 +141,9 @@
 	// idle connection expires, so that no request is sent while the upstream
 	// closes it.
 	keepAliveMargin = 500 * time.Millisecond
+	// maxExcluded is the number of requests that may be excluded from a connection in the
+	// pool: the list is searched for each request.
+	maxExcluded = 32
 )
 
 // CloseUnusable closes the idle connections that have expired, that the upstream has
--- a/router/httpclient/roundtrip.go
+++ b/router/httpclient/roundtrip.go
@@ -172,6 +172,13 @@
 	resp.conn.Reset()
 }
 
+// ExcludeRequest keeps the connection from being used for another attempt of a request: the
+// upstream may send this response once more, and its copy can't be told from the response to
+// that attempt. It must be called before Release.
+func (resp *Response) ExcludeRequest(id string) {
+	resp.conn.excluded = append(resp.conn.excluded, id)
+}
+
 // Release returns the connection to a pool if it can be used again: the request
 // was written and the body read to its end, ctx has not ended, and the upstream
 // keeps the connection open. Otherwise it closes the connection.
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -57,7 +57,9 @@
 // run makes the attempt and sets its outcome.
 func (a *attempt) run() error {
 	now := time.Now()
-	c, err := a.forwarder.Conns.Get(a.ctx, now, a.target.Address, httpclient.Options{ConnectTimeout: a.ConnectTimeout(now), MaxIdle: a.maxIdle()})
+	c, err := a.forwarder.Conns.Get(a.ctx, now, a.target.Address, httpclient.Options{
+		ConnectTimeout: a.ConnectTimeout(now), MaxIdle: a.maxIdle(), RequestID: a.ID,
+	})
 	if err != nil {
 		a.outcome = a.unlessCancelled(health.Unreachable)
 		a.connectFailed = true
@@ -229,18 +231,23 @@
 		a.outcome = a.markFailed(err)
 		return err
 	}
-	resp.Release(time.Now(), a.forwarder.Conns)
+	original := !a.headers.Encoded && (a.headers.Signed || resp.StatusCode >= http.StatusMultipleChoices)
 	serverError := resp.StatusCode >= http.StatusInternalServerError
+	failed := serverError || impliesNotRun(resp.StatusCode)
+	if !original || failed {
+		resp.ExcludeRequest(a.ID)
+	}
+	resp.Release(time.Now(), a.forwarder.Conns)
 	a.outcome = health.Good
 	switch {
-	case a.headers.Encoded, !a.headers.Signed && resp.StatusCode < http.StatusMultipleChoices:
+	case !original:
 		a.outcome = health.Failed
 		a.exchange.SetPhase(a.id, answer.Failed)
 		return errNotOriginal
 	case serverError:
 		a.outcome = health.Failed
 	}
-	if serverError || impliesNotRun(resp.StatusCode) {
+	if failed {
 		a.exchange.SetPhase(a.id, answer.Failed)
 		if a.headers.Signed && !impliesNotRun(resp.StatusCode) {
 			a.failure = &failedResponse{status: resp.StatusCode, header: resp.Header, body: body}
--- a/router/relay/detour.go
+++ b/router/relay/detour.go
@@ -146,7 +146,8 @@
 	return true, errHelperRefused
 }
 
-// discard reads the rest of a short response, so that the connection can be used again.
+// discard reads the rest of a short response, so that the connection can be used again, though
+// not for this request.
 func (a *attempt) discard(resp *httpclient.Response) {
 	err := resp.SetWait(httpclient.Wait{Until: time.Now().Add(maxDiscardTime)})
 	if err == nil {
@@ -156,6 +157,7 @@
 		resp.Abort()
 		return
 	}
+	resp.ExcludeRequest(a.ID)
 	resp.Release(time.Now(), a.forwarder.Conns)
 }
 
