End the held read of the operators' feed when the store has been restored

What callers saw: requests run as a configuration says that was replaced more than 2 s before (CONFIG), after the store had come back from an older copy.

Cause: each feed learned by itself that the store had come back. The read of the operators' feed waited on, for up to 4 s, for a record at an offset of the history that had ended, while the reader of the upstreams' feed knew of the new one.

Change: the reader that sees a new era interrupts the held read, and the whole feed is read.

--- a/router/cluster/entry_reader.go
+++ b/router/cluster/entry_reader.go
@@ -28,6 +28,8 @@
 	log   *zap.Logger
 	// notifyPeers sends a segment, the records of a read, to the other routers.
 	notifyPeers func(fleet.FeedSegment)
+	// eraEnded is called when the store has come back from an older copy; it may be nil.
+	eraEnded func()
 
 	// era is that of the store at the last read; zero if it states none.
 	era uint64
@@ -112,6 +114,9 @@
 	}
 	if e.era != 0 {
 		e.log.Warn("store_restored", zap.String("feed", UpstreamFeed.String()), zap.Uint64("was", e.era), zap.Uint64("era", era), zap.Uint64("next", next))
+		if e.eraEnded != nil {
+			e.eraEnded()
+		}
 	}
 	e.era = era
 }
--- a/router/cluster/feed_reader.go
+++ b/router/cluster/feed_reader.go
@@ -58,6 +58,9 @@
 	confirmAt    time.Time
 	// restored is called when the store has come back from an older copy; it may be nil.
 	restored func()
+	// eraEnded is notified when the reader of another feed has learned that: a read that the
+	// store holds waits for an offset that says nothing any more. It may be nil.
+	eraEnded signal
 }
 
 // eraError reports a response of the store that belongs to an earlier era than the one
@@ -119,10 +122,14 @@
 		// the recovery of the store is seen at once.
 		wait = 0
 	}
-	page, err := f.store.Since(ctx, f.feed, f.next, wait)
+	page, ended, err := f.poll(ctx, wait)
 	if err != nil {
 		return err
 	}
+	if ended {
+		f.synced = false
+		return nil
+	}
 	isNew, err := f.recordEra(time.Now(), page.Era)
 	if err != nil {
 		return err
@@ -139,6 +146,30 @@
 	return nil
 }
 
+// poll reads the records from the next offset on. Ended is true if it has left the read to the
+// store, because the era has ended meanwhile.
+func (f *feedReader) poll(ctx context.Context, wait time.Duration) (page Page, ended bool, err error) {
+	type result struct {
+		page Page
+		err  error
+	}
+	done := make(chan result, 1)
+	from := f.next
+	go func() {
+		var r result
+		if panicked := worker.Protect(func() { r.page, r.err = f.store.Since(ctx, f.feed, from, wait) }); panicked != nil {
+			r.err = panicked
+		}
+		done <- r
+	}()
+	select {
+	case r := <-done:
+		return r.page, false, r.err
+	case <-f.eraEnded:
+		return Page{}, true, nil
+	}
+}
+
 // recordEra records the era of a response, and reports whether it is a new one: the store
 // has come back from an older copy. It returns an *eraError if the era has ended.
 func (f *feedReader) recordEra(now time.Time, era uint64) (isNew bool, err error) {
--- a/router/cluster/feed_reader_test.go
+++ b/router/cluster/feed_reader_test.go
@@ -19,6 +19,8 @@
 	Err    error
 	Events []Event
 	Era    uint64
+	// Held is true if the store holds the read until the caller's context ends.
+	Held bool
 }
 
 // scriptedStore takes the results of Since from a list and records the wait of each
@@ -40,9 +42,13 @@
 	return Page{Events: read.Events, Next: 1, Era: read.Era}, read.Err
 }
 
-func (s *scriptedStore) Since(_ context.Context, _ Feed, from uint64, wait time.Duration) (Page, error) {
+func (s *scriptedStore) Since(ctx context.Context, _ Feed, from uint64, wait time.Duration) (Page, error) {
 	read := s.reads[len(s.waits)]
 	s.waits = append(s.waits, wait)
+	if read.Held {
+		<-ctx.Done()
+		return Page{}, ctx.Err()
+	}
 	return Page{Events: read.Events, Next: from + uint64(len(read.Events)), Era: read.Era}, read.Err
 }
 
@@ -125,6 +131,36 @@
 	}
 }
 
+// TestRestoredStoreEndsPoll guards against a confirmed configuration that isn't in force in time
+// (CONFIG): a read of the operators' feed waited for an offset of the history that the store had
+// lost, while the reader of the upstreams' feed knew that it was lost.
+func TestRestoredStoreEndsPoll(t *testing.T) {
+	store := &scriptedStore{
+		newest: []scriptedRead{{Era: 1, Events: []Event{catalogEvent(7)}}, {Era: 2, Events: []Event{catalogEvent(9)}}},
+		reads:  []scriptedRead{{Held: true}},
+	}
+	tables := fleet.New(time.Now(), fleet.Settings{ID: "r1"})
+	operators := &feedReader{
+		feed: OperatorFeed, store: store, fleet: tables, log: zap.NewNop(), pollWait: time.Hour, restoreGrace: time.Hour, eraEnded: newSignal(),
+	}
+	upstreams := &entryReader{
+		store: &scriptedStore{newest: []scriptedRead{{Era: 1}}, reads: []scriptedRead{{Era: 2}}}, fleet: tables, log: zap.NewNop(), eraEnded: operators.eraEnded.notify,
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	for range 2 {
+		if err := upstreams.read(ctx); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 3 {
+		operators.step(ctx)
+	}
+	if got := tables.CatalogVersion(); got != 9 || ctx.Err() != nil {
+		t.Errorf("after the restore: got version %d and error %v, want 9 and none", got, ctx.Err())
+	}
+}
+
 // TestRestoredStoreKeepsEvacuation guards against requests to a data centre that is out of
 // service (EVAC): the copy from which the store comes back may lack the record that has
 // taken it out, until that is written again. After the grace, what the store says holds.
--- a/router/cluster/router.go
+++ b/router/cluster/router.go
@@ -251,10 +251,10 @@
 func (r *Router) startFeedReaders(ctx context.Context) {
 	operators := &feedReader{
 		feed: OperatorFeed, store: r.adapter.Store, fleet: r.fleet, log: r.log, pollWait: longPollWait(r.settings.Bounds.recovery()),
-		restoreGrace: r.settings.Bounds.recovery(), restored: r.storeRestored.notify,
+		restoreGrace: r.settings.Bounds.recovery(), restored: r.storeRestored.notify, eraEnded: newSignal(),
 	}
 	upstreams := &entryReader{
-		store: r.adapter.Store, fleet: r.fleet, log: r.log,
+		store: r.adapter.Store, fleet: r.fleet, log: r.log, eraEnded: operators.eraEnded.notify,
 		notifyPeers: func(s fleet.FeedSegment) { r.send(r.fleet.Spread(time.Now(), fleet.Message{Segment: &s})) },
 	}
 	r.scheduler.Repeat(ctx, operators.step)
