Send refusals once more and restart runners at their address in the soak

Callers saw requests that must run once run twice, and some answered 503 although they ran; the users didn't say which of the rule's two meanings they counted.

Change: half of the refusals (503, 421) go out once more on their connection, ahead of the next response there: when the next request arrives or 25 ms late, a fifth without an id. The runner's connections do that, since a handler of net/http can't. Runners end without notice and start again at their address under a new id. A runner at a time is slow, beside planned work too, and half of the streams that hang stop in the middle. The ledger knows when a run ends, also by its connection, and checks ran_beside: the second meaning. A fault of the router or of the runner before excuses it, one in which the runner only misbehaves doesn't.

--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -20,36 +20,47 @@
 // work that affects no component, so that all limits still apply. The function end
 // ends the fault after its duration; it is nil if there is nothing to end.
 type fault struct {
-	name    string
-	planned bool
-	begin   func(s *soak, random *rand.Rand) (component, detail string, end func())
+	name   string
+	impact impact
+	begin  func(s *soak, random *rand.Rand) (component, detail string, end func())
 }
 
+// impact is how a fault affects its component.
+type impact int
+
+const (
+	planned impact = iota
+	// outage keeps the component from running or from being reached, or may.
+	outage
+	// misbehaviour is a fault of a component that runs and is reached all the while.
+	misbehaviour
+)
+
 // faults holds the kinds of faults. A seed chooses them by index, so that their
 // order is part of what a seed stands for.
 var faults = []fault{
-	{"term", true, func(s *soak, random *rand.Rand) (string, string, func()) {
+	{"term", planned, func(s *soak, random *rand.Rand) (string, string, func()) {
 		return s.signalRouter(random, syscall.SIGTERM)
 	}},
-	{"drain", true, func(s *soak, random *rand.Rand) (string, string, func()) {
+	{"drain", planned, func(s *soak, random *rand.Rand) (string, string, func()) {
 		return s.replaceRunner(random, (*runner.Runner).Drain)
 	}},
-	{"remove", true, func(s *soak, random *rand.Rand) (string, string, func()) {
+	{"remove", planned, func(s *soak, random *rand.Rand) (string, string, func()) {
 		return s.replaceRunner(random, (*runner.Runner).Remove)
 	}},
-	{"config", true, switchPool},
-	{"evacuate", true, evacuateZone},
-	{"add_cold", true, addColdEngine},
-	{"kill", false, func(s *soak, random *rand.Rand) (string, string, func()) {
+	{"config", planned, switchPool},
+	{"evacuate", planned, evacuateZone},
+	{"add_cold", planned, addColdEngine},
+	{"kill", outage, func(s *soak, random *rand.Rand) (string, string, func()) {
 		return s.signalRouter(random, syscall.SIGKILL)
 	}},
-	{"kill_all", false, killRouters},
-	{"pause", false, pauseRouter},
-	{"crash", false, crashRunner},
-	{"degraded", false, degradeRunner},
-	{"runner_network", false, faultRunnerNetwork},
-	{"store", false, faultStore},
-	{"store_network", false, faultStoreNetwork},
+	{"kill_all", outage, killRouters},
+	{"pause", outage, pauseRouter},
+	{"crash", outage, crashRunner},
+	{"degraded", misbehaviour, degradeRunner},
+	{"runner_network", outage, faultRunnerNetwork},
+	{"store", outage, faultStore},
+	{"store_network", outage, faultStoreNetwork},
 }
 
 const (
@@ -72,7 +83,7 @@
 		duration := minFaultTime + time.Duration(random.Int64N(int64(maxFaultTime-minFaultTime)))
 		gap := time.Duration(random.Int64N(int64(maxFaultGap)))
 		faultRandom := rand.New(rand.NewPCG(random.Uint64(), 0))
-		if s.plannedOnly && !f.planned {
+		if s.plannedOnly && f.impact != planned {
 			continue
 		}
 		ended := make(chan struct{})
@@ -95,7 +106,7 @@
 	if component == "" {
 		return
 	}
-	recordEnd := s.ledger.BeginFault(time.Now(), component, f.planned)
+	recordEnd := s.ledger.BeginFault(time.Now(), ledger.Fault{Component: component, Planned: f.impact == planned, Reachable: f.impact == misbehaviour})
 	s.log.Info("fault_injected", zap.String("fault", f.name), zap.String("part", component), zap.String("how", detail), zap.Duration("for", duration))
 	sleep(ctx, duration)
 	if end != nil {
--- a/lab/soak/ledger/ledger.go
+++ b/lab/soak/ledger/ledger.go
@@ -58,10 +58,12 @@
 	// Line is the method and the path, Body the content as sent.
 	Line, Body string
 	SentAt     time.Time
-	runs       int
+	runs       []period
 	// refused is true once the caller has received a status which promises that
 	// the request has not run.
 	refused bool
+	// steps holds what runners have done with the request, for traces.
+	steps []Step
 }
 
 // Run is the execution of a request by a runner.
@@ -74,6 +76,8 @@
 	// Key is the API key that the runner received. Routers must not pass it on.
 	Key string
 	At  time.Time
+	// Conn names the connection on which the runner received the request.
+	Conn string
 	// WithdrawnAt is when the runner's entry was written as draining or removed;
 	// zero while the runner is in service.
 	WithdrawnAt time.Time
@@ -87,14 +91,10 @@
 	At        time.Time
 	Guarantee string
 	Detail    string
-}
-
-// fault is the period during which a fault affected a component.
-type fault struct {
-	component string
-	planned   bool
-	from, to  time.Time
-	active    bool
+	// Steps holds what runners have done with the request that was judged, if the guarantee
+	// is one about its runs.
+	Steps   []Step
+	request *Request
 }
 
 // configuration maps routes to pools.
@@ -107,7 +107,7 @@
 type Ledger struct {
 	mu        sync.Mutex
 	requests  map[string]*Request
-	faults    []fault
+	faults    []Fault
 	configs   []configuration
 	evacuated map[string]time.Time
 	// coldRuns holds the times of the last second's requests by cold runner.
@@ -119,15 +119,9 @@
 	turnedAway map[pair]*turnedAway
 	violations []Violation
 	outcomes   map[string]int
+	events     map[string]int
 }
 
-// StoreComponent and AllComponents are the components whose faults affect all
-// routers.
-const (
-	StoreComponent = "store"
-	AllComponents  = "all"
-)
-
 // RecordRequest records a request that a caller is about to send.
 func (l *Ledger) RecordRequest(r Request) {
 	l.mu.Lock()
@@ -138,49 +132,6 @@
 	l.requests[r.ID] = &r
 }
 
-// BeginFault records the start of a fault in a component, by planned work or
-// not, and returns the function that records its end.
-func (l *Ledger) BeginFault(now time.Time, component string, planned bool) func(now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.faults = append(l.faults, fault{component: component, planned: planned, from: now, active: true})
-	i := len(l.faults) - 1
-	return func(now time.Time) {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.faults[i].to, l.faults[i].active = now, false
-	}
-}
-
-// noFault reports whether no fault, planned or not, affected any of the
-// components between two times.
-func (l *Ledger) noFault(from, to time.Time, components ...string) bool {
-	for _, f := range l.faults {
-		if f.from.After(to) || (!f.active && f.to.Before(from)) {
-			continue
-		}
-		for _, c := range append(components, AllComponents) {
-			if f.component == c {
-				return false
-			}
-		}
-	}
-	return true
-}
-
-// NoUnplannedFault reports whether no fault other than planned work was active
-// in any component between two times.
-func (l *Ledger) NoUnplannedFault(from, to time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, f := range l.faults {
-		if !f.planned && !f.from.After(to) && (f.active || !f.to.Before(from)) {
-			return false
-		}
-	}
-	return true
-}
-
 // RecordConfig records that a configuration was written, with the pool of each
 // route.
 func (l *Ledger) RecordConfig(now time.Time, pools map[string]string) {
@@ -211,13 +162,13 @@
 		l.addViolation(r.At, "integrity", "runner %s ran unknown request %q", r.Runner, r.ID)
 		return
 	}
-	q.runs++
+	l.addRun(q, r)
 	if q.Line != r.Line || q.Body != r.Body || r.Key != "" || r.Tenant != q.Tenant {
 		l.addViolation(r.At, "integrity", "request %s arrived changed: got %q, body %q, tenant %q, API key passed on: %t; want %q, body %q, tenant %q and no API key",
 			r.ID, r.Line, r.Body, r.Tenant, r.Key != "", q.Line, q.Body, q.Tenant)
 	}
-	if !q.Kind.Repeatable() && q.runs > 1 {
-		l.addViolation(r.At, "ran_twice", "request %s ran %d times, want at most 1", r.ID, q.runs)
+	if !q.Kind.Repeatable() && len(q.runs) > 1 {
+		l.addRunViolation(r.At, q, "ran_twice", "request %s ran %d times, want at most 1", r.ID, len(q.runs))
 	}
 	l.checkRefusal(r.At, q)
 	l.checkPlacement(r, q)
@@ -227,8 +178,8 @@
 // checkRefusal checks that an unrepeatable request which was refused as not run
 // has not run, neither before nor after the refusal.
 func (l *Ledger) checkRefusal(now time.Time, q *Request) {
-	if q.refused && q.runs > 0 && !q.Kind.Repeatable() {
-		l.addViolation(now, "refused_but_ran", "request %s was refused as not run, but ran", q.ID)
+	if q.refused && len(q.runs) > 0 && !q.Kind.Repeatable() {
+		l.addRunViolation(now, q, "refused_but_ran", "request %s was refused as not run, but ran", q.ID)
 	}
 }
 
@@ -307,7 +258,7 @@
 func (l *Ledger) Runs(id string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.requests[id].runs
+	return len(l.requests[id].runs)
 }
 
 // CountOutcome counts a request that ended with an outcome: a status code, or
@@ -326,5 +277,11 @@
 func (l *Ledger) Result() (map[string]int, []Violation) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return maps.Clone(l.outcomes), slices.Clone(l.violations)
+	violations := slices.Clone(l.violations)
+	for i := range violations {
+		if q := violations[i].request; q != nil {
+			violations[i].Steps = slices.Clone(q.steps)
+		}
+	}
+	return maps.Clone(l.outcomes), violations
 }
--- a/lab/soak/ledger/script_test.go
+++ b/lab/soak/ledger/script_test.go
@@ -1,6 +1,8 @@
 package ledger
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -34,6 +36,7 @@
 			"config": command(cmdConfig), "send": command(cmdSend), "run": command(cmdRun), "refuse": command(cmdRefuse),
 			"advance": command(cmdAdvance), "withdraw": command(cmdWithdraw), "evacuate": command(cmdEvacuate),
 			"begin-fault": command(cmdBeginFault), "end-fault": command(cmdEndFault), "violations": command(cmdViolations), "limit": command(cmdLimit), "arrive": command(cmdArrive), "told": command(cmdTold), "leave": command(cmdLeave), "turn-away": command(cmdTurnAway), "restart": command(cmdRestart),
+			"run-end": command(cmdRunEnd), "unended": command(cmdUnended), "copy": command(cmdCopy), "refused": command(cmdRefused), "events": command(cmdEvents),
 		},
 	})
 }
@@ -106,9 +109,10 @@
 	s.ledger.SetEvacuated(s.now, args[0], true)
 }
 
-// begin-fault COMPONENT: starts an unplanned fault.
+// begin-fault COMPONENT [reachable]: starts an unplanned fault, in which routers reach the
+// component all the while if so stated.
 func cmdBeginFault(_ *testscript.TestScript, s *scriptState, args []string) {
-	s.endFault[args[0]] = s.ledger.BeginFault(s.now, args[0], false)
+	s.endFault[args[0]] = s.ledger.BeginFault(s.now, Fault{Component: args[0], Reachable: len(args) > 1 && args[1] == "reachable"})
 }
 
 // end-fault COMPONENT: ends the fault.
@@ -165,3 +169,41 @@
 func cmdRestart(_ *testscript.TestScript, s *scriptState, args []string) {
 	s.ledger.ForgetStatements(args[0])
 }
+
+// run-end ID RUNNER: the runner no longer works on the request.
+func cmdRunEnd(_ *testscript.TestScript, s *scriptState, args []string) {
+	s.ledger.RecordRunEnd(s.now, args[1], args[0])
+}
+
+// unended: checks the runs that have not ended.
+func cmdUnended(_ *testscript.TestScript, s *scriptState, _ []string) { s.ledger.CheckUnended(s.now) }
+
+// refused ID RUNNER STATUS: the runner refuses the request.
+func cmdRefused(ts *testscript.TestScript, s *scriptState, args []string) {
+	status, err := strconv.Atoi(args[2])
+	ts.Check(err)
+	s.ledger.RecordRefused(s.now, args[1], "c", args[0], status)
+}
+
+// copy REFUSED RUNNER [NEXT]: the runner sends a refusal once more, ahead of the response to
+// NEXT if one is due.
+func cmdCopy(_ *testscript.TestScript, s *scriptState, args []string) {
+	c := Copy{Refused: args[0], Runner: args[1], Conn: "c"}
+	if len(args) > 2 {
+		c.Next = args[2]
+	}
+	s.ledger.RecordCopy(s.now, c)
+}
+
+// events [EVENT=COUNT...]: checks that exactly these events have been counted, in the order
+// of their names.
+func cmdEvents(ts *testscript.TestScript, s *scriptState, args []string) {
+	counted := s.ledger.Events()
+	var got []string
+	for _, event := range slices.Sorted(maps.Keys(counted)) {
+		got = append(got, event+"="+strconv.Itoa(counted[event]))
+	}
+	if !slices.Equal(got, args) {
+		ts.Fatalf("events: got %v, want %v", got, args)
+	}
+}
--- a/lab/soak/main.go
+++ b/lab/soak/main.go
@@ -118,14 +118,19 @@
 // maxPrinted is the number of violations that are printed for a seed.
 const maxPrinted = 10
 
-// printResult prints the number of requests by outcome, and the first violations.
+// printResult prints the number of requests by outcome and of events, and the first
+// violations.
 func printResult(seed uint64, outcomes map[string]int, violations []ledger.Violation) {
-	fmt.Printf("seed=%d", seed)
+	line := fmt.Sprintf("seed=%d", seed)
 	for _, outcome := range slices.Sorted(maps.Keys(outcomes)) {
-		fmt.Printf(" %s=%d", outcome, outcomes[outcome])
+		line += fmt.Sprintf(" %s=%d", outcome, outcomes[outcome])
 	}
-	fmt.Printf(" violations=%d\n", len(violations))
+	// The log goes to the same output: a line that is written at once stays whole.
+	fmt.Printf("%s violations=%d\n", line, len(violations))
 	for _, v := range violations[:min(len(violations), maxPrinted)] {
 		fmt.Printf("  %s %s: %s\n", v.At.Format("15:04:05.000"), v.Guarantee, v.Detail)
+		for _, step := range v.Steps {
+			fmt.Printf("    %s\n", step)
+		}
 	}
 }
--- a/lab/soak/proxy/proxy.go
+++ b/lab/soak/proxy/proxy.go
@@ -47,13 +47,14 @@
 // Proxy forwards connections to a target.
 type Proxy struct {
 	listener net.Listener
-	target   string
 	fault    atomic.Int32
-	mu       sync.Mutex
-	conns    map[*net.TCPConn]struct{}
+	// mu guards the fields below.
+	mu     sync.Mutex
+	target string
+	conns  map[*net.TCPConn]struct{}
 }
 
-// New starts a proxy to a target, a host and port, on a free loopback port.
+// New starts a proxy to a target, as SetTarget sets it, on a free loopback port.
 func New(target string) (*Proxy, error) {
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -76,6 +77,21 @@
 	}
 }
 
+// SetTarget sets the target of new connections, a host and port, and resets those that are
+// open. Without a target, new ones are reset.
+func (p *Proxy) SetTarget(target string) {
+	p.mu.Lock()
+	p.target = target
+	p.mu.Unlock()
+	p.resetConns()
+}
+
+func (p *Proxy) currentTarget() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.target
+}
+
 // Close stops the listener and resets the open connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
@@ -107,7 +123,7 @@
 
 // handle connects a client to the target and forwards data in both directions.
 func (p *Proxy) handle(client *net.TCPConn) {
-	raw, err := net.DialTimeout("tcp4", p.target, dialTimeout)
+	raw, err := net.DialTimeout("tcp4", p.currentTarget(), dialTimeout)
 	target, ok := raw.(*net.TCPConn)
 	if err != nil || !ok || Fault(p.fault.Load()) == Reset {
 		_ = client.SetLinger(0)
--- a/lab/soak/proxy/proxy_test.go
+++ b/lab/soak/proxy/proxy_test.go
@@ -81,3 +81,30 @@
 	_, err := io.ReadFull(c, make([]byte, 1))
 	return err
 }
+
+// TestSetTarget checks that connections lead to the target that was set last, that those to
+// the one before are reset, and that none passes without a target.
+func TestSetTarget(t *testing.T) {
+	p, err := New("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	for _, step := range []struct {
+		target string
+		passes bool
+	}{{target: startEchoServer(t), passes: true}, {target: ""}, {target: startEchoServer(t), passes: true}} {
+		p.SetTarget(step.target)
+		c, err := net.Dial("tcp4", p.Address())
+		if err == nil {
+			err = exchange(c)
+			defer func() { _ = c.Close() }()
+		}
+		if got := err == nil; got != step.passes {
+			t.Errorf("target %q: byte came back: got %t (%v), want %t", step.target, got, err, step.passes)
+		}
+		if p.SetTarget(""); step.passes && exchange(c) == nil {
+			t.Errorf("after target %q: byte came back, want the connection reset", step.target)
+		}
+	}
+}
--- a/lab/soak/replace.go
+++ b/lab/soak/replace.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"camphorpulley.org/lab/soak/ledger"
 )
 
 const (
@@ -55,7 +57,7 @@
 	}
 	r.program = program
 	r.mu.Unlock()
-	recordEnd := s.ledger.BeginFault(time.Now(), r.id, true)
+	recordEnd := s.ledger.BeginFault(time.Now(), ledger.Fault{Component: r.id, Planned: true})
 	s.log.Info("router_replaced", zap.String("router", r.id), zap.String("program", program))
 	s.sendSignal(r, syscall.SIGTERM)
 	s.wg.Go(func() {
--- a/lab/soak/runner/runner.go
+++ b/lab/soak/runner/runner.go
@@ -40,15 +40,18 @@
 	Failing
 	// Dropping runs requests and closes the connection without a response.
 	Dropping
-	// Hanging runs requests, doesn't respond, and later closes the connection.
+	// Hanging runs requests, doesn't respond or stops in the middle of a stream, and later
+	// closes the connection.
 	Hanging
 	// Shedding turns requests away.
 	Shedding
+	// Slow begins its responses slowTime later.
+	Slow
 )
 
 // String returns the name of the mode for logs.
 func (m Mode) String() string {
-	return [...]string{"healthy", "failing", "dropping", "hanging", "shedding"}[m]
+	return [...]string{"healthy", "failing", "dropping", "hanging", "shedding", "slow"}[m]
 }
 
 const (
@@ -66,8 +69,13 @@
 	// missedHeartbeats is the number of heartbeats missing after which the entry
 	// of a crashed runner is removed.
 	missedHeartbeats = 3
-	// hangTime is how long a request hangs in the mode Hanging.
-	hangTime = 5 * time.Second
+	// hangTime is how long a request hangs in the mode Hanging, and stallShare the share of the
+	// streams among them that stop in the middle.
+	hangTime   = 5 * time.Second
+	stallShare = 0.5
+	// slowTime is longer than routers wait before they try another runner, and
+	// ledger.OverlapLimit.
+	slowTime = 1200 * time.Millisecond
 )
 
 // Runner is a running stand-in.
@@ -97,17 +105,24 @@
 // Start starts a runner and its proxy, writes its entry to the store and renews
 // the entry by heartbeats.
 func Start(c Config, s *store.Store, l *ledger.Ledger) (*Runner, error) {
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	p, err := proxy.New("")
 	if err != nil {
 		return nil, err
 	}
-	p, err := proxy.New(ln.Addr().String())
+	return StartAt(c, p, s, l)
+}
+
+// StartAt starts a runner as Start does, at the address of the proxy of one that was
+// terminated.
+func StartAt(c Config, p *proxy.Proxy, s *store.Store, l *ledger.Ledger) (*Runner, error) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	r := &Runner{Config: c, Proxy: p, store: s, ledger: l, startedAt: time.Now()}
-	r.server = &http.Server{Handler: r}
-	go func() { _ = r.server.Serve(ln) }()
+	r.server = &http.Server{Handler: r, ConnContext: withConn}
+	go func() { _ = r.server.Serve(listener{Listener: ln, runner: r}) }()
+	p.SetTarget(ln.Addr().String())
 	r.writeEntry()
 	go r.sendHeartbeats()
 	return r, nil
@@ -203,13 +218,20 @@
 	r.close()
 }
 
-// Crash closes the server without notice. The runner's entry is removed after
-// missedHeartbeats intervals.
+// Crash ends the runner without notice. Its entry is removed after missedHeartbeats
+// intervals.
 func (r *Runner) Crash() {
+	r.Terminate()
+	r.Proxy.Close()
+}
+
+// Terminate ends the runner as Crash does, but keeps its address for StartAt.
+func (r *Runner) Terminate() {
 	r.mu.Lock()
 	r.heartbeatsStopped = true
 	r.mu.Unlock()
-	r.close()
+	r.Proxy.SetTarget("")
+	_ = r.server.Close()
 	time.AfterFunc(missedHeartbeats*heartbeatInterval, func() { r.store.Put(entryTopic, r.ID, nil) })
 }
 
--- a/lab/soak/runner/serve.go
+++ b/lab/soak/runner/serve.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -11,23 +12,27 @@
 	"camphorpulley.org/lab/soak/ledger"
 )
 
+// headerRequestID is the field that identifies a request.
+const headerRequestID = "Camphorpulley-Attempt-Id"
+
 // ServeHTTP implements http.Handler. It responds to cache inventory queries with an
 // empty inventory, refuses requests that are addressed to another instance or
 // exceed the slots, and records and runs all others.
 func (r *Runner) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	id := q.Header.Get(headerRequestID)
+	connOf(q).begin(id)
 	if q.URL.Path == "/kv-list" {
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = io.WriteString(w, `{"epoch":1,"next":0,"held":[]}`)
 		return
 	}
-	id := q.Header.Get("Camphorpulley-Attempt-Id")
-	w.Header().Set("Camphorpulley-Attempt-Id", id)
+	w.Header().Set(headerRequestID, id)
 	body, err := io.ReadAll(q.Body)
 	if err != nil {
 		return
 	}
 	if target := q.Header.Get("Camphorpulley-Target-Instance"); target != r.ID {
-		w.WriteHeader(http.StatusMisdirectedRequest)
+		r.refuse(w, q, id, http.StatusMisdirectedRequest)
 		return
 	}
 	r.ledger.RecordArrival(time.Now(), r.ID, id)
@@ -41,15 +46,17 @@
 	}
 	if r.running.Add(1) > int64(r.Slots) {
 		r.running.Add(-1)
-		r.turnAway(w, id)
+		r.turnAway(w, q, id)
 		return
 	}
 	defer r.running.Add(-1)
 	if Mode(r.mode.Load()) == Shedding && rand.Float64() < degradedShare {
-		r.turnAway(w, id)
+		r.turnAway(w, q, id)
 		return
 	}
 	r.recordRun(id, q, string(body))
+	// A run ends with its response, or when the connection closes.
+	context.AfterFunc(q.Context(), func() { r.ledger.RecordRunEnd(time.Now(), r.ID, id) })
 	r.respond(w, q, id)
 }
 
@@ -57,13 +64,23 @@
 const turnAwayTime = 1500 * time.Millisecond
 
 // turnAway responds that the request has not run, and when the router may come back.
-func (r *Runner) turnAway(w http.ResponseWriter, id string) {
+func (r *Runner) turnAway(w http.ResponseWriter, q *http.Request, id string) {
 	w.Header().Set("Camphorpulley-Not-Executed", "1")
 	w.Header().Set("Retry-After", strconv.FormatFloat(turnAwayTime.Seconds(), 'f', -1, 64))
-	w.WriteHeader(http.StatusServiceUnavailable)
+	r.refuse(w, q, id, http.StatusServiceUnavailable)
 	r.ledger.RecordTurnedAway(time.Now(), r.ID, id, turnAwayTime)
 }
 
+// refuse responds that a request has not run, by a status. What states no id isn't one of a
+// caller.
+func (r *Runner) refuse(w http.ResponseWriter, q *http.Request, id string, status int) {
+	if id != "" {
+		r.ledger.RecordRefused(time.Now(), r.ID, q.RemoteAddr, id, status)
+		connOf(q).refuse(id)
+	}
+	w.WriteHeader(status)
+}
+
 func (r *Runner) isDraining() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -81,7 +98,7 @@
 	withdrawnAt := r.withdrawnAt
 	r.mu.Unlock()
 	r.ledger.RecordRun(ledger.Run{
-		ID: id, Runner: r.ID, Pool: r.Pool, Zone: r.Zone, Line: q.Method + " " + q.RequestURI, Body: body,
+		ID: id, Runner: r.ID, Pool: r.Pool, Zone: r.Zone, Conn: q.RemoteAddr, Line: q.Method + " " + q.RequestURI, Body: body,
 		Tenant: q.Header.Get("Camphorpulley-Tenant"), Key: q.Header.Get("Camphorpulley-Key"), At: now, WithdrawnAt: withdrawnAt, ColdRate: rate,
 	})
 }
@@ -91,28 +108,36 @@
 // plain body. A stream continues after the event in Last-Event-Id, if given.
 func (r *Runner) respond(w http.ResponseWriter, q *http.Request, id string) {
 	simulateWork()
-	if m := Mode(r.mode.Load()); m != Healthy && m != Shedding && rand.Float64() < degradedShare {
+	streams, stalls := q.Header.Get("Camphorpulley-Prompt-Prefix") != "", false
+	if m := Mode(r.mode.Load()); m != Healthy && rand.Float64() < degradedShare {
 		switch m {
+		case Failing:
+			w.Header().Set("Camphorpulley-Response-Signature", "failed."+id)
+			w.WriteHeader(http.StatusInternalServerError)
+			return
 		case Dropping:
 			panic(http.ErrAbortHandler)
 		case Hanging:
-			time.Sleep(hangTime)
-			panic(http.ErrAbortHandler)
-		default:
+			if stalls = streams && rand.Float64() < stallShare; !stalls {
+				hang()
+			}
+		case Slow:
+			time.Sleep(slowTime)
+		case Healthy, Shedding:
 		}
-		w.Header().Set("Camphorpulley-Response-Signature", "failed."+id)
-		w.WriteHeader(http.StatusInternalServerError)
-		return
 	}
 	w.Header().Set("Camphorpulley-Response-Signature", "sig."+id)
 	w.Header().Set("Camphorpulley-Runner-Load", fmt.Sprintf("%d,0,%d", r.running.Load(), r.Slots))
-	if q.Header.Get("Camphorpulley-Prompt-Prefix") == "" {
+	if !streams {
 		_, _ = io.WriteString(w, PlainBody(id))
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	after, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	for n := after + 1; n <= Events; n++ {
+		if stalls && n > Events/2 {
+			hang()
+		}
 		if _, err := io.WriteString(w, Event(id, n, r.Release)); err != nil {
 			return
 		}
@@ -123,6 +148,12 @@
 	}
 }
 
+// hang waits, and closes the connection.
+func hang() {
+	time.Sleep(hangTime)
+	panic(http.ErrAbortHandler)
+}
+
 func simulateWork() { time.Sleep(minWorkTime + rand.N(workTimeRange)) }
 
 // PlainBody returns the complete body of an application's response to a request.
--- /dev/null
+++ b/lab/soak/runners.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"camphorpulley.org/lab/soak/proxy"
+	"camphorpulley.org/lab/soak/runner"
+)
+
+const (
+	// downTime is the time between the end of a runner's process and its next start.
+	downTime = 100 * time.Millisecond
+	// maxRestartGap bounds the time before a restart.
+	maxRestartGap = 4 * time.Second
+)
+
+// restartRunners restarts random runners during faultTime, and waits until the faults have
+// ended. It has random numbers of its own, so that the faults of a seed stay the same.
+func (s *soak) restartRunners(ctx context.Context, random *rand.Rand) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for deadline := time.Now().Add(s.faultTime); ; {
+		sleep(ctx, time.Duration(random.Int64N(int64(maxRestartGap))))
+		if s.plannedOnly || ctx.Err() != nil || !time.Now().Before(deadline) {
+			return
+		}
+		duration := minFaultTime + time.Duration(random.Int64N(int64(maxFaultTime-minFaultTime)))
+		faultRandom := rand.New(rand.NewPCG(random.Uint64(), 0))
+		wg.Go(func() { s.inject(ctx, fault{"restart", outage, restartRunner}, duration, faultRandom) })
+	}
+}
+
+// restartRunner ends the process of a random runner without notice and starts it again at the
+// same address under a new id. For a while, two entries name the address.
+func restartRunner(s *soak, random *rand.Rand) (component, detail string, end func()) {
+	r := s.takeRunner(random)
+	if r == nil {
+		return "", "", nil
+	}
+	c := r.Config
+	c.ID, c.ColdTime = runnerID(s.countRunner()), 0
+	r.Terminate()
+	r.Proxy.SetFault(proxy.NoFault)
+	time.AfterFunc(downTime, func() {
+		s.ledger.CountEvent("readdressed")
+		s.takeIn(runner.StartAt(c, r.Proxy, s.store, s.ledger))
+	})
+	return r.ID, c.ID + " at " + r.Proxy.Address(), nil
+}
+
+const (
+	// minSlowTime and maxSlowTime are the limits of the time for which a runner is slow, and
+	// maxSlowGap that of the time between two.
+	minSlowTime = time.Second
+	maxSlowTime = 3 * time.Second
+	maxSlowGap  = 2 * time.Second
+)
+
+// slowRunners lets one random runner after another be slow during faultTime, so that routers
+// leave it for another one. It is no fault that excuses a router, and comes beside planned work,
+// too. It has random numbers of its own, so that the faults of a seed stay the same.
+func (s *soak) slowRunners(ctx context.Context, random *rand.Rand) {
+	for deadline := time.Now().Add(s.faultTime); time.Now().Before(deadline) && ctx.Err() == nil; {
+		r := s.pickRunner(random)
+		duration := minSlowTime + time.Duration(random.Int64N(int64(maxSlowTime-minSlowTime)))
+		s.log.Info("slow", zap.String("part", r.ID), zap.Duration("for", duration))
+		r.SetMode(runner.Slow)
+		sleep(ctx, duration)
+		r.SetMode(runner.Healthy)
+		sleep(ctx, time.Duration(random.Int64N(int64(maxSlowGap))))
+	}
+}
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -141,19 +142,28 @@
 // addRunner starts a runner in a pool and a zone. An engine is cold for coldTime
 // after its start.
 func (s *soak) addRunner(pool, zone string, coldTime time.Duration) {
-	s.mu.Lock()
-	s.runnersStarted++
-	c := runner.Config{
-		ID: fmt.Sprintf("i-%d", s.runnersStarted), Pool: pool, Zone: zone, Slots: appSlots, ColdTime: coldTime,
-		Release: releases[s.runnersStarted%len(releases)],
-	}
-	s.mu.Unlock()
+	n := s.countRunner()
+	c := runner.Config{ID: runnerID(n), Pool: pool, Zone: zone, Slots: appSlots, ColdTime: coldTime, Release: releases[n%len(releases)]}
 	if pool == "engines" {
 		c.Slots, c.ColdRate = engineSlots, coldRate
 	}
-	r, err := runner.Start(c, s.store, s.ledger)
+	s.takeIn(runner.Start(c, s.store, s.ledger))
+}
+
+// countRunner returns the number of the next runner, counted from one.
+func (s *soak) countRunner() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runnersStarted++
+	return s.runnersStarted
+}
+
+func runnerID(n int) string { return fmt.Sprintf("i-%d", n) }
+
+// takeIn adds a runner that was started to those in service.
+func (s *soak) takeIn(r *runner.Runner, err error) {
 	if err != nil {
-		s.ledger.RecordViolation(time.Now(), "harness", "start runner %s: %v", c.ID, err)
+		s.ledger.RecordViolation(time.Now(), "harness", "start runner: %v", err)
 		return
 	}
 	s.mu.Lock()
@@ -249,13 +259,13 @@
 }
 
 // run starts the fleet and the callers, injects faults, and checks that the fleet
-// recovers. It returns the number of requests by outcome, and the violations.
+// recovers. It returns the number of requests by outcome and of events, and the violations.
 func (s *soak) run(ctx context.Context) (map[string]int, []ledger.Violation, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer s.wg.Wait()
 	defer cancel()
 	s.ctx = ctx
-	recordStartupEnd := s.ledger.BeginFault(time.Now(), ledger.AllComponents, false)
+	recordStartupEnd := s.ledger.BeginFault(time.Now(), ledger.Fault{Component: ledger.AllComponents})
 	if err := s.start(ctx); err != nil {
 		return nil, nil, err
 	}
@@ -267,13 +277,17 @@
 	recordStartupEnd(time.Now())
 	s.wg.Go(func() { s.letRunnersSpeak(ctx, rand.New(rand.NewPCG(s.seed, 2<<32))) })
 	s.wg.Go(func() { s.restoreStore(ctx, rand.New(rand.NewPCG(s.seed, 3<<32))) })
+	s.wg.Go(func() { s.slowRunners(ctx, rand.New(rand.NewPCG(s.seed, 7<<32))) })
+	s.wg.Go(func() { s.restartRunners(ctx, rand.New(rand.NewPCG(s.seed, 6<<32))) })
 	if s.previous != "" {
 		s.wg.Go(func() { s.replaceRouters(ctx, rand.New(rand.NewPCG(s.seed, 5<<32))) })
 	}
 	s.injectFaults(ctx, rand.New(rand.NewPCG(s.seed, 1<<32)))
 	sleep(ctx, settleTime)
 	s.checkRecovery(ctx)
+	s.ledger.CheckUnended(time.Now())
 	outcomes, violations := s.ledger.Result()
+	maps.Copy(outcomes, s.ledger.Events())
 	return outcomes, violations, nil
 }
 
--- a/lab/soak/statements.go
+++ b/lab/soak/statements.go
@@ -34,7 +34,7 @@
 			return
 		}
 		age := minCopyAge + time.Duration(random.Int64N(int64(maxCopyAge-minCopyAge)))
-		recordEnd := s.ledger.BeginFault(time.Now(), ledger.StoreComponent, false)
+		recordEnd := s.ledger.BeginFault(time.Now(), ledger.Fault{Component: ledger.StoreComponent})
 		s.store.SetFault(store.NoResponse)
 		sleep(ctx, time.Duration(random.Int64N(int64(maxStoreOutage))))
 		writeAgain := s.store.Restore(age, routerTopic)
