Pass on responses without a body

Callers saw: a HEAD request to an application, or an application's 204 or 304, ended the router's process, and with it every request that it carried.

Cause: the library has no body stream for a response without a body, and readBody read from nil; a panic in a handler ends the process.

Change: such a response is complete at once. A response to a HEAD keeps the length that the application stated.

--- a/lab/e2e/path.sh
+++ b/lab/e2e/path.sh
@@ -5,6 +5,7 @@
 expect_contains "second request of a chat, through another router" "$(post r2 /v1/chat/completions "$(chat_body hello a)")" '"cached_tokens":2'
 expect_contains "streamed response" "$(post r3 /v1/chat/completions "$(chat_body hello a ',"stream":true')" -N)" 'data: [DONE]'
 expect_contains "response of an application" "$(post r1 /vestry/readings hello)" '"path":"/vestry/readings"'
+expect_contains "response of an application to a HEAD" "$(curl -s -m 5 -I "http://$(fleet_address r1)/vestry/readings" -H "Authorization: Bearer $TOKEN")" 'HTTP/1.1 200'
 before=$(for e in "${FLEET_ENGINES[@]}" "${FLEET_SERVICES[@]}"; do curl -s "http://$e/_stats"; done | grep -o '"requests":[0-9]*')
 # expect_refused STATUS CODE ROUTER PATH BODY [CURL ARGUMENT...]: sends a request
 # and checks the status and the error code of the response.
--- a/router/exchange/response.go
+++ b/router/exchange/response.go
@@ -81,6 +81,12 @@
 // length is stated.
 func (r *Response) readBody() error {
 	s := r.state
+	if s.resp.BodyStream() == nil {
+		// The request was a HEAD, or the status has no body.
+		r.Complete = true
+		r.close(nil)
+		return nil
+	}
 	limit := int64(maxBufferedBody)
 	if s.call.AtMostOnce {
 		limit = maxAtMostOnceBody
--- a/router/frontend/server.go
+++ b/router/frontend/server.go
@@ -189,6 +189,9 @@
 	case resp.Complete:
 		cancel()
 		s.recordEnd(call, nil)
+		if call.Method == fiber.MethodHead {
+			c.Response().Header.SetContentLength(resp.Length)
+		}
 		return c.Send(resp.Body)
 	default:
 		c.Context().SetBodyStream(&trackedBody{server: s, call: call, cancel: cancel, body: resp.Reader()}, resp.Length)
