Close a connection on which a request was refused

Callers saw: "not run" for a request that ran. The upstream refused a request and sent the refusal once more, late; the connection was carrying the next request by then, which took the copy for its own refusal.

Cause: the library pools a connection after a response without a body (one with a body was closed, since the body of a refusal isn't read). A refusal without an id was believed; one with the id of both requests, which callers choose, is believed still.

Evidence: TestScripts/late-refusal failed before ("result: got 503 not_run, want 502 outcome_unknown").

Change: a connection carries another request only after a response that made it reusable, and a refusal doesn't. After a response without a body the library has pooled the connection before this is known; it then refuses to carry the next request, of which nothing is sent, and is closed. The test passes in all five forms, also with the race detector; TestOwnConnection is unchanged.

--- a/router/backend/client.go
+++ b/router/backend/client.go
@@ -80,7 +80,12 @@
 		req.SetConnectionClose()
 	}
 	err := c.hostClient(t).Do(req, resp)
+	for errors.Is(err, errNotReusable) {
+		// Nothing was sent, and the library has dropped the connection.
+		err = c.hostClient(t).Do(req, resp)
+	}
 	if err == nil {
+		decideReuse(resp)
 		return nil
 	}
 	var dial *DialError
@@ -131,7 +136,7 @@
 		return nil, &DialError{Upstream: t.ID, Cause: err}
 	}
 	if !t.ReportsLoad {
-		return &idleTimeoutConn{Conn: conn, idleTimeout: c.idleTimeout}, nil
+		return &upstreamConn{Conn: conn, idleTimeout: c.idleTimeout}, nil
 	}
 	load, err := fetchLoadOn(conn, address)
 	if err != nil {
@@ -142,7 +147,7 @@
 		_ = conn.Close()
 		return nil, &BootMismatchError{Upstream: t.ID, Boot: load.Boot}
 	}
-	return &idleTimeoutConn{Conn: conn, idleTimeout: c.idleTimeout}, nil
+	return &upstreamConn{Conn: conn, idleTimeout: c.idleTimeout}, nil
 }
 
 // FetchLoad reads an upstream's load report on a new connection. If the
@@ -189,32 +194,3 @@
 	}
 	return load, conn.SetDeadline(time.Time{})
 }
-
-// idleTimeoutConn is a connection whose reads fail if no bytes arrive for
-// idleTimeout after a response has begun. Before that, the deadline of the
-// request applies.
-type idleTimeoutConn struct {
-	net.Conn
-	idleTimeout time.Duration
-	responding  bool
-}
-
-// Write implements net.Conn. It starts a new request, so no response has begun.
-func (c *idleTimeoutConn) Write(p []byte) (int, error) {
-	c.responding = false
-	return c.Conn.Write(p)
-}
-
-// Read implements net.Conn. It sets the read deadline if a response has begun.
-func (c *idleTimeoutConn) Read(p []byte) (int, error) {
-	if c.responding {
-		if err := c.SetReadDeadline(time.Now().Add(c.idleTimeout)); err != nil {
-			return 0, err
-		}
-	}
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.responding = true
-	}
-	return n, err
-}
--- /dev/null
+++ b/router/backend/conn.go
@@ -0,0 +1,97 @@
+package backend
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// upstreamConn is a connection whose reads fail if no bytes arrive for idleTimeout
+// after a response has begun. Before that, the deadline of the request applies. It
+// refuses to carry a request after a response that didn't make it reusable.
+type upstreamConn struct {
+	net.Conn
+	idleTimeout time.Duration
+	responding  bool
+	reusable    atomic.Bool
+}
+
+// errNotReusable means that a connection may not carry another request. Nothing was
+// sent.
+var errNotReusable = errors.New("connection may not carry another request")
+
+// spent reports whether the connection has carried a response that didn't make it
+// reusable.
+func (c *upstreamConn) spent() bool { return c.responding && !c.reusable.Load() }
+
+// SetWriteDeadline implements net.Conn. The library calls it before each request.
+func (c *upstreamConn) SetWriteDeadline(t time.Time) error {
+	if c.spent() {
+		return errNotReusable
+	}
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// Write implements net.Conn. After a response it starts a new request.
+func (c *upstreamConn) Write(p []byte) (int, error) {
+	if c.spent() {
+		return 0, errNotReusable
+	}
+	c.responding = false
+	c.reusable.Store(false)
+	return c.Conn.Write(p)
+}
+
+// Read implements net.Conn. It sets the read deadline if a response has begun.
+func (c *upstreamConn) Read(p []byte) (int, error) {
+	if c.responding {
+		if err := c.SetReadDeadline(time.Now().Add(c.idleTimeout)); err != nil {
+			return 0, err
+		}
+	}
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.responding = true
+	}
+	return n, err
+}
+
+// LocalAddr implements net.Conn. The library tells the connection of a response only
+// by its addresses.
+func (c *upstreamConn) LocalAddr() net.Addr { return connAddr{Addr: c.Conn.LocalAddr(), conn: c} }
+
+// connAddr is the local address of a connection.
+type connAddr struct {
+	net.Addr
+	conn *upstreamConn
+}
+
+// headerOutcome is the header by which an upstream states that it has refused a
+// request.
+const headerOutcome = "X-Outcome"
+
+// decideReuse lets the connection of a response carry other requests, except after a
+// refusal: a copy of it could be taken for the refusal of a request that runs.
+func decideReuse(resp *fasthttp.Response) {
+	local, ok := resp.LocalAddr().(connAddr)
+	if !ok {
+		return
+	}
+	if len(resp.Header.Peek(headerOutcome)) == 0 {
+		local.conn.reusable.Store(true)
+		return
+	}
+	local.conn.leave(resp)
+}
+
+// leave closes the connection once the body of the response is closed, or at once if it
+// has none: the library has then put the connection into its pool.
+func (c *upstreamConn) leave(resp *fasthttp.Response) {
+	resp.SetConnectionClose()
+	if resp.BodyStream() == nil {
+		_ = c.Close()
+	}
+}
