Close the connection of a request that is left for another's response

Callers saw: a request ran at two upstreams at once.

Cause: closing the stream of a response closes its connection only if a body is unread.

Evidence: TestScripts/mismatched failed before ("u1 still works on a request, want that its connection is closed"; 0.8 s after the next request).

Change: package backend checks the id, which it needs in order to decide on the connection, and leaves the connection. A status without a body is covered too. The case backend-mismatched-kept in proof fails without the rule.

--- a/router/backend/client.go
+++ b/router/backend/client.go
@@ -69,7 +69,7 @@
 	return &Client{boots: boots, idleTimeout: idleTimeout, hosts: table.New(table.RankClients, map[Target]*fasthttp.HostClient{})}
 }
 
-// Do sends a request and reads the head of the response. If nothing was sent, the
+// Do sends a request and reads the head of the response to it. If nothing was sent, the
 // error is a *DialError (also if too many connections are open) or a
 // *BootMismatchError; otherwise it is a *BrokenError. The body of the response is
 // a stream, which the caller must close.
@@ -85,7 +85,9 @@
 		err = c.hostClient(t).Do(req, resp)
 	}
 	if err == nil {
-		decideReuse(resp)
+		err = checkResponse(req, resp)
+	}
+	if err == nil {
 		return nil
 	}
 	var dial *DialError
--- a/router/backend/conn.go
+++ b/router/backend/conn.go
@@ -69,22 +69,35 @@
 	conn *upstreamConn
 }
 
-// headerOutcome is the header by which an upstream states that it has refused a
-// request.
-const headerOutcome = "X-Outcome"
+const (
+	// HeaderRequest is the header that holds a request's id, in requests to upstreams and in
+	// their responses.
+	HeaderRequest = "X-Request-Id"
+	// headerOutcome is the header by which an upstream states that it has refused a
+	// request.
+	headerOutcome = "X-Outcome"
+)
 
-// decideReuse lets the connection of a response carry other requests, except after a
+// checkResponse returns an error, and leaves the connection, if a response carries the id
+// of another request. It lets the connection carry other requests, except after a
 // refusal: a copy of it could be taken for the refusal of a request that runs.
-func decideReuse(resp *fasthttp.Response) {
+func checkResponse(req *fasthttp.Request, resp *fasthttp.Response) error {
 	local, ok := resp.LocalAddr().(connAddr)
 	if !ok {
-		return
+		return nil
+	}
+	want, got := string(req.Header.Peek(HeaderRequest)), string(resp.Header.Peek(HeaderRequest))
+	if got != "" && got != want {
+		local.conn.leave(resp)
+		_ = resp.CloseBodyStream()
+		return &MismatchedResponseError{Want: want, Got: got}
 	}
-	if len(resp.Header.Peek(headerOutcome)) == 0 {
-		local.conn.reusable.Store(true)
-		return
+	if len(resp.Header.Peek(headerOutcome)) > 0 {
+		local.conn.leave(resp)
+		return nil
 	}
-	local.conn.leave(resp)
+	local.conn.reusable.Store(true)
+	return nil
 }
 
 // leave closes the connection once the body of the response is closed, or at once if it
--- a/router/backend/errors.go
+++ b/router/backend/errors.go
@@ -47,3 +47,14 @@
 
 // Unwrap returns the cause.
 func (e *BrokenError) Unwrap() error { return e.Cause }
+
+// MismatchedResponseError reports a response that carries the id of another
+// request.
+type MismatchedResponseError struct {
+	Want, Got string
+}
+
+// Error implements error.
+func (e *MismatchedResponseError) Error() string {
+	return "got response for request " + e.Got + ", want " + e.Want
+}
--- a/router/exchange/transaction.go
+++ b/router/exchange/transaction.go
@@ -143,9 +143,6 @@
 	s.buildRequest(req)
 	f.Metrics.AttemptStarted(s.call.Pool.Name)
 	err := f.Back.Do(s.target, req, s.resp)
-	if err == nil {
-		err = s.checkRequestID()
-	}
 	if err == nil {
 		return s.handleHead(), true
 	}
@@ -204,7 +201,7 @@
 
 // Names of headers between routers and upstreams.
 const (
-	headerRequest        = "X-Request-Id"
+	headerRequest        = backend.HeaderRequest
 	headerAttempt        = "X-Attempt"
 	headerTimeout        = "X-Timeout-Ms"
 	headerIdempotencyKey = "Idempotency-Key"
@@ -213,28 +210,6 @@
 	headerEngineBoot     = "X-Engine-Boot"
 )
 
-// MismatchedResponseError reports a response that carries the id of another
-// request.
-type MismatchedResponseError struct {
-	Want, Got string
-}
-
-// Error implements error.
-func (e *MismatchedResponseError) Error() string {
-	return "got response for request " + e.Got + ", want " + e.Want
-}
-
-// checkRequestID returns an error, and closes the response body, if the
-// response carries the id of another request.
-func (s *callState) checkRequestID() error {
-	got := string(s.resp.Header.Peek(headerRequest))
-	if got == "" || got == s.call.ID {
-		return nil
-	}
-	_ = s.resp.CloseBodyStream()
-	return &backend.BrokenError{Upstream: s.target.ID, Cause: &MismatchedResponseError{Want: s.call.ID, Got: got}}
-}
-
 // handleHead handles the head of a response. It reports false if the upstream
 // declined the request: with status 503 or 429 and the outcome "not_run".
 func (s *callState) handleHead() bool {
