Believe a response without an id only on a new connection

Callers saw: the answer to another request (MIXED), while their own request went on at the upstream and nobody told it (TWICE, second meaning). An upstream sent a copy of an answer without an id; the connection was carrying the next request.

Cause: connections were shared whether or not their responses can be told apart.

Change: a connection carries another request only after a response that names its request, and a response without an id on such a connection isn't believed: the attempt is left, its connection closed, and a repeatable request tries again. Applications that state no ids get a connection for each request. lab/engine states the id in its rejections too.

--- a/lab/engine/completions.go
+++ b/lab/engine/completions.go
@@ -37,6 +37,7 @@
 }
 
 func (e *engine) handleCompletion(c *fiber.Ctx) error {
+	c.Set("X-Request-Id", c.Get("X-Request-Id"))
 	var r request
 	if err := json.Unmarshal(c.Body(), &r); err != nil || len(r.Messages) == 0 {
 		return fiber.NewError(fiber.StatusBadRequest, "body is not a chat completions request with at least one message")
--- a/router/backend/conn.go
+++ b/router/backend/conn.go
@@ -17,6 +17,9 @@
 	idleTimeout time.Duration
 	responding  bool
 	reusable    atomic.Bool
+	// carried is true if the connection has carried another request before the present
+	// one.
+	carried bool
 }
 
 // errNotReusable means that a connection may not carry another request. Nothing was
@@ -40,6 +43,7 @@
 	if c.spent() {
 		return 0, errNotReusable
 	}
+	c.carried = c.carried || c.responding
 	c.responding = false
 	c.reusable.Store(false)
 	return c.Conn.Write(p)
@@ -79,24 +83,27 @@
 )
 
 // checkResponse returns an error, and leaves the connection, if a response carries the id
-// of another request. It lets the connection carry other requests, except after a
-// refusal: a copy of it could be taken for the refusal of a request that runs.
+// of another request, or none on a connection that has carried another request. Only a
+// response with the id of its request lets the connection carry others, except a refusal:
+// copies of others may come in place of the next response.
 func checkResponse(req *fasthttp.Request, resp *fasthttp.Response) error {
 	local, ok := resp.LocalAddr().(connAddr)
 	if !ok {
 		return nil
 	}
+	c := local.conn
 	want, got := string(req.Header.Peek(HeaderRequest)), string(resp.Header.Peek(HeaderRequest))
-	if got != "" && got != want {
-		local.conn.leave(resp)
+	refused := len(resp.Header.Peek(headerOutcome)) > 0
+	switch {
+	case got == want && !refused:
+		c.reusable.Store(true)
+	case got == want || got == "" && !c.carried:
+		c.leave(resp)
+	default:
+		c.leave(resp)
 		_ = resp.CloseBodyStream()
 		return &MismatchedResponseError{Want: want, Got: got}
 	}
-	if len(resp.Header.Peek(headerOutcome)) > 0 {
-		local.conn.leave(resp)
-		return nil
-	}
-	local.conn.reusable.Store(true)
 	return nil
 }
 
--- a/router/backend/errors.go
+++ b/router/backend/errors.go
@@ -49,12 +49,15 @@
 func (e *BrokenError) Unwrap() error { return e.Cause }
 
 // MismatchedResponseError reports a response that carries the id of another
-// request.
+// request, or none where it may belong to another request.
 type MismatchedResponseError struct {
 	Want, Got string
 }
 
 // Error implements error.
 func (e *MismatchedResponseError) Error() string {
+	if e.Got == "" {
+		return "got response without a request id on a connection that has carried other requests, want " + e.Want
+	}
 	return "got response for request " + e.Got + ", want " + e.Want
 }
