Don't believe a success without an id after a load report

Callers saw: a load report as the answer to their request (MIXED), which the engine went on with. The engine sent the report once more on the connection that it had opened, where the request followed.

Cause: the load report is a request of its own, but its connection counted as new.

Evidence: TestScripts/late-load-report failed before ("body: got {"boot":"b"}, want two").

Change: on such a connection a success must name its request, so engines must state the id in their successes, as lab/engine does. An error without an id can't be a copy of the report and is passed on as before; the test has this case too.

--- a/router/backend/client.go
+++ b/router/backend/client.go
@@ -149,7 +149,7 @@
 		_ = conn.Close()
 		return nil, &BootMismatchError{Upstream: t.ID, Boot: load.Boot}
 	}
-	return &upstreamConn{Conn: conn, idleTimeout: c.idleTimeout}, nil
+	return &upstreamConn{Conn: conn, idleTimeout: c.idleTimeout, loadReported: true}, nil
 }
 
 // FetchLoad reads an upstream's load report on a new connection. If the
--- a/router/backend/conn.go
+++ b/router/backend/conn.go
@@ -18,8 +18,8 @@
 	responding  bool
 	reusable    atomic.Bool
 	// carried is true if the connection has carried another request before the present
-	// one.
-	carried bool
+	// one, and loadReported if a load report was read on it first.
+	carried, loadReported bool
 }
 
 // errNotReusable means that a connection may not carry another request. Nothing was
@@ -83,7 +83,7 @@
 )
 
 // checkResponse returns an error, and leaves the connection, if a response carries the id
-// of another request, or none on a connection that has carried another request. Only a
+// of another request, or none where it may be a copy of an earlier response. Only a
 // response with the id of its request lets the connection carry others, except a refusal:
 // copies of others may come in place of the next response.
 func checkResponse(req *fasthttp.Request, resp *fasthttp.Response) error {
@@ -97,7 +97,7 @@
 	switch {
 	case got == want && !refused:
 		c.reusable.Store(true)
-	case got == want || got == "" && !c.carried:
+	case got == want || got == "" && !c.mayBeCopy(resp):
 		c.leave(resp)
 	default:
 		c.leave(resp)
@@ -107,6 +107,12 @@
 	return nil
 }
 
+// mayBeCopy reports whether a response without an id may be a copy of an earlier one on the
+// connection: of that to another request, or of a load report, which is a success.
+func (c *upstreamConn) mayBeCopy(resp *fasthttp.Response) bool {
+	return c.carried || c.loadReported && resp.StatusCode() == fasthttp.StatusOK
+}
+
 // leave closes the connection once the body of the response is closed, or at once if it
 // has none: the library has then put the connection into its pool.
 func (c *upstreamConn) leave(resp *fasthttp.Response) {
