Show that a copy with a shared id is taken for the next answer

The test's word given has no effect yet: the router doesn't know who chose an id.

--- FAIL: TestScripts (0.00s) --- FAIL: TestScripts/shared-id (0.03s) testscript.go:609: # Guards against the answer to another request (MIXED): its caller has chosen the same id for # both, and a copy of the first answer comes on the connection of the second request. (0.026s) > upstream u1 > respond u1 one and 25ms one > respond u1 50ms two > request trace given > body one > request trace given > result 200 answered > body two FAIL: testdata/shared-id.txt:10: body: got one, want two

FAIL FAIL camphorpulley.org/router/exchange 0.032s

--- a/router/exchange/script_test.go
+++ b/router/exchange/script_test.go
@@ -183,8 +183,8 @@
 	return all
 }
 
-// request ID [model] [once] [stream] [METHOD]: sends a request and waits for the end of its
-// response. With once it may run at most once.
+// request ID [model] [once] [stream] [given] [METHOD]: sends a request and waits for the end of
+// its response. With once it may run at most once; with given, its caller has chosen the id.
 func cmdRequest(ts *testscript.TestScript, w *world, a []string) {
 	c := &exchange.Call{
 		ID: a[0], Pool: pool.Pool{Name: "service", Kind: pool.Service}, Method: "POST", URI: "/x", Body: []byte("text"),
@@ -198,6 +198,7 @@
 			c.AtMostOnce = true
 		case "stream":
 			c.Stream = true
+		case "given":
 		default:
 			c.Method, c.Body = option, nil
 		}
