Give requests whose callers chose their ids connections of their own

Callers saw: the answer to another of their requests (MIXED), where both had the same X-Request-Id and the upstream sent a copy of the first answer late.

Cause: an id is believed to tell requests on a connection apart, but callers may use one id for several requests, as those do that trace them or send them again.

Evidence: TestScripts/shared-id failed before ("body: got one, want two").

Change: a request whose id the caller chose has a connection of its own, like one that runs at most once and like retries. Callers that choose ids pay for it with a connection for each request.

--- a/router/exchange/call.go
+++ b/router/exchange/call.go
@@ -17,7 +17,10 @@
 // Call is a request of a caller.
 type Call struct {
 	// ID identifies the request in logs and to upstreams.
-	ID      string
+	ID string
+	// IDGiven is true if the caller has chosen ID, so that others of its requests may have
+	// the same.
+	IDGiven bool
 	Account account.Account
 	Pool    pool.Pool
 	// AffinityKey is the digest of the chat key; without one, of the start of a
--- a/router/exchange/script_test.go
+++ b/router/exchange/script_test.go
@@ -199,6 +199,7 @@
 		case "stream":
 			c.Stream = true
 		case "given":
+			c.IDGiven = true
 		default:
 			c.Method, c.Body = option, nil
 		}
--- a/router/exchange/transaction.go
+++ b/router/exchange/transaction.go
@@ -135,9 +135,9 @@
 	}
 	s.held, s.target = held, target
 	// An idle connection from the pool may close while the request is sent, and the
-	// outcome would be unknown. A retry gets a connection on which a response without an
-	// id is certainly its own.
-	s.target.OwnConnection = s.call.AtMostOnce || s.id > 1
+	// outcome would be unknown. On a connection of its own, a response without an id, or
+	// with one that other requests have too, is certainly its own.
+	s.target.OwnConnection = s.call.AtMostOnce || s.call.IDGiven || s.id > 1
 	s.resp = fasthttp.AcquireResponse()
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
--- a/router/frontend/parse.go
+++ b/router/frontend/parse.go
@@ -96,7 +96,8 @@
 		Body:      c.Body(),
 		StartedAt: now,
 	}
-	if call.ID == "" || len(call.ID) > maxKeyLength {
+	call.IDGiven = call.ID != "" && len(call.ID) <= maxKeyLength
+	if !call.IDGiven {
 		call.ID = uuid.NewString()
 	}
 	if ct := header(c, fiber.HeaderContentType); ct != "" {
