Show that requests are sent on connections that have closed or hold bytes

A copy of an answer that came at once, of which the library's reader had taken a part:

--- FAIL: TestScripts (0.00s) --- FAIL: TestScripts/leftover (0.02s) testscript.go:609: # Guards against an attempt that is lost to what was left on its connection: a long copy of an # answer comes at once, and the next request follows on the connection. (0.021s) > upstream u1 > respond u1 twice > respond u1 two > request r1 > result 200 answered > sleep 20ms > request r2 > result 200 answered FAIL: testdata/leftover.txt:10: result: got 502 outcome_unknown, want 200 answered

FAIL FAIL camphorpulley.org/router/exchange 0.028s FAIL

An idle connection that the upstream has closed:

--- FAIL: TestScripts (0.00s) --- FAIL: TestScripts/closed-idle (0.02s) testscript.go:609: # Guards against "unknown" for a request that was never sent: the upstream has closed the # connection while it was idle. (0.021s) > upstream u1 > respond u1 one close > respond u1 two > request r1 > body one > sleep 20ms > request r2 > result 200 answered FAIL: testdata/closed-idle.txt:10: result: got 502 outcome_unknown, want 200 answered

FAIL FAIL camphorpulley.org/router/exchange 0.028s FAIL

--- a/router/exchange/upstream_test.go
+++ b/router/exchange/upstream_test.go
@@ -49,6 +49,8 @@
 	data string
 	wait time.Duration
 	hang bool
+	// closes is true if the upstream closes the connection.
+	closes bool
 	// background is true if the steps after it run while the next requests are read.
 	background bool
 }
@@ -153,6 +155,8 @@
 		case s.background:
 			go u.respond(conn, nil, steps[i+1:], id, at)
 			return true
+		case s.closes:
+			return false
 		case s.hang:
 			_, _ = io.Copy(io.Discard, reader)
 			u.left <- end{arrivedAt: at, at: time.Now()}
