Send requests only on connections that are open and hold no bytes

Callers saw: 502 with an unknown outcome for requests that were lost to what their connection held, a copy of an earlier answer or its end, or for requests that no upstream ever received; others took a retry of the budget.

Cause: the library reuses a connection without looking at it, and drops what its reader holds after a response, so that it may begin in the middle of a copy.

Evidence: TestScripts/leftover and closed-idle failed before ("result: got 502 outcome_unknown, want 200 answered").

Change: a connection that is closed or holds bytes refuses to carry the next request, which nothing is sent of, and another connection is taken.

--- a/router/backend/conn.go
+++ b/router/backend/conn.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -27,8 +28,26 @@
 var errNotReusable = errors.New("connection may not carry another request")
 
 // spent reports whether the connection has carried a response that didn't make it
-// reusable.
-func (c *upstreamConn) spent() bool { return c.responding && !c.reusable.Load() }
+// reusable, or has been closed or received bytes since.
+func (c *upstreamConn) spent() bool { return c.responding && (!c.reusable.Load() || !c.idle()) }
+
+// idle reports whether the connection is open and holds no bytes.
+func (c *upstreamConn) idle() bool {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var peeked [1]byte
+	var cause error
+	err = raw.Control(func(fd uintptr) {
+		_, _, cause = syscall.Recvfrom(int(fd), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && errors.Is(cause, syscall.EAGAIN)
+}
 
 // SetWriteDeadline implements net.Conn. The library calls it before each request.
 func (c *upstreamConn) SetWriteDeadline(t time.Time) error {
