--- a/router/exchange/script_test.go
+++ b/router/exchange/script_test.go
@@ -58,7 +58,7 @@
 	w.node.ApplySnapshot(time.Now(), config.Snapshot{Revision: config.Revision{Number: 1}, AsOf: 1})
 	w.forwarder = exchange.New()
 	w.forwarder.Node = w.node
-	w.forwarder.Back = backend.New(anyBoot{}, time.Second)
+	w.forwarder.Back = backend.New(anyBoot{}, 200*time.Millisecond)
 	w.forwarder.ApplyEffects = func(node.Effects) {}
 	w.forwarder.AppendSuspect = func(node.SuspectUpdate) {}
 	w.forwarder.Log = zap.NewNop()
@@ -185,8 +185,9 @@
 	return all
 }
 
-// request ID [model] [once] [stream] [given] [METHOD]: sends a request and waits for the end of
-// its response. With once it may run at most once; with given, its caller has chosen the id.
+// request ID [model] [once] [stream] [deterministic] [given] [METHOD]: sends a request and waits
+// for the end of its response. With once it may run at most once; with given, its caller has
+// chosen the id.
 func cmdRequest(ts *testscript.TestScript, w *world, a []string) {
 	c := &exchange.Call{
 		ID: a[0], Pool: pool.Pool{Name: "service", Kind: pool.Service}, Method: "POST", URI: "/x", Body: []byte("text"),
@@ -202,6 +203,8 @@
 			c.Stream = true
 		case "given":
 			c.IDGiven = true
+		case "deterministic":
+			c.Deterministic = true
 		default:
 			c.Method, c.Body = option, nil
 		}
