--- a/router/exchange/script_test.go
+++ b/router/exchange/script_test.go
@@ -35,6 +35,8 @@
 	upstreams map[string]*scriptedUpstream
 	// arrivals is the upstreams' record of requests in the order of their arrival.
 	arrivals *arrivals
+	// choiceTime is how long the choice of an upstream takes.
+	choiceTime time.Duration
 	// status, outcome and body are what the caller of the last request got.
 	status  int
 	outcome string
@@ -64,6 +66,7 @@
 	w.forwarder.Log = zap.NewNop()
 	w.forwarder.Metrics = &metrics.Metrics{}
 	w.forwarder.Candidates = func(_ time.Time, r route.Request) []chat.Candidate {
+		time.Sleep(w.choiceTime)
 		var all []chat.Candidate
 		for _, u := range w.listed {
 			if u.Pool == r.Pool && !contains(r.Avoid, u.ID) && (r.Only == "" || r.Only == u.ID) {
@@ -87,7 +90,8 @@
 type worldKey struct{}
 
 // TestScripts runs the scripts in testdata. Each sends requests one after the other to
-// upstreams that respond with the bytes of files.
+// upstreams that respond with the bytes of files. Commands without a function of their own are
+// slow D, which makes the choice of an upstream take some time, and sleep D.
 func TestScripts(t *testing.T) {
 	all := map[string]func(*testscript.TestScript, *world, []string){
 		"upstream": cmdUpstream,
@@ -98,6 +102,7 @@
 		"body":     cmdBody,
 		"requests": cmdRequests,
 		"left":     cmdLeft,
+		"slow":     func(ts *testscript.TestScript, w *world, a []string) { w.choiceTime = duration(ts, a[0]) },
 		"sleep":    func(ts *testscript.TestScript, _ *world, a []string) { time.Sleep(duration(ts, a[0])) },
 	}
 	cmds := map[string]func(*testscript.TestScript, bool, []string){}
@@ -210,6 +215,23 @@
 		}
 	}
 	w.status, w.outcome, w.body = 0, "", ""
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		w.send(c)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(longest):
+		ts.Fatalf("request %s has no end after %v, want one at its deadline", c.ID, longest)
+	}
+}
+
+// longest is when a request must have ended, with its time to spare.
+const longest = 3 * time.Second
+
+// send forwards a call and records what its caller gets.
+func (w *world) send(c *exchange.Call) {
 	resp, refusal := w.forwarder.Forward(context.Background(), c)
 	if refusal != nil {
 		w.status, w.outcome = refusal.Status, refusal.Certainty.String()
