Don't send a request whose deadline has passed

Callers saw: a request without an end. It got its permit in the last milliseconds of its time, was sent to an upstream that didn't answer, and stayed there: neither the caller nor the upstream heard of it again.

Cause: the time that is left is the timeout of the attempt, and the library takes zero or less for no timeout. The deadline was checked before the wait for a permit only.

Evidence: TestScripts/past-deadline failed before ("request r1 has no end after 3s, want one at its deadline").

The case exchange-sent-past-deadline in proof fails without the rule.

--- a/router/exchange/transaction.go
+++ b/router/exchange/transaction.go
@@ -126,7 +126,7 @@
 	f := s.forwarder
 	target, ok := f.Target(held.Upstream)
 	s.id = s.exchange.StartAttempt(held.Upstream)
-	if !ok {
+	if !ok || !time.Now().Before(s.call.Deadline) {
 		f.finishPermit(held, node.Unused, "")
 		return false, false
 	}
@@ -186,7 +186,8 @@
 	}
 	req.Header.Set(headerRequest, c.ID)
 	req.Header.Set(headerAttempt, strconv.Itoa(s.id))
-	left := time.Until(c.Deadline)
+	// The library takes a timeout of zero or less for none.
+	left := max(time.Until(c.Deadline), time.Millisecond)
 	req.Header.Set(headerTimeout, strconv.FormatInt(left.Milliseconds(), 10))
 	if c.IdempotencyKey != "" {
 		req.Header.Set(headerIdempotencyKey, c.IdempotencyKey)
