Don't append claims that were given up

Callers saw: "not run, send it again" while the log was away, and then 409, outcome unknown, for the same key for ten minutes. Nothing had run.

Cause: a batch with a result or a voided claim is appended until the log takes it. Claims wait behind it or in it, and those that are given up meanwhile were appended when the log was back. Such a claim is voided when it is read, but only for a minute after it was given up; after a longer outage it held its key until the key was forgotten.

Evidence: TestScripts/queued-claims in router/orders failed before ("got 2 claims, 2 results, want 0 claims, 2 results"); the minute wasn't waited for.

Change: claims that were given up are dropped just before each append, the first one too, not before the pause that precedes it. The test passes three times with the race detector. The case orders-given-up-appended in proof fails without the rule.

--- a/router/orders/append.go
+++ b/router/orders/append.go
@@ -25,12 +25,16 @@
 		batch = first
 	}
 	s.addQueued(&batch)
-	data, err := record.Encode(batch)
-	if err != nil {
-		s.log.Error("encode_failed", logs.Err(err))
-		return
-	}
 	for ctx.Err() == nil {
+		batch = s.dropStaleClaims(batch)
+		if isEmpty(batch) {
+			return
+		}
+		data, err := record.Encode(batch)
+		if err != nil {
+			s.log.Error("encode_failed", logs.Err(err))
+			return
+		}
 		if _, err = s.appender.Append(logservice.OrderStream, data); err == nil {
 			worker.Sleep(ctx, appendPause)
 			return
@@ -38,10 +42,6 @@
 		// The append may have taken effect. A second copy of an entry is
 		// harmless: the first claim on a key wins and a result counts once.
 		s.log.Warn("append_unacknowledged", zap.String("stream", logservice.OrderStream), logs.Err(err))
-		batch = s.dropStaleClaims(batch)
-		if data, err = record.Encode(batch); err != nil || isEmpty(batch) {
-			return
-		}
 		worker.Sleep(ctx, retryDelay)
 	}
 }
@@ -62,7 +62,8 @@
 }
 
 // dropStaleClaims removes claims that were abandoned or read from the log
-// meanwhile, so that they are not appended again.
+// meanwhile. An abandoned claim that waited for longer than abandonedRetention would
+// not be voided when it is read.
 func (s *Service) dropStaleClaims(batch record.Orders) record.Orders {
 	kept := batch.Claims[:0:0]
 	s.pending.Do(table.Hold{}, func(_ table.Hold, p *pending) {
