Test that an upstream is told when its request goes on elsewhere

The scripts in testdata/left check, for each way in which an attempt ends without an answer, directly and by other routers, that the first connection is closed within 400 ms of the next upstream's request, while that one is still at work: the end of the whole call would hide what is left open.

All pass but one. An attempt that panics once its request was sent leaves the connection open, and the upstream works on until the call ends:

--- FAIL: TestLeft/panic (1.70s) > told u1 u2 FAIL: testdata/left/panic.txtar:9: end of the request at u1: got none within 400ms, want one

--- a/router/gateway/script_test.go
+++ b/router/gateway/script_test.go
@@ -31,6 +31,10 @@
 // load the machine: upstreams that send bytes without end.
 func TestEndless(t *testing.T) { runScripts(t, "testdata/endless") }
 
+// TestLeft runs the scripts in testdata/left: upstreams that must learn at once that a request
+// has gone on elsewhere, or that its caller has left.
+func TestLeft(t *testing.T) { runScripts(t, "testdata/left") }
+
 func runScripts(t *testing.T, dir string) {
 	testscript.Run(t, testscript.Params{
 		Dir: dir,
@@ -48,6 +52,7 @@
 			"set-timeout": with(cmdSetTimeout), "set-parts": with(cmdSetParts), "time-left": with(cmdTimeLeft),
 			"respond-endless": with(cmdRespondEndless), "sent-at-most": with(cmdSentAtMost), "took-at-most": with(cmdTookAtMost),
 			"each-cut": with(cmdEachCut), "request-while-closing": with(cmdRequestWhileClosing), "helper": with(cmdHelper), "cut-off": with(cmdCutOff), "stop-helper-in": with(cmdStopHelperIn), "relayed": with(cmdRelayed),
+			"told": with(cmdTold), "leave": with(cmdLeave),
 			"started": with(cmdStarted), "entry": with(cmdEntry), "requests": with(cmdRequests), "received-at-most": with(cmdReceivedAtMost), "heap-at-most": with(cmdHeapAtMost),
 		},
 	})
@@ -152,7 +157,7 @@
 // Last-Event-Id and Resumes. Upstreams are sent X-Id, X-Left (the
 // time left in milliseconds) and Last-Event-Id, and respond with X-Id, X-Signed and
 // X-Not-Run, X-Leaving, X-Limit, a number of requests per second, and Retry-After, a number
-// of seconds. Refusals carry Retry-After.
+// of seconds. Refusals carry Retry-After. X-Panic makes the attempt panic.
 type headerCodec struct{}
 
 func (headerCodec) ParseRequest(r *http.Request) gateway.RequestHeaders {
@@ -197,6 +202,9 @@
 }
 
 func (headerCodec) ParseResponse(status int, h http.Header) relay.ResponseHeaders {
+	if h.Get("X-Panic") != "" {
+		panic("a field that makes the attempt panic")
+	}
 	var says statement.Answer
 	if perSecond, err := strconv.ParseFloat(h.Get("X-Limit"), 64); err == nil {
 		says.Limit = statement.NewLimit(perSecond)
--- a/router/gateway/upstream_verbs_test.go
+++ b/router/gateway/upstream_verbs_test.go
@@ -28,6 +28,8 @@
 	// timeLeft is the X-Left field of the last request in milliseconds.
 	timeLeft          int
 	closedConnections int
+	// receivedAt and closedAt are when requests arrived and connections were closed.
+	receivedAt, closedAt []time.Time
 	// endlessBytes is the number of bytes sent by endless responses.
 	endlessBytes int
 	// started is the start of its process in milliseconds that the upstream states.
@@ -36,14 +38,14 @@
 
 // response is the bytes of one response and what the upstream does after it: keep
 // the connection, close it, reset it, or hang, that is, send no more until the
-// router closes it. With early, it responds before it reads the body of the
+// router closes it; with unread, it reads no body and waits until the router resets it. With early, it responds before it reads the body of the
 // request, and then keeps the connection. With late, it sends the first half, reads the
 // body after lateRead, sends the rest and closes the connection; with pause, it does so once
 // it has read the body; with busy, it reads the body and responds after lateRead. With copied,
 // it keeps the connection and sends the response once more there, ahead of the next one.
 type response struct {
 	data []byte
-	// after is keep, close, reset, hang, early, early-reset, late, pause, busy, copied or
+	// after is keep, close, reset, hang, unread, early, early-reset, late, pause, busy, copied or
 	// endless.
 	after string
 	// An endless response repeats piece, with a pause before each, until the router
@@ -69,6 +71,7 @@
 		_ = c.Close()
 		u.mu.Lock()
 		u.closedConnections++
+		u.closedAt = append(u.closedAt, time.Now())
 		u.mu.Unlock()
 	}()
 	reader := bufio.NewReader(c)
@@ -89,12 +92,13 @@
 			continue
 		}
 		u.mu.Lock()
+		u.receivedAt = append(u.receivedAt, time.Now())
 		var next response
 		if len(u.responses) > 0 {
 			next, u.responses = u.responses[0], u.responses[1:]
 		}
 		u.mu.Unlock()
-		early := strings.HasPrefix(next.after, "early") || next.after == "late"
+		early := strings.HasPrefix(next.after, "early") || next.after == "late" || next.after == "unread"
 		body := []byte("(unread)")
 		if next.after == "busy" {
 			time.Sleep(lateRead)
@@ -129,6 +133,9 @@
 		case "hang":
 			_, _ = reader.ReadByte()
 			return
+		case "unread":
+			awaitReset(c.(*net.TCPConn))
+			return
 		case "endless":
 			u.repeat(c, next)
 			return
@@ -176,7 +183,7 @@
 	_ = f.upstreams[a[0]].listener.Close()
 }
 
-// respond UPSTREAM FILE keep|close|reset|hang|early|early-reset|late|pause|busy|copied: adds to the
+// respond UPSTREAM FILE keep|close|reset|hang|unread|early|early-reset|late|pause|busy|copied: adds to the
 // upstream's next responses. The early ones are sent before the request's body is read;
 // early-reset then resets the connection with the body unread. Line ends up to the first empty line of the file become CR LF. An empty
 // file sends nothing.
