End an attempt's request at its upstream if the attempt panics

An attempt that panicked after its request was sent neither returned nor closed the connection. The request went on at another upstream, and the first one worked on it until the whole call ended (TWICE):

--- FAIL: TestLeft/panic (1.70s) FAIL: testdata/left/panic.txtar:9: end of the request at u1: got none within 400ms, want one

The connection followed the context of the call. It now follows one that ends with the attempt, which also covers any exit that forgets a connection.

--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"slices"
@@ -21,6 +22,8 @@
 // attempt is one attempt of a call at one upstream.
 type attempt struct {
 	*callState
+	// ctx ends with the attempt, or before with the context of the call.
+	ctx    context.Context
 	target fleet.Target
 	// helper is the other router that the attempt is made at; empty if it is made at an
 	// upstream. The target is then that router's address.
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -255,8 +255,12 @@
 }
 
 // protectedRun makes the attempt. If it panics, what was sent is unknown, but the attempt has
-// ended and holds no load.
+// ended and holds no load. Its context ends with it, which closes a connection that it has
+// left open: the upstream must not go on.
 func (a *attempt) protectedRun() error {
+	ctx, cancel := context.WithCancel(a.callState.ctx)
+	defer cancel()
+	a.ctx = ctx
 	var err error
 	if panicked := worker.Protect(func() { err = a.run() }); panicked != nil {
 		a.outcome, err = health.Unknown, panicked
