Don't let an answer that was given up look complete

FAIL: testdata/left/half-closed-stream.txtar:5: answer to a caller that has closed its direction: got a whole one with status 200, want none or a failure FAIL: testdata/left/half-closed.txtar:6: answer to a caller that has closed its direction: got a whole one with status 200, want none or a failure

net/http takes the end of the caller's direction for the end of the caller. The request was given up, and the handler returned as usual, so that net/http completed the response. The handler now closes the connection whenever the response isn't whole.

--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -149,8 +149,8 @@
 }
 
 // finish logs and counts the outcome of a request. If nothing was written and the
-// caller is still connected, it writes the refusal. If the response broke off, it
-// panics with http.ErrAbortHandler, which closes the connection.
+// caller is still connected, it writes the refusal. If the response broke off, or there is
+// none, it panics with http.ErrAbortHandler, which closes the connection.
 func (h *Handler) finish(ctx context.Context, w http.ResponseWriter, call *relay.Call, out *responseWriter, err error) {
 	var refusal *core.Refusal
 	outcome := "served"
@@ -170,8 +170,9 @@
 	h.Log.Info("request_finished", zap.String("request", call.ID), zap.String("route", call.Route.Name), zap.String("account", string(call.Account.Name)),
 		zap.String("pool", string(call.Pool.Name)), zap.Uint64("version", call.CatalogVersion), zap.String("resumes", call.Resumes), zap.String("outcome", outcome),
 		zap.Int("status", out.status), zap.Duration("first", out.headerLatency), zap.Duration("took", time.Since(out.arrived)), logs.Err(err))
-	if outcome == "broken" && out.headerWritten {
-		// The connection is closed so that the response doesn't look complete.
+	if err != nil {
+		// The connection is closed so that the response doesn't look complete: a caller that
+		// has closed its direction may still read.
 		panic(http.ErrAbortHandler)
 	}
 }
