Test callers that send bytes after their request and leave

The upstream isn't told, and works on until the request's deadline:

--- FAIL: TestLeft/caller-extra (3.00s) FAIL: testdata/left/caller-extra.txtar:5: end of the request at u1: got none within 400ms, want one --- FAIL: TestLeft/caller-extra-stream (3.00s) FAIL: testdata/left/caller-extra-stream.txtar:5: end of the request at u1: got none within 400ms, want one --- FAIL: TestLeft/detour-caller-extra (3.00s) FAIL: testdata/left/detour-caller-extra.txtar:6: end of the request at u1: got none within 400ms, want one

caller-pipelines, which passes, checks that a request that was sent behind another one is served.

--- a/router/gateway/script_test.go
+++ b/router/gateway/script_test.go
@@ -52,7 +52,7 @@
 			"set-timeout": with(cmdSetTimeout), "set-parts": with(cmdSetParts), "time-left": with(cmdTimeLeft),
 			"respond-endless": with(cmdRespondEndless), "sent-at-most": with(cmdSentAtMost), "took-at-most": with(cmdTookAtMost),
 			"each-cut": with(cmdEachCut), "request-while-closing": with(cmdRequestWhileClosing), "helper": with(cmdHelper), "cut-off": with(cmdCutOff), "stop-helper-in": with(cmdStopHelperIn), "relayed": with(cmdRelayed),
-			"told": with(cmdTold), "leave": with(cmdLeave),
+			"told": with(cmdTold), "leave": with(cmdLeave), "pipeline": with(cmdPipeline),
 			"started": with(cmdStarted), "entry": with(cmdEntry), "requests": with(cmdRequests), "received-at-most": with(cmdReceivedAtMost), "heap-at-most": with(cmdHeapAtMost),
 		},
 	})
--- a/router/gateway/told_verbs_test.go
+++ b/router/gateway/told_verbs_test.go
@@ -121,6 +121,31 @@
 	checkTold(ts, a[3], u, since)
 }
 
+// pipeline ROUTE METHOD ID: sends a request twice, the second time while the upstream works on
+// the first one, and keeps both bodies together.
+func cmdPipeline(ts *testscript.TestScript, f *fixture, a []string) {
+	c, err := net.Dial("tcp4", f.server.Listener.Addr().String())
+	ts.Check(err)
+	defer func() { _ = c.Close() }()
+	ts.Check(c.SetDeadline(time.Now().Add(routeTimeout)))
+	request := a[1] + " /x HTTP/1.1\r\nHost: " + a[0] + "\r\nX-Id: " + a[2] + "\r\nContent-Length: 5\r\n\r\nhello"
+	reader := bufio.NewReader(c)
+	for range 2 {
+		_, err = io.WriteString(c, request)
+		ts.Check(err)
+		time.Sleep(bodyPause)
+	}
+	f.body = nil
+	for range 2 {
+		resp, err := http.ReadResponse(reader, nil)
+		ts.Check(err)
+		body, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		ts.Check(err)
+		f.body = append(f.body, body...)
+	}
+}
+
 // awaitRequest waits until the upstream has received a request.
 func (u *upstream) awaitRequest(ts *testscript.TestScript) {
 	for deadline := time.Now().Add(closeWait); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
