Notice that a caller leaves that has sent bytes after its request

The upstream of a caller that had sent bytes after its request, a line end or another request, and then left, worked on until the deadline.

While a request is handled, net/http reads one byte to notice the end of the connection, and nothing more once it has that byte. From then on the state of the connection is checked every 100 ms, until net/http reads on.

--- a/base/dial/conn.go
+++ b/base/dial/conn.go
@@ -131,13 +131,27 @@
 	return failed
 }
 
-// tcpClose is the state of a socket that was reset or has timed out. It is also that of one
-// on which a reset has followed the end of the peer's bytes.
-const tcpClose = 7
+const (
+	// tcpEstablished is the state of a socket that neither side has closed.
+	tcpEstablished = 1
+	// tcpClose is the state of a socket that was reset or has timed out. It is also that of one
+	// on which a reset has followed the end of the peer's bytes.
+	tcpClose = 7
+)
+
+// Ended reports whether one side of a connection has closed its direction, or the connection
+// was lost, even if bytes of the peer are left to read.
+func Ended(c syscall.Conn) bool {
+	info, err := infoOf(c)
+	return err != nil || info.State != tcpEstablished
+}
 
 // info returns the kernel's information on the connection.
-func (c *Conn) info() (*unix.TCPInfo, error) {
-	raw, err := c.tcp.SyscallConn()
+func (c *Conn) info() (*unix.TCPInfo, error) { return infoOf(c.tcp) }
+
+// infoOf returns the kernel's information on a connection.
+func infoOf(c syscall.Conn) (*unix.TCPInfo, error) {
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return nil, wrap.Err(err, "access socket")
 	}
--- a/router/cluster/router.go
+++ b/router/cluster/router.go
@@ -135,9 +135,9 @@
 	go func() { failed <- r.network.Serve(r.settings.Router.Peer) }()
 	go func() { failed <- listenAndServe(r.settings.Router.Ready, http.HandlerFunc(r.serveReadiness)) }()
 	go func() { failed <- listenAndServe(r.settings.Router.Metrics, metricsMux) }()
-	go func() { failed <- serveTCP4(callers) }()
+	go func() { failed <- serveCallers(callers) }()
 	if detours.Addr != "" {
-		go func() { failed <- serveTCP4(detours) }()
+		go func() { failed <- serveCallers(detours) }()
 	}
 	r.log.Info("router_started", zap.String("listen", r.settings.Router.Listen),
 		zap.Uint64("incarnation", uint64(r.fleet.Settings().Incarnation)))
@@ -154,21 +154,6 @@
 // requestContext returns the context of the requests on a listener.
 func (r *Router) requestContext(net.Listener) context.Context { return r.requests }
 
-// listenAndServe serves h on a TCP address until the process ends.
-func listenAndServe(address string, h http.Handler) error {
-	return serveTCP4(&http.Server{Addr: address, Handler: h, ReadHeaderTimeout: headerTimeout})
-}
-
-// serveTCP4 listens on the server's address, IPv4 only, and serves until the
-// listener fails or the server is shut down.
-func serveTCP4(s *http.Server) error {
-	ln, err := net.Listen("tcp4", s.Addr)
-	if err != nil {
-		return wrap.Err(err, s.Addr)
-	}
-	return s.Serve(ln)
-}
-
 // serveStatus writes the router's view of the fleet as JSON, for operators.
 func (r *Router) serveStatus(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
--- /dev/null
+++ b/router/gateway/caller_conn.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"camphorpulley.org/base/dial"
+)
+
+// callerCheckInterval is the time between two checks whether a caller has left that has sent
+// bytes after its request.
+const callerCheckInterval = 100 * time.Millisecond
+
+// WatchCallers returns a listener to serve s on, so that the context of a request also ends
+// when its caller leaves after it has sent bytes behind the request. While a request is
+// handled, net/http reads a single byte to notice the end of the connection; once there is
+// one, it reads no further.
+func WatchCallers(s *http.Server, ln net.Listener) net.Listener {
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if caller, ok := c.(*callerConn); ok {
+			caller.ctx, caller.end = context.WithCancel(ctx)
+			return caller.ctx
+		}
+		return ctx
+	}
+	return callerListener{Listener: ln}
+}
+
+// callerListener accepts the connections of callers.
+type callerListener struct {
+	net.Listener
+}
+
+// Accept implements net.Listener.
+func (l callerListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if tcp, ok := c.(*net.TCPConn); ok && err == nil {
+		return &callerConn{TCPConn: tcp, end: func() {}}, nil
+	}
+	return c, err
+}
+
+// callerConn is the connection of a caller.
+type callerConn struct {
+	*net.TCPConn
+	// ctx is the context of all requests on the connection, and end ends it.
+	ctx context.Context
+	end context.CancelFunc
+	// stopWatch ends the watch; nil if there is none. The reader alone uses it.
+	stopWatch context.CancelFunc
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	if c.stopWatch != nil {
+		c.stopWatch()
+		c.stopWatch = nil
+	}
+	n, err := c.TCPConn.Read(p)
+	if n == 1 && len(p) == 1 && c.ctx != nil {
+		var watched context.Context
+		watched, c.stopWatch = context.WithCancel(c.ctx)
+		go c.watch(watched)
+	}
+	return n, err
+}
+
+// watch ends the requests once the caller has left.
+func (c *callerConn) watch(ctx context.Context) {
+	ticker := time.NewTicker(callerCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if ctx.Err() == nil && dial.Ended(c.TCPConn) {
+			c.end()
+			return
+		}
+	}
+}
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	c.end()
+	return c.TCPConn.Close()
+}
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -1,8 +1,8 @@
 // Package gateway handles the HTTP requests of callers for the program
 // camphorpulley-platform (see package cluster); the program camphorpulley uses
 // package frontend instead. It reads and admits a request, forwards it with package
-// relay, and records the outcome. It relies on net/http to cancel a request's
-// context when the caller disconnects.
+// relay, and records the outcome. It relies on net/http and WatchCallers to cancel a
+// request's context when the caller disconnects.
 package gateway
 
 import (
--- a/router/gateway/helper_verbs_test.go
+++ b/router/gateway/helper_verbs_test.go
@@ -33,7 +33,7 @@
 	h := &helper{}
 	h.fleet, h.gateway = newGateway(id, &httpclient.Pool{})
 	h.gateway.Relayed = true
-	h.server = httptest.NewServer(h.gateway)
+	h.server = startServer(h.gateway)
 	ts.Defer(h.server.Close)
 	h.fleet.ApplyFullRead(time.Now(), time.Now(), 0, 0, f.entries)
 	f.helpers = append(f.helpers, h)
--- a/router/gateway/script_test.go
+++ b/router/gateway/script_test.go
@@ -93,10 +93,18 @@
 func newFixture() *fixture {
 	f := &fixture{upstreams: map[string]*upstream{}, pool: &httpclient.Pool{}}
 	f.fleet, f.gateway = newGateway("r1", f.pool)
-	f.server = httptest.NewServer(f.gateway)
+	f.server = startServer(f.gateway)
 	return f
 }
 
+// startServer starts a server for callers.
+func startServer(h http.Handler) *httptest.Server {
+	s := httptest.NewUnstartedServer(h)
+	s.Listener = gateway.WatchCallers(s.Config, s.Listener)
+	s.Start()
+	return s
+}
+
 // identityURI is where upstreams state the start of their process.
 const identityURI = "/identity"
 
