Test that a silent router's requests end at their upstreams

A router that can't reach the upstreams has its requests taken over by another one. If it is then frozen, cut off or without power, it closes nothing.

--- a/router/gateway/helper_verbs_test.go
+++ b/router/gateway/helper_verbs_test.go
@@ -1,7 +1,9 @@
 package gateway_test
 
 import (
+	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -10,6 +12,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/samber/lo"
 
+	"camphorpulley.org/base/worker"
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/fleet"
 	"camphorpulley.org/core/roster"
@@ -33,7 +36,7 @@
 	h := &helper{}
 	h.fleet, h.gateway = newGateway(id, &httpclient.Pool{})
 	h.gateway.Relayed = true
-	h.server = startServer(h.gateway)
+	h.server = startServer(context.Background(), h.gateway)
 	ts.Defer(h.server.Close)
 	h.fleet.ApplyFullRead(time.Now(), time.Now(), 0, 0, f.entries)
 	f.helpers = append(f.helpers, h)
@@ -71,3 +74,39 @@
 	_, _ = io.Copy(io.Discard, resp.Body)
 	_ = resp.Body.Close()
 }
+
+// silentTime is after which a caller leaves a stream that is silent, at the earliest.
+const silentTime = 2 * time.Second
+
+// silent-router ROUTE METHOD ID UPSTREAM told|kept [heard]: sends the first helper a request of
+// router r1, which is frozen from then on, or only silent itself if it is heard of. Once its
+// caller may have gone on elsewhere, the upstream must have been told, or must not.
+func cmdSilentRouter(ts *testscript.TestScript, f *fixture, a []string) {
+	h := f.helpers[0]
+	heard := func() { h.fleet.AddMember(time.Now(), fleet.Member{ID: "r1", DataCentre: "a"}) }
+	heard()
+	c, err := net.Dial("tcp4", h.server.Listener.Addr().String())
+	ts.Check(err)
+	defer func() { _ = c.Close() }()
+	since := time.Now()
+	_, err = io.WriteString(c, a[1]+" /x HTTP/1.1\r\nHost: "+a[0]+"\r\nX-Id: "+a[2]+"\r\nRouter-Id: r1\r\nContent-Length: 5\r\n\r\nhello")
+	ts.Check(err)
+	u := f.upstreams[a[3]]
+	u.awaitRequest(ts)
+	if len(a) > 5 {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		var heartbeats worker.Scheduler
+		heartbeats.Every(ctx, bodyPause, func(context.Context) { heard() })
+	}
+	if a[4] == "told" {
+		checkTold(ts, a[3], u, since.Add(silentTime))
+		return
+	}
+	time.Sleep(time.Until(since.Add(silentTime + leaveTime)))
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if len(u.closedAt) > 0 {
+		ts.Fatalf("end of the request at %s: got one after %s, want none", a[3], u.closedAt[0].Sub(since))
+	}
+}
--- a/router/gateway/script_test.go
+++ b/router/gateway/script_test.go
@@ -1,6 +1,8 @@
 package gateway_test
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -51,8 +53,8 @@
 			"response-incomplete": with(cmdResponseIncomplete), "set-closing": with(cmdSetClosing),
 			"set-timeout": with(cmdSetTimeout), "set-parts": with(cmdSetParts), "time-left": with(cmdTimeLeft),
 			"respond-endless": with(cmdRespondEndless), "sent-at-most": with(cmdSentAtMost), "took-at-most": with(cmdTookAtMost),
-			"each-cut": with(cmdEachCut), "request-while-closing": with(cmdRequestWhileClosing), "helper": with(cmdHelper), "cut-off": with(cmdCutOff), "stop-helper-in": with(cmdStopHelperIn), "relayed": with(cmdRelayed),
-			"told": with(cmdTold), "leave": with(cmdLeave), "pipeline": with(cmdPipeline),
+			"each-cut": with(cmdEachCut), "request-while-closing": with(cmdRequestWhileClosing), "helper": with(cmdHelper), "cut-off": with(cmdCutOff), "stop-helper-in": with(cmdStopHelperIn), "relayed": with(cmdRelayed), "silent-router": with(cmdSilentRouter),
+			"told": with(cmdTold), "leave": with(cmdLeave), "pipeline": with(cmdPipeline), "stop-in": with(cmdStopIn), "told-stop": with(cmdToldStop),
 			"started": with(cmdStarted), "entry": with(cmdEntry), "requests": with(cmdRequests), "received-at-most": with(cmdReceivedAtMost), "heap-at-most": with(cmdHeapAtMost),
 		},
 	})
@@ -63,10 +65,15 @@
 // fixture is a gateway with a fleet of fake upstreams, and the last response to a
 // caller.
 type fixture struct {
-	fleet     *fleet.Fleet
-	gateway   *gateway.Handler
-	pool      *httpclient.Pool
-	server    *httptest.Server
+	fleet   *fleet.Fleet
+	gateway *gateway.Handler
+	pool    *httpclient.Pool
+	server  *httptest.Server
+	// requests is the context of all requests, and stop ends it.
+	requests context.Context
+	stop     context.CancelCauseFunc
+	// stoppedAt is the time.Time at which a script has called stop.
+	stoppedAt atomic.Value
 	upstreams map[string]*upstream
 	entries   []roster.Entry
 	// helpers are other routers, which reach the upstreams when the gateway doesn't.
@@ -93,14 +100,16 @@
 func newFixture() *fixture {
 	f := &fixture{upstreams: map[string]*upstream{}, pool: &httpclient.Pool{}}
 	f.fleet, f.gateway = newGateway("r1", f.pool)
-	f.server = startServer(f.gateway)
+	f.requests, f.stop = context.WithCancelCause(context.Background())
+	f.server = startServer(f.requests, f.gateway)
 	return f
 }
 
-// startServer starts a server for callers.
-func startServer(h http.Handler) *httptest.Server {
+// startServer starts a server for callers, with the context of all requests.
+func startServer(ctx context.Context, h http.Handler) *httptest.Server {
 	s := httptest.NewUnstartedServer(h)
 	s.Listener = gateway.WatchCallers(s.Config, s.Listener)
+	s.Config.BaseContext = func(net.Listener) context.Context { return ctx }
 	s.Start()
 	return s
 }
@@ -138,6 +147,7 @@
 }
 
 func (f *fixture) close() {
+	f.stop(nil)
 	f.server.CloseClientConnections()
 	f.server.Close()
 	for _, u := range f.upstreams {
--- a/router/gateway/told_verbs_test.go
+++ b/router/gateway/told_verbs_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"camphorpulley.org/router/gateway"
 )
 
 // leaveTime is within which an upstream must learn that its request has gone on at another one
@@ -72,6 +74,26 @@
 	}
 }
 
+// stop-in DURATION: the router ends its requests after a time, as at the end of a planned stop.
+func cmdStopIn(ts *testscript.TestScript, f *fixture, a []string) {
+	d, err := time.ParseDuration(a[0])
+	ts.Check(err)
+	time.AfterFunc(d, func() {
+		f.stoppedAt.Store(time.Now())
+		f.stop(&gateway.StoppingError{})
+	})
+}
+
+// told-stop UPSTREAM: checks that the first connection of an upstream was closed at most
+// leaveTime after the router had begun to end its requests.
+func cmdToldStop(ts *testscript.TestScript, f *fixture, a []string) {
+	since, ok := f.stoppedAt.Load().(time.Time)
+	if !ok {
+		ts.Fatalf("end of the requests: got none, want one")
+	}
+	checkTold(ts, a[0], f.upstreams[a[0]], since)
+}
+
 // leave ROUTE METHOD ID UPSTREAM close|half-close|extra|pipelined|long|chunked|expect: sends a
 // caller's request that is answered by none, and leaves once the upstream has it. The upstream
 // must be told. A caller that half-closes reads on and must not get a whole success; one that
