End the requests taken over from a router that falls silent

A router worked on for another one that was frozen, cut off or without power, whose caller had left after 2 s of silence and gone on elsewhere (TWICE):

FAIL: testdata/left/detour-frozen-stream.txtar:5: end of the request at u1: got none within 400ms, want one FAIL: testdata/left/detour-frozen.txtar:6: end of the request at u1: got none within 400ms, want one

Only the end of the connection between the routers ended such a request. The request now states the router that sends it, and ends once two looks in a row, 100 ms apart, have found that the router isn't heard of: after 2 s in the same data centre, later in another one, whose routers are heard of one by one only every 10 s. A request that runs at most once stays: it can't go on elsewhere.

--- a/core/fleet/detour.go
+++ b/core/fleet/detour.go
@@ -213,6 +213,15 @@
 	s.doubt = lineage.Doubt{Since: now, StartedMS: u.StartedMS, Sequence: u.Sequence}
 }
 
+// Heard reports whether another router was heard of recently, or isn't known. One that is
+// frozen or cut off closes no connection, and its callers leave it for other routers.
+func (f *Fleet) Heard(now time.Time, id core.RouterID) bool {
+	return table.Read(f.members, table.Hold{}, func(t *members) bool {
+		m, known := t.byID[id]
+		return !known || m.heard(now, m.DataCentre == f.settings.DataCentre, t.centres[m.DataCentre])
+	})
+}
+
 // RefuseRelayed returns the refusal of a request that another router has sent: it finds a
 // better one sooner than this one finds an upstream. It is nil while this router reaches the
 // upstreams.
--- a/core/fleet/quota.go
+++ b/core/fleet/quota.go
@@ -67,9 +67,11 @@
 
 // reachable reports whether the router can be asked, as far as is known.
 func (m member) reachable(now time.Time, local bool, c centre) bool {
-	if now.Before(m.silentUntil) {
-		return false
-	}
+	return !now.Before(m.silentUntil) && m.heard(now, local, c)
+}
+
+// heard reports whether the router was heard of recently.
+func (m member) heard(now time.Time, local bool, c centre) bool {
 	if local {
 		return m.live(now)
 	}
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -131,12 +131,16 @@
 		Request: request, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header,
 		Body: body, HasBody: r.ContentLength != 0, LastEventID: headers.LastEventID, HasLastEventID: headers.HasLastEventID,
 	}
+	ctx := r.Context()
 	if h.Relayed {
 		call.Runs = relay.ParseRuns(r.Header)
+		var cancel context.CancelFunc
+		ctx, cancel = h.whileHeard(ctx, call, core.RouterID(r.Header.Get(relay.SenderField)))
+		defer cancel()
 	}
 	out := &responseWriter{w: w, arrived: arrived, call: call}
-	err := h.Forwarder.Forward(r.Context(), call, out)
-	h.finish(r.Context(), w, call, out, err)
+	err := h.Forwarder.Forward(ctx, call, out)
+	h.finish(ctx, w, call, out, err)
 }
 
 // refuseClosing returns the refusal of a request while connections are being closed, else
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -136,6 +136,7 @@
 	r.Header = a.forwarder.HeaderCodec.DetourHeader(info)
 	// This attempt isn't a run of its own: the other router counts those that it makes.
 	r.Header.Set(RunsField, strconv.Itoa(a.Runs-1))
+	r.Header.Set(SenderField, string(a.forwarder.Fleet.Settings().ID))
 	return r
 }
 
--- a/router/relay/detour.go
+++ b/router/relay/detour.go
@@ -30,6 +30,8 @@
 	// RunsField holds how often upstreams may have run the request, in requests and in
 	// responses.
 	RunsField = "Router-Runs"
+	// SenderField holds the router that sends a request to another one.
+	SenderField = "Router-Id"
 )
 
 // MarkRefusal marks the response to another router as a refusal.
