--- a/router/gateway/copy_verbs_test.go
+++ b/router/gateway/copy_verbs_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -23,3 +24,39 @@
 	f.entries = append(f.entries, roster.Entry{ID: core.UpstreamID(a[0]), Pool: "p", DataCentre: dc, Address: u.listener.Addr().String()})
 	f.fleet.ApplyFullRead(time.Now(), time.Now(), 0, 0, f.entries)
 }
+
+// answer-question UPSTREAM FILE|started keep|copied: sets the answer to the question which
+// process answers; the usual one with started. With copied, it is sent once more, ahead of the next answer.
+func cmdAnswerQuestion(ts *testscript.TestScript, f *fixture, a []string) {
+	u := f.upstreams[a[0]]
+	var data []byte
+	if a[1] != "started" {
+		data = []byte(rawResponse(ts.ReadFile(a[1])))
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.question, u.questionCopied = data, a[2] == "copied"
+}
+
+// answerToQuestion returns the answer to the question which process answers, and whether it is
+// sent once more.
+func (u *upstream) answerToQuestion() ([]byte, bool) {
+	u.mu.Lock()
+	data, copied := u.question, u.questionCopied
+	u.questions++
+	u.mu.Unlock()
+	if data == nil {
+		data = u.identity()
+	}
+	return data, copied
+}
+
+// asked UPSTREAM COUNT: checks how often the upstream was asked which process answers.
+func cmdAsked(ts *testscript.TestScript, f *fixture, a []string) {
+	u := f.upstreams[a[0]]
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if want, err := strconv.Atoi(a[1]); err != nil || u.questions != want {
+		ts.Fatalf("questions to %s: got %d, want %s", a[0], u.questions, a[1])
+	}
+}
--- a/router/gateway/script_test.go
+++ b/router/gateway/script_test.go
@@ -55,7 +55,7 @@
 			"respond-endless": with(cmdRespondEndless), "sent-at-most": with(cmdSentAtMost), "took-at-most": with(cmdTookAtMost),
 			"each-cut": with(cmdEachCut), "request-while-closing": with(cmdRequestWhileClosing), "helper": with(cmdHelper), "cut-off": with(cmdCutOff), "stop-helper-in": with(cmdStopHelperIn), "relayed": with(cmdRelayed), "silent-router": with(cmdSilentRouter),
 			"told": with(cmdTold), "leave": with(cmdLeave), "pipeline": with(cmdPipeline), "stop-in": with(cmdStopIn), "told-stop": with(cmdToldStop),
-			"started": with(cmdStarted), "entry": with(cmdEntry), "requests": with(cmdRequests), "received-at-most": with(cmdReceivedAtMost), "heap-at-most": with(cmdHeapAtMost),
+			"started": with(cmdStarted), "entry": with(cmdEntry), "answer-question": with(cmdAnswerQuestion), "asked": with(cmdAsked), "requests": with(cmdRequests), "received-at-most": with(cmdReceivedAtMost), "heap-at-most": with(cmdHeapAtMost),
 		},
 	})
 }
--- a/router/gateway/upstream_verbs_test.go
+++ b/router/gateway/upstream_verbs_test.go
@@ -34,6 +34,12 @@
 	endlessBytes int
 	// started is the start of its process in milliseconds that the upstream states.
 	started string
+	// question is the answer to the question which process answers, in place of one that states
+	// started; with questionCopied, it is sent once more, ahead of the next answer.
+	question       []byte
+	questionCopied bool
+	// questions is the number of such questions.
+	questions int
 }
 
 // response is the bytes of one response and what the upstream does after it: keep
@@ -86,9 +92,13 @@
 		}
 		earlier = nil
 		if r.URL.Path == identityURI {
-			if _, err := c.Write(u.identity()); err != nil {
+			answer, copied := u.answerToQuestion()
+			if _, err := c.Write(answer); err != nil {
 				return
 			}
+			if copied {
+				earlier = answer
+			}
 			continue
 		}
 		u.mu.Lock()
