--- a/router/httpclient/fetch.go
+++ b/router/httpclient/fetch.go
@@ -13,7 +13,7 @@
 // errNotReusable means that a connection can't carry another request after a response.
 var errNotReusable = errors.New("the upstream doesn't keep the connection")
 
-// Fetch sends a request and reads the whole response, of maxBytes at most, so that the
+// Fetch sends a request without an id and reads the whole response, of maxBytes at most, so that the
 // connection can carry another request to the same process. CheckHead is that of Do. The
 // connection is closed after an error.
 func (c *Conn) Fetch(ctx context.Context, r Request, w Wait, maxBytes int64, checkHead func(status int, h http.Header) error) (status int, body []byte, err error) {
@@ -36,6 +36,6 @@
 		resp.Abort()
 		return 0, nil, wrap.Err(err, "fetch")
 	}
-	c.reused = true
+	c.reused, c.unnamed = true, true
 	return resp.StatusCode, body, nil
 }
--- a/router/httpclient/pool.go
+++ b/router/httpclient/pool.go
@@ -34,6 +34,8 @@
 	serial uint64
 	// reused is true if the connection has carried a request before.
 	reused bool
+	// unnamed is true if the connection has carried a request without an id.
+	unnamed bool
 	// excluded holds the ids of the requests that the connection must not carry again.
 	excluded []string
 	// lastUsed is when the last response ended. After expiresAt, the idle
@@ -45,6 +47,10 @@
 // earlier response may then arrive in place of the expected one.
 func (c *Conn) Reused() bool { return c.reused }
 
+// CarriedUnnamed reports whether the connection has carried a request without an id. A late
+// copy of its response, which has no id either, may then arrive in place of the expected one.
+func (c *Conn) CarriedUnnamed() bool { return c.unnamed }
+
 // Serial returns the number of the connection among those that its pool has opened.
 func (c *Conn) Serial() uint64 { return c.serial }
 
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -35,8 +35,9 @@
 	// sent is true once a connection is open: bytes may then have been sent.
 	// reusedConn is true if the connection, whose number is conn, has carried an earlier
 	// request.
-	sent, reusedConn bool
-	conn             uint64
+	// unnamedConn is true if it has carried one without an id.
+	sent, reusedConn, unnamedConn bool
+	conn                          uint64
 	// skipped is the number of responses to other requests that came in place of the
 	// expected one.
 	skipped int
@@ -78,7 +79,7 @@
 	a.sent = true
 	a.Runs++
 	a.exchange.SetPhase(a.id, answer.Sent)
-	a.reusedConn, a.conn = c.Reused(), c.Serial()
+	a.reusedConn, a.unnamedConn, a.conn = c.Reused(), c.CarriedUnnamed(), c.Serial()
 	resp, err := c.Do(a.ctx, a.request(now), a.waitUntil(now, a.FirstByteDeadline(now, a.target, a.Runs)), a.checkHeader)
 	if err != nil {
 		a.outcome = a.markFailed(err)
@@ -143,11 +144,12 @@
 // checkHeader parses the header of a response into a.headers. It returns a
 // *httpclient.MismatchedResponseError if the header states the id of another
 // request, or if it states none on a connection that has carried earlier requests and is
-// signed or declines the request: it may be a late copy of their responses.
+// signed or declines the request: it may be a late copy of their responses. So may any without
+// an id, if one of them had none.
 func (a *attempt) checkHeader(status int, h http.Header) error {
 	a.headers = a.forwarder.HeaderCodec.ParseResponse(status, h)
 	a.reported = a.headers.Load
-	anonymous := a.headers.RequestID == "" && a.reusedConn && (a.headers.Signed || a.headers.NotRun)
+	anonymous := a.headers.RequestID == "" && (a.unnamedConn || a.reusedConn && (a.headers.Signed || a.headers.NotRun))
 	if anonymous || (a.headers.RequestID != "" && a.headers.RequestID != a.ID) {
 		a.skipped++
 		return &httpclient.MismatchedResponseError{Want: a.ID, Got: a.headers.RequestID}
--- a/router/relay/identity.go
+++ b/router/relay/identity.go
@@ -28,13 +28,20 @@
 // upstream's entry, which the stream may go on at.
 var errOtherProcess = errors.New("another process may answer at the upstream's address")
 
+// errUnclearIdentity means that an upstream either declines the question which process answers,
+// or has sent a late copy of a refusal without an id.
+var errUnclearIdentity = errors.New("the response may be one to an earlier request")
+
 // checkIdentityHeader returns a *httpclient.MismatchedResponseError for the header of a response
 // to a request, of which the connection may have carried some: a late copy may come in place of
-// the upstream's identity.
+// the upstream's identity. It returns errUnclearIdentity if nothing else may come.
 func (a *attempt) checkIdentityHeader(reused bool, status int, h http.Header) error {
 	r := a.forwarder.HeaderCodec.ParseResponse(status, h)
-	if r.RequestID == "" && (!reused || (!r.Signed && !r.NotRun)) {
+	switch {
+	case r.RequestID == "" && (!reused || (!r.Signed && !r.NotRun)):
 		return nil
+	case r.RequestID == "" && r.NotRun:
+		return errUnclearIdentity
 	}
 	a.skipped++
 	return &httpclient.MismatchedResponseError{Got: r.RequestID}
@@ -53,6 +60,10 @@
 	status, body, err := c.Fetch(a.ctx, httpclient.Request{
 		Method: http.MethodGet, URI: f.Identity.URI, Host: a.target.Address, Deadline: deadline,
 	}, httpclient.Wait{Until: deadline}, maxIdentityBytes, func(status int, h http.Header) error { return a.checkIdentityHeader(c.Reused(), status, h) })
+	if errors.Is(err, errUnclearIdentity) {
+		a.outcome = health.Unknown
+		return err
+	}
 	if err != nil {
 		a.outcome = a.contactOutcome(err)
 		return err
