--- a/router/httpclient/fetch.go
+++ b/router/httpclient/fetch.go
@@ -36,6 +36,7 @@
 		resp.Abort()
 		return 0, nil, wrap.Err(err, "fetch")
 	}
-	c.reused, c.unnamed = true, true
+	c.reused = true
+	c.unnamed = true
 	return resp.StatusCode, body, nil
 }
