Count the upstreams of a data centre that comes back into service as cold

What callers and upstreams saw: two engines that had just become cold got 37 to 40 requests in one second, 32 are allowed (FAILBACK), when an evacuation was taken back.

Cause: an upstream is cold from the end of an evacuation, and its entry states it with its next heartbeat, up to 1.2 s later, which is read up to a second after that. Meanwhile all routers took engines without any load for the best ones.

The script returned-cold failed ('running at u1: got 19, want at most 5').

Change: the roster takes them for cold for 3 s, whatever their entries say: two heartbeats and a read. A pool that states no cold rate sets no bound.

--- a/core/fleet/candidates.go
+++ b/core/fleet/candidates.go
@@ -188,8 +188,11 @@
 
 // mayUseCold reports whether this router's share of a cold upstream's request rate
 // permits one more request. The share is one request per second until the number of
-// routers is known.
+// routers is known. A pool that states no rate sets no bound.
 func (f *Fleet) mayUseCold(now time.Time, c Candidate, r Request, routers, rank int, settled bool) bool {
+	if r.Pool.ColdRate <= 0 {
+		return true
+	}
 	share := 1
 	if settled {
 		share = ratelimit.Share(int(r.Pool.ColdRate), routers, rank)
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -17,6 +17,9 @@
 	// outSince maps each data centre that is out of service to the time when it
 	// went out.
 	outSince map[core.DataCentre]time.Time
+	// coldUntil maps each data centre that came back into service to the time until which its
+	// upstreams count as cold.
+	coldUntil map[core.DataCentre]time.Time
 	// list caches the result of All. It is replaced, never modified.
 	list []Upstream
 	// replaced holds the processes whose entry that of another release has replaced, with
@@ -41,6 +44,10 @@
 	// copy of an entry doesn't restore its upstream, and so that the releases of a pool are
 	// known for that long.
 	RemovedRetention = time.Minute
+	// ReturnTime is how long the upstreams of a data centre that comes back into service count
+	// as cold, whatever their entries say: nothing was sent to them, and it takes two
+	// heartbeats and a read until an entry surely shows that they are.
+	ReturnTime = 3 * time.Second
 )
 
 // Change describes the effect of an entry on the roster.
@@ -71,7 +78,7 @@
 	if known && !old.RemovedAt.IsZero() && !confirmed && e.StartedMS == old.StartedMS && e.Sequence == old.Sequence {
 		return Change{}, false
 	}
-	u := Upstream{Entry: e, ColdUntil: now.Add(e.ColdRemaining), UnconfirmedSince: unconfirmedSince}
+	u := Upstream{Entry: e, ColdUntil: later(now.Add(e.ColdRemaining), r.coldUntil[e.DataCentre]), UnconfirmedSince: unconfirmedSince}
 	change, changed := Change{ID: e.ID, Release: e.Release}, true
 	switch {
 	case !known:
@@ -210,8 +217,13 @@
 }
 
 // SetOutOfService takes the given data centres out of service and all others
-// back into service.
+// back into service. The upstreams of those that come back count as cold for ReturnTime.
 func (r *Roster) SetOutOfService(now time.Time, dataCentres map[core.DataCentre]bool) {
+	for dc := range r.outSince {
+		if !dataCentres[dc] {
+			r.markCold(dc, now.Add(ReturnTime))
+		}
+	}
 	out := make(map[core.DataCentre]time.Time, len(dataCentres))
 	for dc := range dataCentres {
 		out[dc] = now
@@ -222,6 +234,27 @@
 	r.outSince = out
 }
 
+// markCold lets the upstreams of a data centre count as cold until the given time.
+func (r *Roster) markCold(dc core.DataCentre, until time.Time) {
+	if r.coldUntil == nil {
+		r.coldUntil = map[core.DataCentre]time.Time{}
+	}
+	r.coldUntil[dc] = until
+	for _, u := range r.All() {
+		if u.DataCentre == dc {
+			u.ColdUntil = later(u.ColdUntil, until)
+			r.store(u)
+		}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // AcceptsWork reports whether an upstream may receive new work: its data centre is in
 // service, it is not draining, and its entry is present or may be missing only because
 // of the store.
