Send copies at the arrival of the next request in the scripts of package exchange

The verb next sends the steps after it when the next request on the connection has arrived, ahead of its response, so that the order doesn't depend on time.

--- a/router/exchange/script_test.go
+++ b/router/exchange/script_test.go
@@ -181,8 +181,8 @@
 			all = append(all, step{hang: true})
 		case text == "close":
 			all = append(all, step{closes: true})
-		case text == "and":
-			all = append(all, step{background: true})
+		case text == "next":
+			all = append(all, step{next: true})
 		default:
 			all = append(all, step{data: strings.ReplaceAll(ts.ReadFile(text), "\n", "\r\n")})
 		}
--- a/router/exchange/upstream_test.go
+++ b/router/exchange/upstream_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -51,8 +52,9 @@
 	hang bool
 	// closes is true if the upstream closes the connection.
 	closes bool
-	// background is true if the steps after it run while the next requests are read.
-	background bool
+	// next is true if the steps after it wait for the next request on the connection, and
+	// come ahead of the response to it.
+	next bool
 }
 
 // end is when a request on which an upstream hung arrived, and when the router left it.
@@ -106,7 +108,7 @@
 func (u *scriptedUpstream) stepsAfterLoad() []step {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return append([]step{{background: true}}, u.afterLoad...)
+	return slices.Clone(u.afterLoad)
 }
 
 func (u *scriptedUpstream) nextSteps() []step {
@@ -125,6 +127,7 @@
 func (u *scriptedUpstream) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
+	var late []step
 	for {
 		r, err := http.ReadRequest(reader)
 		if err != nil {
@@ -137,36 +140,41 @@
 			if _, err := io.WriteString(conn, loadReport); err != nil {
 				return
 			}
-			u.respond(conn, reader, u.stepsAfterLoad(), "", time.Now())
+			late = u.stepsAfterLoad()
 			continue
 		}
 		at := time.Now()
 		u.arrivals.add(u.name, at)
-		if !u.respond(conn, reader, u.nextSteps(), r.Header.Get("X-Request-Id"), at) || r.Close {
+		steps, open := append(late, u.nextSteps()...), false
+		if late, open = u.respond(conn, reader, steps, r.Header.Get("X-Request-Id"), at); !open || r.Close {
 			return
 		}
 	}
 }
 
-// respond carries out the steps of one response. It returns false if the connection ended.
-func (u *scriptedUpstream) respond(conn net.Conn, reader *bufio.Reader, steps []step, id string, at time.Time) bool {
+// respond carries out the steps of one response, and returns those that wait for the next
+// request, which bear the id of this one. Open is false if the connection ended.
+func (u *scriptedUpstream) respond(conn net.Conn, reader *bufio.Reader, steps []step, id string, at time.Time) (late []step, open bool) {
 	for i, s := range steps {
 		switch {
-		case s.background:
-			go u.respond(conn, nil, steps[i+1:], id, at)
-			return true
+		case s.next:
+			for _, l := range steps[i+1:] {
+				l.data = strings.ReplaceAll(l.data, "$ID", id)
+				late = append(late, l)
+			}
+			return late, true
 		case s.closes:
-			return false
+			return nil, false
 		case s.hang:
 			_, _ = io.Copy(io.Discard, reader)
 			u.left <- end{arrivedAt: at, at: time.Now()}
-			return false
+			return nil, false
 		case s.data != "":
 			if _, err := io.WriteString(conn, strings.ReplaceAll(s.data, "$ID", id)); err != nil {
-				return false
+				return nil, false
 			}
 		}
 		time.Sleep(s.wait)
 	}
-	return true
+	return nil, true
 }
