--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -243,7 +243,12 @@
 	if !original || failed {
 		resp.ExcludeRequest(a.ID)
 	}
-	resp.Release(time.Now(), a.forwarder.Conns)
+	if a.headers.RequestID == "" && a.reusedConn {
+		// It may be a late copy, and the upstream may work on the request.
+		resp.Abort()
+	} else {
+		resp.Release(time.Now(), a.forwarder.Conns)
+	}
 	a.outcome = health.Good
 	switch {
 	case !original:
