--- a/router/gateway/helper_verbs_test.go
+++ b/router/gateway/helper_verbs_test.go
@@ -78,13 +78,19 @@
 // silentTime is after which a caller leaves a stream that is silent, at the earliest.
 const silentTime = 2 * time.Second
 
-// silent-router ROUTE METHOD ID UPSTREAM told|kept [heard]: sends the first helper a request of
-// router r1, which is frozen from then on, or only silent itself if it is heard of. Once its
+// silent-router ROUTE METHOD ID UPSTREAM told|kept [heard|remote]: sends the first helper a request of
+// router r1, which is frozen from then on, or only silent itself if it is heard of. With remote, it is in another
+// data centre, of which another router is heard. Once its
 // caller may have gone on elsewhere, the upstream must have been told, or must not.
 func cmdSilentRouter(ts *testscript.TestScript, f *fixture, a []string) {
 	h := f.helpers[0]
 	heard := func() { h.fleet.AddMember(time.Now(), fleet.Member{ID: "r1", DataCentre: "a"}) }
-	heard()
+	if len(a) > 5 && a[5] == "remote" {
+		h.receiveDigest(fleet.SeenMember{Member: fleet.Member{ID: "r1", DataCentre: "b"}})
+		heard = func() { h.receiveDigest() }
+	} else {
+		heard()
+	}
 	c, err := net.Dial("tcp4", h.server.Listener.Addr().String())
 	ts.Check(err)
 	defer func() { _ = c.Close() }()
@@ -110,3 +116,9 @@
 		ts.Fatalf("end of the request at %s: got one after %s, want none", a[3], u.closedAt[0].Sub(since))
 	}
 }
+
+// receiveDigest receives what router r9 says of the routers of its data centre, "b".
+func (h *helper) receiveDigest(seen ...fleet.SeenMember) {
+	r9 := fleet.Member{ID: "r9", DataCentre: "b"}
+	h.fleet.Receive(time.Now(), r9, fleet.Message{Digest: &fleet.Digest{Sources: []fleet.Source{{DataCentre: "b", Relay: "r9"}}, Members: seen}})
+}
