--- a/router/gateway/upstream_verbs_test.go
+++ b/router/gateway/upstream_verbs_test.go
@@ -42,13 +42,14 @@
 	questions int
 }
 
-// response is the bytes of one response and what the upstream does after it: keep
-// the connection, close it, reset it, or hang, that is, send no more until the
-// router closes it; with unread, it reads no body and waits until the router resets it. With early, it responds before it reads the body of the
-// request, and then keeps the connection. With late, it sends the first half, reads the
-// body after lateRead, sends the rest and closes the connection; with pause, it does so once
-// it has read the body; with busy, it reads the body and responds after lateRead. With copied,
-// it keeps the connection and sends the response once more there, ahead of the next one.
+// response is the bytes of one response and what the upstream does after it: keep the
+// connection, close it, reset it, or hang, that is, send no more until the router closes it;
+// with unread, it reads no body and waits until the router resets the connection. With early, it
+// responds before it reads the body of the request, and then keeps the connection. With late, it
+// sends the first half, reads the body after lateRead, sends the rest and closes the connection;
+// with pause, it does so once it has read the body; with busy, it reads the body and responds
+// after lateRead. With copied, it keeps the connection and sends the response once more there,
+// ahead of the next one.
 type response struct {
 	data []byte
 	// after is keep, close, reset, hang, unread, early, early-reset, late, pause, busy, copied or
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -33,11 +33,11 @@
 	// id is the number of the attempt within the call.
 	id int
 	// sent is true once a connection is open: bytes may then have been sent.
-	// reusedConn is true if the connection, whose number is conn, has carried an earlier
-	// request.
-	// unnamedConn is true if it has carried one without an id.
-	sent, reusedConn, unnamedConn bool
-	conn                          uint64
+	sent bool
+	// reusedConn is true if the connection has carried an earlier request, and unnamedConn if
+	// it has carried one without an id. connSerial is its number in the pool.
+	reusedConn, unnamedConn bool
+	connSerial              uint64
 	// skipped is the number of responses to other requests that came in place of the
 	// expected one.
 	skipped int
@@ -79,7 +79,7 @@
 	a.sent = true
 	a.Runs++
 	a.exchange.SetPhase(a.id, answer.Sent)
-	a.reusedConn, a.unnamedConn, a.conn = c.Reused(), c.CarriedUnnamed(), c.Serial()
+	a.reusedConn, a.unnamedConn, a.connSerial = c.Reused(), c.CarriedUnnamed(), c.Serial()
 	resp, err := c.Do(a.ctx, a.request(now), a.waitUntil(now, a.FirstByteDeadline(now, a.target, a.Runs)), a.checkHeader)
 	if err != nil {
 		a.outcome = a.markFailed(err)
