--- a/lab/soak/runner/repeat.go
+++ b/lab/soak/runner/repeat.go
@@ -52,9 +52,11 @@
 	// once more.
 	request, refused string
 	repeats          bool
-	// copied is the refusal to send once more, nil if there is none; late as in lateShare.
-	copied []byte
-	late   bool
+	// copied is the refusal to send once more, nil if there is none, and copiedFor the request
+	// that it refuses; late as in lateShare.
+	copied    []byte
+	copiedFor string
+	late      bool
 }
 
 type connKey struct{}
@@ -98,7 +100,8 @@
 	defer c.mu.Unlock()
 	c.sendCopy()
 	if c.repeats {
-		c.repeats, c.request, c.copied, c.late = false, "", bytes.Clone(p), rand.Float64() < lateShare
+		c.repeats, c.request, c.late = false, "", rand.Float64() < lateShare
+		c.copied, c.copiedFor = bytes.Clone(p), c.refused
 		if rand.Float64() < anonymousShare {
 			c.copied = withoutField(c.copied, headerRequestID)
 		}
@@ -122,7 +125,7 @@
 		return
 	}
 	if _, err := c.Conn.Write(c.copied); err == nil {
-		c.runner.ledger.RecordCopy(time.Now(), ledger.Copy{Runner: c.runner.ID, Conn: c.RemoteAddr().String(), Refused: c.refused, Next: c.request})
+		c.runner.ledger.RecordCopy(time.Now(), ledger.Copy{Runner: c.runner.ID, Conn: c.RemoteAddr().String(), Refused: c.copiedFor, Next: c.request})
 	}
 	c.copied = nil
 }
