--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -216,45 +216,6 @@
 	return releases, lastStartMS
 }
 
-// SetOutOfService takes the given data centres out of service and all others
-// back into service. The upstreams of those that come back count as cold for ReturnTime.
-func (r *Roster) SetOutOfService(now time.Time, dataCentres map[core.DataCentre]bool) {
-	for dc := range r.outSince {
-		if !dataCentres[dc] {
-			r.markCold(dc, now.Add(ReturnTime))
-		}
-	}
-	out := make(map[core.DataCentre]time.Time, len(dataCentres))
-	for dc := range dataCentres {
-		out[dc] = now
-		if since, already := r.outSince[dc]; already {
-			out[dc] = since
-		}
-	}
-	r.outSince = out
-}
-
-// markCold lets the upstreams of a data centre count as cold until the given time.
-func (r *Roster) markCold(dc core.DataCentre, until time.Time) {
-	if r.coldUntil == nil {
-		r.coldUntil = map[core.DataCentre]time.Time{}
-	}
-	r.coldUntil[dc] = until
-	for _, u := range r.All() {
-		if u.DataCentre == dc {
-			u.ColdUntil = later(u.ColdUntil, until)
-			r.store(u)
-		}
-	}
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // AcceptsWork reports whether an upstream may receive new work: its data centre is in
 // service, it is not draining, and its entry is present or may be missing only because
 // of the store.
@@ -283,12 +244,6 @@
 	return r.list
 }
 
-// InService reports whether a data centre is in service.
-func (r *Roster) InService(dc core.DataCentre) bool {
-	_, out := r.outSince[dc]
-	return !out
-}
-
 // IsDraining reports whether an upstream still serves running requests though it is
 // leaving. If its entry was removed, that is so for drainTime, unless it was draining
 // before; otherwise, if its data centre is out of service, for outTime; otherwise
