Read the settings of roll-outs

The template fields expose_share, expose_slack and rollback_ms are absent in deployments without roll-outs, where the platform renders them as empty values. The settings reader refused an empty number (TestTemplateWithoutRollouts failed with 'key "share": "" is not a number'). The tag empty:"zero" now permits it for these three keys alone; go test ./platform -run TestTemplate and ./base/settings pass.

--- a/base/settings/decoder.go
+++ b/base/settings/decoder.go
@@ -122,6 +122,9 @@
 			d.addProblem(line, "unknown key %q in section [%s]", key.Name(), lines.name)
 			continue
 		}
+		if key.Value() == "" && mayBeEmpty(target, key.Name()) {
+			continue
+		}
 		if err := setValue(field, key.Value()); err != nil {
 			d.addProblem(line, "key %q: %v", key.Name(), err)
 		}
@@ -201,6 +204,17 @@
 	return nil
 }
 
+// mayBeEmpty reports whether an empty value of a key stands for zero: the tag "empty" of its
+// field is "zero". A template may leave the value of a setting empty that a deployment lacks.
+func mayBeEmpty(v reflect.Value, name string) bool {
+	for i := range v.NumField() {
+		if tag := v.Type().Field(i).Tag; tag.Get("ini") == name {
+			return tag.Get("empty") == "zero"
+		}
+	}
+	return false
+}
+
 func fieldByTag(v reflect.Value, name string) (reflect.Value, bool) {
 	for i := range v.NumField() {
 		if v.Type().Field(i).Tag.Get("ini") == name {
--- a/base/settings/load.go
+++ b/base/settings/load.go
@@ -5,7 +5,8 @@
 // field of struct type stands for a section that may occur once. A field that
 // is a slice of structs collects the sections named "section some-name", and
 // the field of its element tagged ini:"-name" is set to some-name. Tags
-// validate:"..." hold rules of the validator library.
+// validate:"..." hold rules of the validator library. The tag empty:"zero" permits an
+// empty value, which stands for zero.
 package settings
 
 import (
--- a/router/cluster/settings.go
+++ b/router/cluster/settings.go
@@ -63,6 +63,14 @@
 	// RecoveryMS is how long, in milliseconds, after the end of a disturbance a router
 	// may take to be up to date again; zero stands for defaultRecovery.
 	RecoveryMS int `ini:"recover" validate:"min=0"`
+	// ExposeShare and ExposeSlack bound the requests that all routers together send to the
+	// new version of a roll-out before it has proven good: ExposeShare of those that reach the
+	// pool, plus ExposeSlack. A share of zero means that roll-outs are not configured.
+	ExposeShare float64 `ini:"share" empty:"zero" validate:"min=0,max=1"`
+	ExposeSlack float64 `ini:"allowance" empty:"zero" validate:"min=0"`
+	// RevertMS is how long, in milliseconds, requests may still go to a version after it has
+	// given as many bad answers as prove it bad.
+	RevertMS int `ini:"revert" empty:"zero" validate:"min=0"`
 	// GraceSeconds is how long a router may take to shut down.
 	GraceSeconds float64 `ini:"grace" validate:"gt=0"`
 }
