--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -35,6 +35,8 @@
 	// before it sends a request there. The target isn't an attempt then: the request is
 	// to choose again once a response has come, or has not.
 	Ask *Envelope
+	// Rollout is the attempt's part in a roll-out; nil if none is running.
+	Rollout *RolloutAttempt
 }
 
 // processName returns a name that differs for each process of an upstream.
@@ -61,43 +63,52 @@
 	if len(eligible) == 0 {
 		return Target{}, noUpstream("no upstream of the pool is in service")
 	}
+	a := among{eligible: eligible, pool: pool, retry: len(tried) > 0, held: held}
+	a.choice = f.chooseRelease(now, r, a.retry || held, eligible)
+	return chooseAmong(now, f, policy, r, a)
+}
+
+// chooseFrom selects an upstream among the eligible ones, of which there is at least one.
+func chooseFrom[P Policy](now time.Time, f *Fleet, policy P, r Request, a among) (Target, *core.Refusal) {
 	routers, rank, settled := f.membership(now)
-	cached := table.Read(f.parts, table.Hold{}, func(m *prefix.Map) []cachedTokens { return cachedTokensOf(now, m, eligible, r.SharedParts) })
+	cached := table.Read(f.parts, table.Hold{}, func(m *prefix.Map) []cachedTokens { return cachedTokensOf(now, m, a.eligible, r.SharedParts) })
 	peerAge, neighbours := f.countAge(now)
 	demanding := routers
 	if policy.LocalOnly() {
 		demanding = neighbours + 1
 	}
-	f.updateAllotments(now, lo.Map(eligible, func(u roster.Upstream, _ int) core.UpstreamID { return u.ID }))
+	f.updateAllotments(now, lo.Map(a.eligible, func(u roster.Upstream, _ int) core.UpstreamID { return u.ID }))
 	var best Candidate
 	var all []Candidate
 	var ask *Envelope
 	var refusal *core.Refusal
 	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
-		all = f.candidates(now, st, r, eligible, cached, peerAge)
+		all = f.candidates(now, st, r, a.eligible, cached, peerAge)
 		setSlotShares(all, routers, rank, settled)
-		bound := f.poolBound(now, st, pool, peerAge)
+		bound := f.poolBound(now, st, a.pool, peerAge)
 		st.setBound(r.Pool.Name, bound)
-		if len(tried) == 0 && r.Asks == 0 {
+		if !a.retry && r.Asks == 0 {
 			st.recordDemand(now, r)
 		}
 		engines := st.enginesFor(now, r, bound, demanding, peerAge)
-		candidates := affordable(now, f.limitRamp(), r, len(tried) > 0, bound, willing(now, f.settings.Drain, permitted(r, all)))
+		candidates := affordable(now, f.limitRamp(), r, a.retry, bound, willing(now, f.settings.Drain, permitted(r, all)))
 		best, ask = firstWithQuota(candidates, func(left []Candidate) Candidate {
 			bound.mark(policy.LocalOnly(), left)
 			st.setExpectedLoads(now, r.Pool.Name, peerAge, left)
 			left = usable(now, left, func(c Candidate) bool {
 				return f.mayUseCold(now, c, r, routers, rank, settled)
 			})
-			if held {
-				left = slices.DeleteFunc(left, func(c Candidate) bool { return c.Excluded })
+			if a.held || a.underBound {
+				left = slices.DeleteFunc(left, func(c Candidate) bool { return c.Excluded || (a.underBound && c.OverBound) })
 			}
 			markSpread(policy, engines, left)
 			return preferred(policy, left)
 		}, func(c Candidate) (bool, *Envelope) { return f.takeQuota(now, r, c) })
 		switch {
-		case best.state == nil && held:
+		case best.state == nil && a.held:
 			refusal = noUpstream("no other upstream takes the request")
+		case best.state == nil && a.underBound:
+			refusal = noUpstream("no upstream of the new release has room")
 		case best.state == nil:
 			refusal = st.refuseChoice(now, r, all, routers)
 		case ask == nil:
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"camphorpulley.org/core/poison"
 	"camphorpulley.org/core/prefix"
 	"camphorpulley.org/core/retry"
+	"camphorpulley.org/core/rollout"
 	"camphorpulley.org/core/roster"
 	"camphorpulley.org/core/table"
 )
@@ -48,6 +49,8 @@
 	// LimitGrace is how long after an upstream has first named a limit of requests per
 	// second all routers together may exceed it.
 	LimitGrace time.Duration
+	// Rollout bounds the roll-outs of new releases. With a share of zero there are none.
+	Rollout rollout.Limits
 	// ParseCatalog parses the text of a catalog.
 	ParseCatalog func(text []byte) (*catalog.Catalog, error)
 	// ParseEntry parses the text of an upstream's entry.
@@ -64,6 +67,7 @@
 	members  *table.Cell[members]
 	feed     *table.Cell[feed.Progress]
 	roster   *table.Cell[upstreams]
+	rollouts *table.Cell[rollouts]
 	states   *table.Cell[states]
 	parts    *table.Cell[prefix.Map]
 	suspects *table.Cell[suspects]
@@ -113,6 +117,7 @@
 		members:  table.New(table.RankInstances, members{byID: map[core.RouterID]member{}}),
 		feed:     table.New(table.RankFeeds, feed.Progress{}),
 		roster:   table.New(table.RankUpstreams, upstreams{}),
+		rollouts: table.New(table.RankRollouts, rollouts{}),
 		states:   table.New(table.RankLoads, states{}),
 		parts:    table.New(table.RankParts, prefix.Map{}),
 		suspects: table.New(table.RankSuspects, suspects{brokenByAddress: map[string][]brokenConnection{}}),
--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -28,6 +28,8 @@
 	StreamRecords   []StreamRecord
 	OriginRequest   *OriginRequest
 	OriginReply     *OriginReply
+	RolloutState    *RolloutState
+	RolloutSamples  *RolloutSamples
 }
 
 // Kind returns the name of the message's kind, for metrics; empty if it has no content.
@@ -61,6 +63,10 @@
 		return "origin_request"
 	case m.OriginReply != nil:
 		return "origin_reply"
+	case m.RolloutState != nil:
+		return "rollout_state"
+	case m.RolloutSamples != nil:
+		return "rollout_samples"
 	}
 	return ""
 }
@@ -77,6 +83,8 @@
 	PartChanges []poison.Change
 	// StatementChanges are the limits of upstreams that have begun, changed or ended.
 	StatementChanges []StatementChange
+	// RolloutChanges are those of roll-outs.
+	RolloutChanges []RolloutChange
 	// QuotaFor is the limited upstream for which a response has come; empty if none has.
 	QuotaFor core.UpstreamID
 	// Origin is what another router knows of the beginning of a stream; nil if none has
@@ -131,6 +139,11 @@
 		return Effects{Reply: f.replyOrigin(now, *m.OriginRequest)}
 	case m.OriginReply != nil:
 		return Effects{Origin: m.OriginReply}
+	case m.RolloutState != nil:
+		return f.receiveRolloutState(now, from, *m.RolloutState, delayMS)
+	case m.RolloutSamples != nil:
+		f.applyRolloutSamples(now, from, *m.RolloutSamples, delayMS)
+		return Effects{}
 	case m.PartEvidence != nil:
 		return Effects{PartChanges: f.mergeEvidence(now, m.PartEvidence.Parts), Forward: f.passOn(now, from, m)}
 	}
--- a/core/fleet/outcome.go
+++ b/core/fleet/outcome.go
@@ -44,6 +44,7 @@
 			s.reachability.RecordFailure(now, t.ID)
 		}
 	})
+	f.recordSample(now, t, o)
 	return ejected
 }
 
--- /dev/null
+++ b/core/fleet/rollout_conduct.go
@@ -0,0 +1,333 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"camphorpulley.org/core"
+	"camphorpulley.org/core/chat"
+	"camphorpulley.org/core/rollout"
+	"camphorpulley.org/core/table"
+)
+
+const (
+	// issueInterval and endedInterval are the times between two messages with the state of a
+	// roll-out, while it runs and after it has ended.
+	issueInterval = 500 * time.Millisecond
+	endedInterval = 2 * time.Second
+	// endedRepeat is for how long the final state is repeated once it is in the store: routers
+	// that start later read it there.
+	endedRepeat = time.Minute
+	// conductorTimeout is how long a conductor may be silent before the next router takes its
+	// place, while the roll-out runs and after it has ended.
+	conductorTimeout      = rolloutLease
+	endedConductorTimeout = endedInterval + rolloutLease
+	// listenTime is how long a router that may have missed states listens before it conducts:
+	// the conductor repeats its state twice within that time.
+	listenTime = 2*issueInterval + 200*time.Millisecond
+	// beginGrace is how long a conductor that hasn't seen the beginning of a roll-out waits for
+	// the state of another one.
+	beginGrace = rolloutLease
+	// unknownGrace is how long a conductor waits for the entries of a service that it doesn't
+	// know.
+	unknownGrace = time.Second
+	// drainMultiple is by how many times the mean remaining run time the requests at old
+	// upstreams may still take; maxDrainFraction bounds it as a fraction of the duration.
+	drainMultiple    = 3
+	maxDrainFraction = 0.25
+)
+
+// conducting is what a router knows as the conductor of a roll-out, or of who that is.
+type conducting struct {
+	trial   rollout.Trial
+	senders map[core.RouterID]sender
+	verdict rollout.Verdict
+	// conductor is the one that this router expects, since expectedAt; heardAt is when each
+	// was last heard, and silent holds those that should have been heard and weren't.
+	conductor  core.RouterID
+	expectedAt time.Time
+	heardAt    map[core.RouterID]time.Time
+	silent     map[core.RouterID]bool
+	// tickedAt is when the router last checked the roll-out, listenUntil until when it
+	// doesn't conduct.
+	tickedAt, listenUntil time.Time
+	// sentAt is when this router last issued the state. due is true if it is to tell it at
+	// once.
+	sentAt time.Time
+	due    bool
+}
+
+// RolloutEffects are the changes of roll-outs, and the messages that they need.
+type RolloutEffects struct {
+	Changes  []RolloutChange
+	Messages []Envelope
+}
+
+// TickRollouts carries the roll-outs on. It is called some times a second, and returns at once
+// if there is none.
+func (f *Fleet) TickRollouts(now time.Time) RolloutEffects {
+	var e RolloutEffects
+	if !f.rolloutsConfigured() || !f.anyRollout(now) {
+		return e
+	}
+	routers, known, _ := f.reachableRouters(now)
+	members := f.routerIDs(now)
+	var spread []Message
+	var direct []Envelope
+	f.roster.Do(table.Hold{}, func(held table.Hold, u *upstreams) {
+		f.rollouts.Do(held, func(held table.Hold, t *rollouts) {
+			for _, pool := range slices.Sorted(maps.Keys(t.byPool)) {
+				p := t.byPool[pool]
+				if !p.ordered {
+					continue
+				}
+				f.states.Do(held, func(_ table.Hold, st *states) {
+					k := ticking{now: now, pool: pool, u: u, st: st, routers: routers, members: members, majority: 2*len(routers) >= known}
+					if c := f.tickRollout(p, k); c != nil {
+						e.Changes = append(e.Changes, *c)
+					}
+					if m := f.issue(p, k); m != nil {
+						spread = append(spread, Message{RolloutState: m})
+					}
+					if m := f.report(p, k); m != nil {
+						direct = append(direct, Envelope{To: p.conduct.conductor, Message: Message{SentMS: f.uptimeMS(now), RolloutSamples: m}})
+					}
+				})
+			}
+		})
+	})
+	for _, m := range spread {
+		e.Messages = append(e.Messages, f.Spread(now, m)...)
+	}
+	e.Messages = append(e.Messages, direct...)
+	return e
+}
+
+// releaseInterval is the time between two updates of the releases that pools have.
+const releaseInterval = time.Second
+
+// anyRollout updates the releases of the pools, and reports whether there is an order.
+func (f *Fleet) anyRollout(now time.Time) bool {
+	ordered := false
+	f.roster.Do(table.Hold{}, func(held table.Hold, u *upstreams) {
+		f.rollouts.Do(held, func(_ table.Hold, t *rollouts) {
+			due := now.Sub(t.updatedAt) >= releaseInterval
+			if due {
+				t.updatedAt = now
+			}
+			for pool, p := range t.byPool {
+				if due {
+					p.forgetReleases(now, presentReleases(u, pool))
+				}
+				ordered = ordered || p.ordered
+			}
+		})
+	})
+	return ordered
+}
+
+// ticking is what the step of a roll-out is made of.
+type ticking struct {
+	now  time.Time
+	pool core.Pool
+	u    *upstreams
+	st   *states
+	// routers are those that can be reached, with this one, and members all that may exist.
+	routers, members []core.RouterID
+	// majority is true if those are at least half of them.
+	majority bool
+}
+
+// tickRollout chooses the conductor of a roll-out and, if that is this router, decides on the
+// next state. It returns the change of the stage; nil if there is none.
+func (f *Fleet) tickRollout(p *poolRollout, k ticking) *RolloutChange {
+	c := &p.conduct
+	if k.now.Sub(c.tickedAt) > rolloutLease && !c.tickedAt.IsZero() {
+		// The process was frozen: others may have taken over.
+		c.listenUntil = k.now.Add(listenTime)
+	}
+	c.tickedAt = k.now
+	c.expect(k.now, f.settings.ID, rolloutRanking(p.state.Order, k.routers), p.state.Stage.Final())
+	if p.state.Stage.Final() || !f.conducts(p, k) {
+		return nil
+	}
+	_, samples := p.collected.take(k.now, f.settings.ID)
+	c.trial.Add(k.now, f.settings.ID, samples)
+	s := p.state
+	s.AgeMS = k.now.Sub(p.begunAt).Milliseconds()
+	c.verdict = c.trial.Verdict(k.now)
+	next, decided := f.decideAtOnce(p, k, s)
+	if !decided {
+		next = rollout.Decide(k.now, s, c.verdict, f.progress(p, k))
+	}
+	if next.Stage != p.state.Stage || next.Share != p.state.Share || next.Sequence != p.state.Sequence {
+		c.due = true
+	}
+	change := p.set(k.now, next)
+	if change != nil {
+		change.Verdict = c.verdict
+	}
+	return change
+}
+
+// expect chooses the conductor: the first router in the ranking that isn't silent.
+func (c *conducting) expect(now time.Time, self core.RouterID, ranking []core.RouterID, ended bool) {
+	timeout := conductorTimeout
+	if ended {
+		timeout = endedConductorTimeout
+	}
+	for _, id := range ranking {
+		if c.silent[id] && id != self {
+			continue
+		}
+		if c.conductor != id {
+			c.conductor, c.expectedAt = id, now
+		}
+		if id == self || now.Sub(later(c.expectedAt, c.heardAt[id])) <= timeout {
+			return
+		}
+		if c.silent == nil {
+			c.silent = map[core.RouterID]bool{}
+		}
+		c.silent[id] = true
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// rolloutRanking returns routers in the order in which they are to conduct a roll-out. It
+// doesn't depend on the record of the order, which may be repeated.
+func rolloutRanking(o rollout.Order, routers []core.RouterID) []core.RouterID {
+	key := chat.Key("rollout", string(o.Pool)+" "+o.Target, nil)
+	return slices.SortedFunc(slices.Values(routers), func(a, b core.RouterID) int {
+		sa, sb := chat.Score(key, string(a)), chat.Score(key, string(b))
+		switch {
+		case sa > sb:
+			return -1
+		case sa < sb:
+			return 1
+		}
+		return 0
+	})
+}
+
+// conducts reports whether this router decides on the roll-out. One that reaches fewer than
+// half of the routers doesn't: what it sees isn't what most requests meet. Neither does one
+// that may have missed how the roll-out began.
+func (f *Fleet) conducts(p *poolRollout, k ticking) bool {
+	if p.conduct.conductor != f.settings.ID || !k.majority || k.now.Before(p.conduct.listenUntil) {
+		return false
+	}
+	return p.begunSeen || (p.status.read && k.now.Sub(p.knownAt) >= beginGrace)
+}
+
+// decideAtOnce returns the final state of an order that needs no trial.
+func (f *Fleet) decideAtOnce(p *poolRollout, k ticking, s rollout.State) (rollout.State, bool) {
+	if s.Stage != rollout.None {
+		return s, false
+	}
+	releases := f.releasesOf(k.now, k.u, k.pool, p)
+	switch {
+	case s.Order.Invalid != "":
+		s.Stage, s.Reason = rollout.RolledBack, s.Order.Invalid
+	case f.unknownService(k, releases):
+		if k.now.Sub(p.knownAt) < unknownGrace {
+			return s, true
+		}
+		s.Stage, s.Reason = rollout.RolledBack, "the service is unknown"
+	case releases.others == 0 && len(releases.target) > 0:
+		s.Stage, s.Reason = rollout.Completed, "the release is in force"
+	default:
+		return s, false
+	}
+	s.Sequence++
+	s.ChangedMS = s.AgeMS
+	return s, true
+}
+
+// unknownService reports whether neither the configuration nor an upstream names the pool.
+func (f *Fleet) unknownService(k ticking, releases poolReleases) bool {
+	if len(releases.startedMS) > 0 {
+		return false
+	}
+	c := f.Catalog()
+	if c == nil {
+		return false
+	}
+	_, known := c.Pools[k.pool]
+	return !known && len(presentReleases(k.u, k.pool)) == 0
+}
+
+// progress returns what the conductor knows besides the samples.
+func (f *Fleet) progress(p *poolRollout, k ticking) rollout.Progress {
+	releases := f.releasesOf(k.now, k.u, k.pool, p)
+	drain := drainMultiple * k.st.runTime(k.pool).Remaining()
+	return rollout.Progress{
+		Begun: p.begunAt, OldRunning: p.conduct.oldRunning(k, f.settings.ID, oldRunning(k.u, k.st, p.state.Order)),
+		DrainTime:    min(drain, time.Duration(maxDrainFraction*float64(p.state.Order.Duration))),
+		NewUpstreams: len(releases.target), OldUpstreams: releases.others,
+	}
+}
+
+// oldRunning returns the number of requests of all routers at old upstreams; negative if not
+// all of them have said that they keep to the stage.
+func (c *conducting) oldRunning(k ticking, self core.RouterID, own int) int {
+	running := own
+	for _, id := range k.members {
+		if id == self {
+			continue
+		}
+		s := c.senders[id]
+		if s.stage < rollout.Settling {
+			return -1
+		}
+		running += s.running
+	}
+	return running
+}
+
+// issue returns the message with the state if it is due. The conductor sends it regularly, and
+// any router that has written the final status once.
+func (f *Fleet) issue(p *poolRollout, k ticking) *RolloutState {
+	c := &p.conduct
+	final := p.state.Stage.Final()
+	conducts := f.conducts(p, k) || (final && c.conductor == f.settings.ID)
+	interval := issueInterval
+	if final {
+		interval = endedInterval
+	}
+	over := final && p.state.Written && k.now.Sub(p.endedAt) > endedRepeat
+	regular := conducts && !over && k.now.Sub(c.sentAt) >= interval
+	if !regular && !c.due {
+		return nil
+	}
+	c.due = false
+	if conducts {
+		c.sentAt, p.issuedAt = k.now, k.now
+	}
+	return f.stateMessage(k.now, p, conducts)
+}
+
+// stateMessage returns the message with the state of a roll-out as it is known now.
+func (f *Fleet) stateMessage(now time.Time, p *poolRollout, conducts bool) *RolloutState {
+	m := &RolloutState{State: p.state, IssuedAgeMS: millisSince(now, p.issuedAt), Barred: slices.Sorted(maps.Keys(p.barred))}
+	m.State.AgeMS = now.Sub(p.begunAt).Milliseconds()
+	if conducts {
+		m.Conductor = f.settings.ID
+	}
+	return m
+}
+
+// report returns the message with this router's samples for the conductor.
+func (f *Fleet) report(p *poolRollout, k ticking) *RolloutSamples {
+	if p.state.Stage.Final() || p.state.Stage == rollout.None || p.conduct.conductor == f.settings.ID || p.conduct.conductor == "" {
+		return nil
+	}
+	return f.samplesMessage(k.now, p, oldRunning(k.u, k.st, p.state.Order), p.conduct.conductor)
+}
--- a/core/fleet/roster.go
+++ b/core/fleet/roster.go
@@ -27,6 +27,7 @@
 				f.resetUpstream(now, held, u, c.ID)
 			}
 		}
+		f.noteReleases(now, held, u, changes)
 	})
 	return changes
 }
--- a/core/fleet/snapshot.go
+++ b/core/fleet/snapshot.go
@@ -42,6 +42,8 @@
 	CachedParts []prefix.CachedPart
 	// Statements are what upstreams say about themselves.
 	Statements []StatementReport
+	// Rollouts are the states of the roll-outs.
+	Rollouts []RolloutState
 }
 
 // snapshotRequest returns a request for a snapshot if the sender of a heartbeat or
@@ -83,7 +85,7 @@
 // just getting a copy: the requester then asks elsewhere. Requests for cache contents, of
 // which a router makes few, are always served.
 func (f *Fleet) snapshot(now time.Time, w SnapshotRequest) *Snapshot {
-	s := &Snapshot{}
+	s := &Snapshot{Rollouts: f.rolloutStates(now)}
 	if c := f.Catalog(); c != nil && c.Version > w.Version {
 		s.Catalog = c.Source
 	}
@@ -96,7 +98,7 @@
 		return s
 	}
 	if !table.Read(f.catalog, table.Hold{}, func(t *catalogs) bool { return t.supply.Take(now, s.size()) }) {
-		return &Snapshot{}
+		return &Snapshot{Rollouts: s.Rollouts}
 	}
 	return s
 }
@@ -137,6 +139,12 @@
 func (f *Fleet) applySnapshot(now time.Time, s Snapshot) Effects {
 	var e Effects
 	f.catalog.Do(table.Hold{}, func(_ table.Hold, t *catalogs) { t.fetch.RecordReply() })
+	for _, state := range s.Rollouts {
+		// Before the entries: a router that doesn't know of an order must not use its target.
+		if c := f.applyRolloutState(now, state, 0); c != nil {
+			e.RolloutChanges = append(e.RolloutChanges, *c)
+		}
+	}
 	if len(s.Catalog) > 0 && f.settings.ParseCatalog != nil {
 		c, err := f.settings.ParseCatalog(s.Catalog)
 		if err != nil {
--- a/core/fleet/status.go
+++ b/core/fleet/status.go
@@ -31,6 +31,8 @@
 	MessageDelayMS int64            `json:"late_ms"`
 	Peers          []PeerStatus     `json:"peers"`
 	Upstreams      []UpstreamStatus `json:"upstreams"`
+	// Rollouts are the newest ones of each pool.
+	Rollouts []RolloutView `json:"rollouts"`
 	// RefusedParts are the parts of prompts under which requests are refused, in
 	// hexadecimal as in the log.
 	RefusedParts []string `json:"refused"`
@@ -90,7 +92,7 @@
 func (f *Fleet) Status(now time.Time) Status {
 	s := Status{
 		Router: f.settings.ID, DataCentre: f.settings.DataCentre, Version: f.CatalogVersion(), Readiness: f.Readiness(now), Reader: f.isReader(now),
-		MessageDelayMS: f.MessageDelay(now).Milliseconds(),
+		MessageDelayMS: f.MessageDelay(now).Milliseconds(), Rollouts: f.Rollouts(now),
 	}
 	f.members.Do(table.Hold{}, func(_ table.Hold, p *members) {
 		for _, m := range p.byID {
--- a/core/table/rank.go
+++ b/core/table/rank.go
@@ -15,6 +15,7 @@
 	RankInstances             // the other routers
 	RankFeeds                 // the position in the discovery feed
 	RankUpstreams             // the upstreams
+	RankRollouts              // the orders of roll-outs
 	RankPermits               // the permits of upstreams
 	RankHoldings              // the permits that the router's requests hold or ask for
 	RankLoads                 // the load and health of upstreams
--- a/ctl/fleet.go
+++ b/ctl/fleet.go
@@ -19,6 +19,7 @@
 			"Example: camphorctl fleet --router 10.1.0.40:9464 --upstreams",
 		Flags: []cli.Flag{
 			routersFlag, &cli.BoolFlag{Name: "upstreams", Usage: "print each router's state of the upstreams, with the reason if one gets little or no work"},
+			&cli.BoolFlag{Name: "rollouts", Usage: "print each router's state of the roll-outs, with what the conductor has counted"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error { return showFleet(c) },
 	}
@@ -34,6 +35,9 @@
 	if c.Bool("upstreams") {
 		printStatuses = printFleetUpstreams
 	}
+	if c.Bool("rollouts") {
+		printStatuses = printFleetRollouts
+	}
 	if err := printStatuses(statuses); err != nil {
 		return wrap.Err(err, "fleet")
 	}
@@ -76,3 +80,18 @@
 		"router", "upstream", "pool", "data centre", "left alone", "for ms", "own", "load", "failing", "alive ms ago", "tokens",
 	}, rows)
 }
+
+func printFleetRollouts(statuses []fleet.Status) error {
+	var rows [][]any
+	for _, s := range statuses {
+		for _, r := range s.Rollouts {
+			rows = append(rows, []any{
+				s.Router, r.Pool, r.Target, r.Stage, fmt.Sprintf("%.2f", r.Share), r.AgeMS, r.DurationMS, r.Conductor, r.IssuedAgeMS, r.Exposed,
+				fmt.Sprintf("%d of %d", r.OldBad, r.OldAnswers), fmt.Sprintf("%d of %d", r.NewBad, r.NewAnswers), r.Written, r.Reason,
+			})
+		}
+	}
+	return printTable([]any{
+		"router", "pool", "target", "stage", "share", "age ms", "duration ms", "conductor", "heard ms ago", "exposed", "old bad", "new bad", "written", "reason",
+	}, rows)
+}
--- a/router/cluster/feed_reader.go
+++ b/router/cluster/feed_reader.go
@@ -12,6 +12,7 @@
 	"camphorpulley.org/base/worker"
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/fleet"
+	"camphorpulley.org/core/rollout"
 )
 
 const (
@@ -112,7 +113,7 @@
 		if _, err := f.recordEra(time.Now(), page.Era); err != nil {
 			return err
 		}
-		f.applySnapshot(time.Now(), page.Events)
+		f.applySnapshot(time.Now(), page)
 		f.next, f.synced = page.Next, true
 		return nil
 	}
@@ -140,6 +141,10 @@
 		return nil
 	}
 	for _, e := range page.Events {
+		if e.Order != nil || e.WithdrawnOrder != nil {
+			f.applyFreshOrder(time.Now(), e)
+			continue
+		}
 		f.apply(time.Now(), e)
 	}
 	f.next = page.Next
@@ -185,6 +190,9 @@
 	}
 	f.log.Warn("store_restored", zap.String("feed", f.feed.String()), zap.Uint64("was", known), zap.Uint64("era", era), zap.Uint64("next", f.next))
 	f.confirmAt = now.Add(f.restoreGrace)
+	if f.feed == OperatorFeed {
+		f.fleet.RecheckStatuses(now)
+	}
 	if f.restored != nil {
 		f.restored()
 	}
@@ -209,11 +217,13 @@
 
 // applySnapshot applies the newest record of each key and forgets the data centres
 // that were out of service before, unless an older copy of the store may lack them.
-func (f *feedReader) applySnapshot(now time.Time, events []Event) {
+func (f *feedReader) applySnapshot(now time.Time, page Page) {
 	if f.confirmAt.IsZero() || f.outOfService == nil {
 		f.outOfService = map[core.DataCentre]bool{}
 	}
-	for _, e := range events {
+	// Before the rest: with the configuration, the router begins to serve.
+	f.applyOrders(now, page)
+	for _, e := range page.Events {
 		f.apply(now, e)
 	}
 	switch f.feed {
@@ -222,7 +232,37 @@
 	case RouterFeed:
 		f.fleet.MarkMembersListed()
 	}
-	f.log.Info("feed_read", zap.String("feed", f.feed.String()), zap.Int("records", len(events)))
+	f.log.Info("feed_read", zap.String("feed", f.feed.String()), zap.Int("records", len(page.Events)))
+}
+
+// applyOrders applies the orders of a read of all records. An older copy of the store may lack
+// the newest ones, or hold earlier ones, until they are written again.
+func (f *feedReader) applyOrders(now time.Time, page Page) {
+	if f.feed != OperatorFeed || !f.confirmAt.IsZero() {
+		return
+	}
+	var orders []rollout.Order
+	for _, e := range page.Events {
+		if e.Order != nil {
+			orders = append(orders, *e.Order)
+		}
+	}
+	for _, c := range f.fleet.ApplyOrders(now, orders, page.Next, page.Era) {
+		logRolloutChange(f.log, "", c)
+	}
+}
+
+// applyFreshOrder applies the order of a record that was read as it was written.
+func (f *feedReader) applyFreshOrder(now time.Time, e Event) {
+	var c *fleet.RolloutChange
+	if e.Order != nil {
+		c = f.fleet.ApplyOrder(now, *e.Order, true)
+	} else {
+		c = f.fleet.WithdrawOrder(now, *e.WithdrawnOrder)
+	}
+	if c != nil {
+		logRolloutChange(f.log, "", *c)
+	}
 }
 
 // apply applies one record to the fleet's tables, or logs it if it is invalid.
--- a/router/cluster/router.go
+++ b/router/cluster/router.go
@@ -79,32 +79,6 @@
 	return r.run(p, background, stop)
 }
 
-// gauges returns the metrics that are read from the router's state at each scrape.
-func (r *Router) gauges() []metrics.Gauge {
-	return []metrics.Gauge{
-		{Name: "catalog_version", Description: "version of the configuration in force", Read: func() int64 {
-			return int64(r.fleet.CatalogVersion())
-		}},
-		{Name: "routers_known", Description: "routers that may exist", Read: func() int64 {
-			return int64(len(r.fleet.Members(time.Now())) + 1)
-		}},
-		{Name: "refused_parts", Description: "parts of prompts under which requests are refused, because they crash upstreams", Read: func() int64 {
-			return int64(r.fleet.RefusedParts())
-		}},
-		{Name: "limited_upstreams", Description: "upstreams that name a limit of requests per second", Read: func() int64 {
-			return int64(r.fleet.LimitedUpstreams(time.Now()))
-		}},
-		{Name: "cut_off_pools", Description: "pools of which this router can't reach any upstream", Read: func() int64 {
-			return int64(r.fleet.CutOffPools(time.Now()))
-		}},
-		{Name: "message_delay_ms", Description: "longest recent delay of messages from other routers in milliseconds", Read: func() int64 {
-			return r.fleet.MessageDelay(time.Now()).Milliseconds()
-		}},
-		{Name: "job_panics", Description: "panics that ended a job or an attempt", Read: worker.Panics},
-		{Name: "log_lines_left_out", Description: "log lines over the budget of their kind", Read: logs.SuppressedLines},
-	}
-}
-
 const (
 	// headerTimeout bounds reading a request's header. It is far above any limit
 	// that operators set, so that no caller within their limits is cut off.
@@ -242,10 +216,24 @@
 		store: r.adapter.Store, fleet: r.fleet, log: r.log, eraEnded: operators.eraEnded.notify,
 		notifyPeers: func(s fleet.FeedSegment) { r.send(r.fleet.Spread(time.Now(), fleet.Message{Segment: &s})) },
 	}
+	if r.settings.Bounds.ExposeShare > 0 && r.adapter.Statuses != nil {
+		statuses := &rolloutWriter{store: r.adapter.Statuses, fleet: r.fleet, log: r.log}
+		r.scheduler.Every(ctx, rolloutTick, r.tickRollouts)
+		r.scheduler.Repeat(ctx, statuses.step)
+	}
 	r.scheduler.Repeat(ctx, operators.step)
 	r.scheduler.Repeat(ctx, upstreams.step)
 }
 
+// tickRollouts carries the roll-outs on.
+func (r *Router) tickRollouts(context.Context) {
+	e := r.fleet.TickRollouts(time.Now())
+	r.send(e.Messages)
+	for _, c := range e.Changes {
+		logRolloutChange(r.log, "", c)
+	}
+}
+
 // send sends messages to other routers.
 func (r *Router) send(messages []fleet.Envelope) {
 	for _, e := range messages {
@@ -262,6 +250,9 @@
 	}
 	logPartChanges(r.log, from.ID, e.PartChanges)
 	logStatementChanges(r.log, from.ID, e.StatementChanges)
+	for _, c := range e.RolloutChanges {
+		logRolloutChange(r.log, from.ID, c)
+	}
 	if e.QuotaFor != "" {
 		r.gateway.Forwarder.QuotaResponded(e.QuotaFor)
 	}
--- a/router/cluster/settings.go
+++ b/router/cluster/settings.go
@@ -10,6 +10,7 @@
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/fleet"
 	"camphorpulley.org/core/retry"
+	"camphorpulley.org/core/rollout"
 )
 
 // Settings is the content of the router's settings file.
@@ -117,7 +118,10 @@
 		Drain:         time.Duration(s.Bounds.DrainMS) * time.Millisecond,
 		Evacuation:    time.Duration(s.Bounds.EvacuationMS) * time.Millisecond,
 		LimitGrace:    s.Bounds.recovery(),
-		ParseCatalog:  a.ParseCatalog,
-		ParseEntry:    a.ParseEntry,
+		Rollout: rollout.Limits{
+			Share: s.Bounds.ExposeShare, Slack: s.Bounds.ExposeSlack, Revert: time.Duration(s.Bounds.RevertMS) * time.Millisecond,
+		},
+		ParseCatalog: a.ParseCatalog,
+		ParseEntry:   a.ParseEntry,
 	}
 }
--- a/router/cluster/store.go
+++ b/router/cluster/store.go
@@ -9,6 +9,7 @@
 	"camphorpulley.org/core/catalog"
 	"camphorpulley.org/core/fleet"
 	"camphorpulley.org/core/prefix"
+	"camphorpulley.org/core/rollout"
 	"camphorpulley.org/core/roster"
 	"camphorpulley.org/router/gateway"
 	"camphorpulley.org/router/relay"
@@ -47,6 +48,9 @@
 	// InvalidUpstream is an upstream whose newest entry can't be parsed. It says nothing of
 	// the upstream: what the roster has of it stays.
 	InvalidUpstream core.UpstreamID
+	// Order is an operator's order to roll out a release; WithdrawnOrder states the pool whose
+	// order was removed, and where.
+	Order, WithdrawnOrder *rollout.Order
 	// Member is a router that has registered.
 	Member *fleet.Member
 	// Err is the reason why the record could not be parsed.
@@ -93,6 +97,36 @@
 	Deregister(ctx context.Context, id core.RouterID) error
 }
 
+// StatusPage holds the newest status of the roll-out of each pool.
+type StatusPage struct {
+	Statuses []fleet.RolloutStatus
+	// End is the offset after the newest record, Era the number of the store's history.
+	End, Era uint64
+	// Errors are those of records that can't be parsed.
+	Errors []error
+}
+
+// ConflictError reports an append that the store has refused because there are records from
+// its offset on.
+type ConflictError struct {
+	At, End uint64
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("append at offset %d: the records end at %d", e.At, e.End)
+}
+
+// StatusStore is the client of the service that holds the statuses of roll-outs.
+type StatusStore interface {
+	// Statuses returns the newest status of each pool.
+	Statuses(ctx context.Context) (StatusPage, error)
+	// AppendStatus appends a status if the records end at an offset. The error is a
+	// *ConflictError if they don't. After any other error, the status may be there, or come
+	// later.
+	AppendStatus(ctx context.Context, s fleet.RolloutStatus, at uint64) error
+}
+
 // Adapter holds the parts of a router that depend on the platform on which it
 // runs.
 type Adapter struct {
@@ -102,6 +136,8 @@
 	Store    Store
 	Incoming gateway.HeaderCodec
 	Outgoing relay.HeaderCodec
+	// Statuses holds the statuses of roll-outs; nil if there are no roll-outs.
+	Statuses StatusStore
 	// ParseCatalog parses the text of a configuration, ParseEntry that of an
 	// upstream's entry.
 	ParseCatalog func(text []byte) (*catalog.Catalog, error)
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -77,6 +77,7 @@
 		a.recordBeginning()
 	}
 	a.sent = true
+	a.target.Rollout.MarkSent(now)
 	a.Runs++
 	a.exchange.SetPhase(a.id, answer.Sent)
 	a.reusedConn, a.unnamedConn, a.connSerial = c.Reused(), c.CarriedUnnamed(), c.Serial()
@@ -99,6 +100,7 @@
 	if a.Route.Kind == catalog.Stream && resp.StatusCode == http.StatusOK && a.continues(resp) {
 		return a.forwardStream(resp)
 	}
+	a.target.Rollout.MarkFirstByte(time.Now())
 	if a.resumed {
 		return a.dropAnswer(resp)
 	}
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -127,6 +127,7 @@
 	if a.helper != "" {
 		return
 	}
+	a.target.Rollout.MarkFirstByte(time.Now())
 	switch a.events {
 	case 1:
 		a.forwarder.Fleet.RecordPrefill(time.Now(), a.Request, a.target)
--- a/router/wire/fleet.go
+++ b/router/wire/fleet.go
@@ -6,8 +6,6 @@
 	"camphorpulley.org/base/record"
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/fleet"
-	"camphorpulley.org/core/poison"
-	"camphorpulley.org/core/prefix"
 )
 
 // The types in this file mirror message types of package fleet with CBOR keys added.
@@ -30,6 +28,8 @@
 	StreamRecords   []fleetStreamRecord   `cbor:"13,keyasint,omitempty"`
 	OriginRequest   *fleetOriginRequest   `cbor:"14,keyasint,omitempty"`
 	OriginReply     *fleetOriginReply     `cbor:"15,keyasint,omitempty"`
+	RolloutState    *fleetRolloutState    `cbor:"16,keyasint,omitempty"`
+	RolloutSamples  *fleetRolloutSamples  `cbor:"17,keyasint,omitempty"`
 }
 
 type fleetEvidence struct {
@@ -152,6 +152,8 @@
 	CachedParts []fleetCachedPart `cbor:"3,keyasint,omitempty"`
 	Removed     []fleetEntry      `cbor:"4,keyasint,omitempty"`
 	Statements  []fleetStatement  `cbor:"5,keyasint,omitempty"`
+
+	Rollouts []fleetRolloutState `cbor:"6,keyasint,omitempty"`
 }
 
 // EncodeFleetMessage encodes a message of package fleet.
@@ -159,6 +161,7 @@
 	w := fleetMessage{SentMS: m.SentMS, Handshake: (*fleetMember)(m.Handshake), SnapshotRequest: (*fleetSnapshotRequest)(m.SnapshotRequest), FullUpstream: (*fleetFullUpstream)(m.FullUpstream)}
 	w.Statements = encodeStatements(m.Statements)
 	w.StreamRecords, w.OriginRequest, w.OriginReply = encodeStreamRecords(m.StreamRecords), (*fleetOriginRequest)(m.OriginRequest), encodeOriginReply(m.OriginReply)
+	w.RolloutState, w.RolloutSamples = encodeRolloutState(m.RolloutState), encodeRolloutSamples(m.RolloutSamples)
 	if q := m.QuotaRequest; q != nil {
 		w.QuotaRequest = &fleetQuotaRequest{Limit: fleetStatement(q.Limit), Count: q.Count, Preferred: q.Preferred}
 	}
@@ -172,7 +175,7 @@
 		w.PartEvidence = encodeEvidence(p.Parts)
 	}
 	if s := m.Snapshot; s != nil {
-		w.Snapshot = &fleetSnapshot{Catalog: s.Catalog, Entries: encodeEntries(s.Entries), Removed: encodeEntries(s.Removed), Statements: encodeStatements(s.Statements), CachedParts: encodeCachedParts(s.CachedParts)}
+		w.Snapshot = &fleetSnapshot{Catalog: s.Catalog, Entries: encodeEntries(s.Entries), Removed: encodeEntries(s.Removed), Statements: encodeStatements(s.Statements), CachedParts: encodeCachedParts(s.CachedParts), Rollouts: encodeRolloutStates(s.Rollouts)}
 	}
 	if r := m.Segment; r != nil {
 		w.Segment = &fleetSegment{Era: r.Era, From: r.From, Next: r.Next, AgeMS: r.AgeMS, Records: encodeRecords(r.Records)}
@@ -227,6 +230,7 @@
 	m := fleet.Message{SentMS: w.SentMS, Handshake: (*fleet.Member)(w.Handshake), SnapshotRequest: (*fleet.SnapshotRequest)(w.SnapshotRequest), FullUpstream: (*fleet.FullUpstream)(w.FullUpstream)}
 	m.Statements = decodeStatements(w.Statements)
 	m.StreamRecords, m.OriginRequest, m.OriginReply = decodeStreamRecords(w.StreamRecords), (*fleet.OriginRequest)(w.OriginRequest), decodeOriginReply(w.OriginReply)
+	m.RolloutState, m.RolloutSamples = decodeRolloutState(w.RolloutState), decodeRolloutSamples(w.RolloutSamples)
 	if q := w.QuotaRequest; q != nil {
 		m.QuotaRequest = &fleet.QuotaRequest{Limit: fleet.StatementReport(q.Limit), Count: q.Count, Preferred: q.Preferred}
 	}
@@ -240,7 +244,7 @@
 		m.PartEvidence = &fleet.PartEvidence{Parts: decodeEvidence(w.PartEvidence)}
 	}
 	if s := w.Snapshot; s != nil {
-		m.Snapshot = &fleet.Snapshot{Catalog: s.Catalog, Entries: decodeEntries(s.Entries), Removed: decodeEntries(s.Removed), Statements: decodeStatements(s.Statements), CachedParts: decodeCachedParts(s.CachedParts)}
+		m.Snapshot = &fleet.Snapshot{Catalog: s.Catalog, Entries: decodeEntries(s.Entries), Removed: decodeEntries(s.Removed), Statements: decodeStatements(s.Statements), CachedParts: decodeCachedParts(s.CachedParts), Rollouts: decodeRolloutStates(s.Rollouts)}
 	}
 	if r := w.Segment; r != nil {
 		m.Segment = &fleet.FeedSegment{Era: r.Era, From: r.From, Next: r.Next, AgeMS: r.AgeMS, Records: decodeRecords(r.Records)}
@@ -256,54 +260,3 @@
 	}
 	return m, nil
 }
-
-func encodeEvidence(all []poison.Evidence) []fleetEvidence {
-	return lo.Map(all, func(e poison.Evidence, _ int) fleetEvidence {
-		return fleetEvidence{
-			Part: e.Part, Probes: e.Probes, ProbeAgeMS: e.ProbeAgeMS, UsedAgeMS: e.UsedAgeMS,
-			Strikes: lo.Map(e.Strikes, func(s poison.Strike, _ int) fleetStrike { return fleetStrike(s) }),
-		}
-	})
-}
-
-func decodeEvidence(all []fleetEvidence) []poison.Evidence {
-	return lo.Map(all, func(e fleetEvidence, _ int) poison.Evidence {
-		return poison.Evidence{
-			Part: e.Part, Probes: e.Probes, ProbeAgeMS: e.ProbeAgeMS, UsedAgeMS: e.UsedAgeMS,
-			Strikes: lo.Map(e.Strikes, func(s fleetStrike, _ int) poison.Strike { return poison.Strike(s) }),
-		}
-	})
-}
-
-// encodeRecords leaves out the parsed entries: the receiver parses them from Source.
-func encodeRecords(all []fleet.Record) []fleetRecord {
-	return lo.Map(all, func(r fleet.Record, _ int) fleetRecord {
-		return fleetRecord{Offset: r.Offset, Upstream: r.Upstream, Source: r.Source}
-	})
-}
-
-func decodeRecords(all []fleetRecord) []fleet.Record {
-	return lo.Map(all, func(r fleetRecord, _ int) fleet.Record {
-		return fleet.Record{Offset: r.Offset, Upstream: r.Upstream, Source: r.Source}
-	})
-}
-
-func encodeEntries(all []fleet.EntryCopy) []fleetEntry {
-	return lo.Map(all, func(e fleet.EntryCopy, _ int) fleetEntry { return fleetEntry(e) })
-}
-
-func decodeEntries(all []fleetEntry) []fleet.EntryCopy {
-	return lo.Map(all, func(e fleetEntry, _ int) fleet.EntryCopy { return fleet.EntryCopy(e) })
-}
-
-func encodeCachedParts(all []prefix.CachedPart) []fleetCachedPart {
-	return lo.Map(all, func(h prefix.CachedPart, _ int) fleetCachedPart {
-		return fleetCachedPart{Upstream: h.Upstream, Part: h.Part.ID, Tokens: h.Part.Tokens, FromInventory: h.FromInventory}
-	})
-}
-
-func decodeCachedParts(all []fleetCachedPart) []prefix.CachedPart {
-	return lo.Map(all, func(h fleetCachedPart, _ int) prefix.CachedPart {
-		return prefix.CachedPart{Upstream: h.Upstream, Part: prefix.Part{ID: h.Part, Tokens: h.Tokens}, FromInventory: h.FromInventory}
-	})
-}
--- a/router/wire/fleet_fuzz_test.go
+++ b/router/wire/fleet_fuzz_test.go
@@ -7,6 +7,7 @@
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/catalog"
 	"camphorpulley.org/core/fleet"
+	"camphorpulley.org/core/rollout"
 	"camphorpulley.org/core/roster"
 )
 
@@ -29,6 +30,7 @@
 		}
 		r := fleet.New(start, fleet.Settings{
 			ID: "r1", DataCentre: "a", MaxLoadFactor: 2, Drain: 2 * time.Second, Evacuation: 5 * time.Second,
+			Rollout:      rollout.Limits{Share: 0.1, Slack: 50, Revert: 5 * time.Second},
 			ParseCatalog: func([]byte) (*catalog.Catalog, error) { return &catalog.Catalog{Version: 3}, nil },
 			ParseEntry:   func(id core.UpstreamID, _ []byte) (roster.Entry, error) { return roster.Entry{ID: id}, nil },
 		})
@@ -40,6 +42,8 @@
 			now := start.Add(time.Duration(i) * time.Second)
 			r.Receive(now, from, m)
 			r.Outgoing(now)
+			r.TickRollouts(now)
+			r.StatusWork(now)
 			r.Status(now)
 			r.Readiness(now)
 		}
--- a/router/wire/fleet_test.go
+++ b/router/wire/fleet_test.go
@@ -3,12 +3,14 @@
 import (
 	"reflect"
 	"testing"
+	"time"
 
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/fleet"
 	"camphorpulley.org/core/lineage"
 	"camphorpulley.org/core/poison"
 	"camphorpulley.org/core/prefix"
+	"camphorpulley.org/core/rollout"
 )
 
 var fleetMessages = []fleet.Message{
@@ -39,6 +41,10 @@
 		Sources: []fleet.Source{{DataCentre: "b", Relay: "r2", AgeMS: 3}},
 		Members: []fleet.SeenMember{{Member: fleet.Member{ID: "r2", Address: "10.0.0.2:7340", DataCentre: "b", Incarnation: 8}, AgeMS: 4}},
 	}},
+	{RolloutState: &rolloutState},
+	{RolloutSamples: &fleet.RolloutSamples{Pool: "p", Target: "v2", Offset: 9, Era: 2, First: 40, Stage: rollout.Settling, OldRunning: 3, Samples: []fleet.RolloutSample{
+		{Route: "get", Size: 3, Upstream: "u", New: true, Failed: true, FirstByteUS: 1500, AgeMS: 300}, {Upstream: "v"},
+	}}},
 	{StreamRecords: []fleet.StreamRecord{{Stream: 7, Pool: "p", Certain: true, Release: "v1", LeftMS: 900}, {Stream: 8, Pool: "p", LeftMS: 1}}},
 	{OriginRequest: &fleet.OriginRequest{Stream: 7, Pool: "p", LifeMS: 17000}},
 	{OriginReply: &fleet.OriginReply{Stream: 7, Report: lineage.Report{Knowledge: lineage.Recorded, Release: "v1"}}},
@@ -50,9 +56,18 @@
 		Removed:     []fleet.EntryCopy{{Upstream: "v", Source: []byte("{}")}},
 		Statements:  []fleet.StatementReport{statementReport},
 		CachedParts: []prefix.CachedPart{{Upstream: "u", Part: prefix.Part{ID: 9, Tokens: 10}}},
+		Rollouts:    []fleet.RolloutState{rolloutState},
 	}},
 }
 
+var rolloutState = fleet.RolloutState{
+	State: rollout.State{
+		Order: rollout.Order{Pool: "p", Target: "v2", Duration: 20 * time.Second, Offset: 9, Era: 2, Invalid: "a reason"},
+		Stage: rollout.Moving, Share: 0.4, Sequence: 7, AgeMS: 12000, ChangedMS: 11000, Reason: "good", Written: true,
+	},
+	IssuedAgeMS: 120, Conductor: "r2", Barred: []string{"v0"},
+}
+
 var statementReport = fleet.StatementReport{Upstream: "u", StartedMS: 8, Named: true, PerSecond: 4.5, AgeMS: 20, FirstAgeMS: 300, Leaving: true, Brittle: true, Rejections: 2}
 
 var partEvidence = []poison.Evidence{{
