--- a/core/fleet/rollout_conduct.go
+++ b/core/fleet/rollout_conduct.go
@@ -29,6 +29,9 @@
 	// beginGrace is how long a conductor that hasn't seen the beginning of a roll-out waits for
 	// the state of another one.
 	beginGrace = rolloutLease
+	// tellDelay is how long a router that has read an order waits to hear of it from the
+	// conductor before it tells that of the order: the store may refuse the conductor.
+	tellDelay = 200 * time.Millisecond
 	// unknownGrace is how long a conductor waits for the entries of a service that it doesn't
 	// know.
 	unknownGrace = time.Second
@@ -52,6 +55,10 @@
 	// tickedAt is when the router last checked the roll-out, listenUntil until when it
 	// doesn't conduct.
 	tickedAt, listenUntil time.Time
+	// heardOrder is the order that the conductor was last heard of, toldAt when this router last
+	// told the conductor of its own.
+	heardOrder rollout.Order
+	toldAt     time.Time
 	// sentAt is when this router last issued the state. due is true if it is to tell it at
 	// once.
 	sentAt time.Time
@@ -90,6 +97,9 @@
 					if m := f.issue(p, k); m != nil {
 						spread = append(spread, Message{RolloutState: m})
 					}
+					if m := f.tell(p, k); m != nil {
+						direct = append(direct, Envelope{To: p.conduct.conductor, Message: Message{SentMS: f.uptimeMS(now), RolloutState: m}})
+					}
 					if m := f.report(p, k); m != nil {
 						direct = append(direct, Envelope{To: p.conduct.conductor, Message: Message{SentMS: f.uptimeMS(now), RolloutSamples: m}})
 					}
@@ -316,7 +326,7 @@
 
 // stateMessage returns the message with the state of a roll-out as it is known now.
 func (f *Fleet) stateMessage(now time.Time, p *poolRollout, conducts bool) *RolloutState {
-	m := &RolloutState{State: p.state, IssuedAgeMS: millisSince(now, p.issuedAt), Barred: slices.Sorted(maps.Keys(p.barred))}
+	m := &RolloutState{State: p.state, BegunSeen: p.begunSeen, IssuedAgeMS: millisSince(now, p.issuedAt), Barred: slices.Sorted(maps.Keys(p.barred))}
 	m.State.AgeMS = now.Sub(p.begunAt).Milliseconds()
 	if conducts {
 		m.Conductor = f.settings.ID
@@ -324,6 +334,20 @@
 	return m
 }
 
+// tell returns the message that tells the conductor of an order that it doesn't seem to know;
+// nil if there is none.
+func (f *Fleet) tell(p *poolRollout, k ticking) *RolloutState {
+	c := &p.conduct
+	if c.conductor == f.settings.ID || c.conductor == "" || c.heardOrder.Compare(p.state.Order) >= 0 && c.heardOrder.Pool != "" {
+		return nil
+	}
+	if k.now.Sub(p.knownAt) < tellDelay || k.now.Sub(c.toldAt) < issueInterval {
+		return nil
+	}
+	c.toldAt = k.now
+	return f.stateMessage(k.now, p, false)
+}
+
 // report returns the message with this router's samples for the conductor.
 func (f *Fleet) report(p *poolRollout, k ticking) *RolloutSamples {
 	if p.state.Stage.Final() || p.state.Stage == rollout.None || p.conduct.conductor == f.settings.ID || p.conduct.conductor == "" {
--- a/core/fleet/rollout_state.go
+++ b/core/fleet/rollout_state.go
@@ -17,6 +17,8 @@
 	IssuedAgeMS int64
 	// Conductor is the router that decides; empty if the message comes from another one.
 	Conductor core.RouterID
+	// BegunSeen is true if the sender knows how the roll-out began.
+	BegunSeen bool
 	// Barred are the releases that get nothing.
 	Barred []string
 }
@@ -63,6 +65,7 @@
 			if change != nil && change.New && f.started.Before(begunAt) {
 				p.exposure.Grant(f.settings.Rollout, routers, rank)
 			}
+			p.begunSeen = p.begunSeen || (m.BegunSeen && p.state.Order == m.State.Order)
 			p.hear(now, m, delayMS)
 			present := presentReleases(u, m.State.Order.Pool)
 			for _, release := range m.Barred {
@@ -142,6 +145,9 @@
 		return
 	}
 	c := &p.conduct
+	if m.Conductor == c.conductor {
+		c.heardOrder = m.State.Order
+	}
 	if c.heardAt == nil {
 		c.heardAt = map[core.RouterID]time.Time{}
 	}
--- a/router/wire/rollout.go
+++ b/router/wire/rollout.go
@@ -30,6 +30,7 @@
 	IssuedAgeMS int64         `cbor:"14,keyasint,omitempty"`
 	Conductor   core.RouterID `cbor:"15,keyasint,omitempty"`
 	Barred      []string      `cbor:"16,keyasint,omitempty"`
+	BegunSeen   bool          `cbor:"17,keyasint,omitempty"`
 }
 
 type fleetRolloutSamples struct {
@@ -61,7 +62,7 @@
 	return &fleetRolloutState{
 		Pool: o.Pool, Target: o.Target, DurationMS: o.Duration.Milliseconds(), Offset: o.Offset, Era: o.Era, Invalid: o.Invalid,
 		Stage: s.Stage, Share: s.Share, Sequence: s.Sequence, AgeMS: s.AgeMS, ChangedMS: s.ChangedMS, Reason: s.Reason, Written: s.Written,
-		IssuedAgeMS: m.IssuedAgeMS, Conductor: m.Conductor, Barred: m.Barred,
+		IssuedAgeMS: m.IssuedAgeMS, Conductor: m.Conductor, Barred: m.Barred, BegunSeen: m.BegunSeen,
 	}
 }
 
@@ -74,7 +75,7 @@
 			Order: rollout.Order{Pool: w.Pool, Target: w.Target, Duration: milliseconds(w.DurationMS), Offset: w.Offset, Era: w.Era, Invalid: w.Invalid},
 			Stage: w.Stage, Share: w.Share, Sequence: w.Sequence, AgeMS: w.AgeMS, ChangedMS: w.ChangedMS, Reason: w.Reason, Written: w.Written,
 		},
-		IssuedAgeMS: w.IssuedAgeMS, Conductor: w.Conductor, Barred: w.Barred,
+		IssuedAgeMS: w.IssuedAgeMS, Conductor: w.Conductor, Barred: w.Barred, BegunSeen: w.BegunSeen,
 	}
 }
 
