--- a/core/fleet/rollout_conduct.go
+++ b/core/fleet/rollout_conduct.go
@@ -158,7 +158,7 @@
 		c.listenUntil = k.now.Add(listenTime)
 	}
 	c.tickedAt = k.now
-	c.expect(k.now, f.settings.ID, rolloutRanking(p.state.Order, k.routers), p.state.Stage.Final())
+	c.expect(k.now, f.settings.ID, p.state.Order, k.routers, p.state.Stage.Final())
 	if p.state.Stage.Final() || !f.conducts(p, k) {
 		return nil
 	}
@@ -181,16 +181,14 @@
 	return change
 }
 
-// expect chooses the conductor: the first router in the ranking that isn't silent.
-func (c *conducting) expect(now time.Time, self core.RouterID, ranking []core.RouterID, ended bool) {
+// expect chooses the conductor: the first of the routers, by rendezvous, that isn't silent.
+func (c *conducting) expect(now time.Time, self core.RouterID, o rollout.Order, routers []core.RouterID, ended bool) {
 	timeout := conductorTimeout
 	if ended {
 		timeout = endedConductorTimeout
 	}
-	for _, id := range ranking {
-		if c.silent[id] && id != self {
-			continue
-		}
+	for {
+		id := c.firstOf(o, routers, self)
 		if c.conductor != id {
 			c.conductor, c.expectedAt = id, now
 		}
@@ -204,6 +202,18 @@
 	}
 }
 
+// firstOf returns the first of the routers, with this one, that aren't silent.
+func (c *conducting) firstOf(o rollout.Order, routers []core.RouterID, self core.RouterID) core.RouterID {
+	key := rolloutKey(o)
+	first, best := self, chat.Score(key, string(self))
+	for _, id := range routers {
+		if score := chat.Score(key, string(id)); score > best && !c.silent[id] {
+			first, best = id, score
+		}
+	}
+	return first
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -211,20 +221,22 @@
 	return b
 }
 
-// rolloutRanking returns routers in the order in which they are to conduct a roll-out. It
-// doesn't depend on the record of the order, which may be repeated.
-func rolloutRanking(o rollout.Order, routers []core.RouterID) []core.RouterID {
-	key := chat.Key("rollout", string(o.Pool)+" "+o.Target, nil)
-	return slices.SortedFunc(slices.Values(routers), func(a, b core.RouterID) int {
-		sa, sb := chat.Score(key, string(a)), chat.Score(key, string(b))
-		switch {
-		case sa > sb:
-			return -1
-		case sa < sb:
-			return 1
+// rolloutKey is the key by which routers are ranked that are to conduct a roll-out. It doesn't
+// depend on the record of the order, which may be repeated.
+func rolloutKey(o rollout.Order) core.Digest {
+	return chat.Key("rollout", string(o.Pool)+" "+o.Target, nil)
+}
+
+// placeOf returns how many of the routers come before this one.
+func placeOf(o rollout.Order, routers []core.RouterID, self core.RouterID) int {
+	key, place := rolloutKey(o), 0
+	own := chat.Score(key, string(self))
+	for _, id := range routers {
+		if id != self && chat.Score(key, string(id)) > own {
+			place++
 		}
-		return 0
-	})
+	}
+	return place
 }
 
 // conducts reports whether this router decides on the roll-out. One that reaches fewer than
--- a/core/fleet/rollout_status.go
+++ b/core/fleet/rollout_status.go
@@ -103,7 +103,7 @@
 	if conductor {
 		return true
 	}
-	place := slices.Index(rolloutRanking(p.state.Order, routers), self)
+	place := placeOf(p.state.Order, routers, self)
 	return place < maxStatusWriters && now.Sub(p.status.waitFrom) >= time.Duration(max(place, 1))*statusTurn
 }
 
--- a/lab/fleet/link.go
+++ b/lab/fleet/link.go
@@ -73,6 +73,9 @@
 	if effects.Version > 0 {
 		sim.recordApplied(now, effects.Version)
 	}
+	for i := range effects.RolloutChanges {
+		sim.noteStage(&effects.RolloutChanges[i])
+	}
 	if effects.Reply != nil {
 		sim.post(target, sender.ID, *effects.Reply)
 	}
--- a/lab/fleet/report.go
+++ b/lab/fleet/report.go
@@ -83,6 +83,10 @@
 	Underestimate int
 	Kind          string
 	KindShare     float64
+	// Rollout is the result of the scenario's roll-out, Want the state that it must have; empty
+	// if there is none.
+	Rollout rolloutResult
+	Want    string
 }
 
 // report returns the results so far.
@@ -110,6 +114,9 @@
 	r.Delay, r.Applied = sim.figures.delay, sim.figures.applied
 	r.Underestimate = sim.figures.underestimate()
 	r.Kind, r.KindShare = sim.figures.largestKind()
+	if sim.rollout != nil {
+		r.Rollout, r.Want = sim.rollout.result, sim.rollout.Want
+	}
 	return r
 }
 
@@ -133,6 +140,9 @@
 	fmt.Fprintf(&b, " underestimate=%d delay=%s applied=%s kind=%s/%.2f", r.Underestimate, r.Delay.Round(time.Millisecond), r.Applied.Round(time.Millisecond), r.Kind, r.KindShare)
 	fmt.Fprintf(&b, " reread=%.4f fetched=%.4f sent=%.0f busiest=%.0f remote=%.0f reads=%.2f",
 		r.Reread, r.Fetched, r.Sent, r.Busiest, r.Remote, r.Reads)
+	if r.Want != "" {
+		b.WriteString(r.Rollout.String())
+	}
 	return b.String()
 }
 
@@ -149,9 +159,13 @@
 		{"crowded", crowded, l.Crowded}, {"declined", r.Declined, l.Declined}, {"waiting", r.Waiting, l.Waiting}, {"refused", r.Refused, l.Refused}, {"reread", r.Reread, l.Reread},
 		{"sent", r.Sent, l.Sent}, {"busiest", r.Busiest, l.Busiest}, {"remote", r.Remote, l.Remote},
 		{"excess", r.Excess, l.Excess}, {"unused", 1 - r.Used, l.Unused},
+		{"exposure", r.Rollout.Exposure, l.Exposure}, {"late", r.Rollout.Late.Seconds(), l.Late.Seconds()}, {"left", float64(r.Rollout.Left), l.Left},
 		{"delay", r.Delay.Seconds(), l.Delay.Seconds()}, {"applied", r.Applied.Seconds(), l.Applied.Seconds()},
 	}
 	var over []string
+	if r.Rollout.State != r.Want {
+		over = append(over, fmt.Sprintf("roll-out: got state %q at the deadline, want %q", r.Rollout.State, r.Want))
+	}
 	for _, c := range checks {
 		if c.limit > 0 && c.got > c.limit {
 			over = append(over, fmt.Sprintf("%s: got %.4g, want at most %.4g", c.name, c.got, c.limit))
--- a/lab/fleet/request.go
+++ b/lab/fleet/request.go
@@ -59,6 +59,7 @@
 		sim.figures.refused++
 		return
 	}
+	sim.countRequest(admitted.Pool.Name)
 	sim.try(now, &request{Request: admitted, load: l, router: r})
 }
 
@@ -115,6 +116,7 @@
 		return
 	}
 	u := sim.upstreams[r.target.ID]
+	sim.countExposed(now, u)
 	there := sim.delay(r.router.member.DataCentre, u.entry.DataCentre)
 	if sim.measuring() {
 		sim.figures.underestimated = append(sim.figures.underestimated, u.busy()-r.target.Load)
@@ -166,6 +168,9 @@
 			return
 		}
 		r.router.fleet.MarkSeen(at, r.target)
+		if u.pool.Prefill > 0 {
+			r.target.Rollout.MarkFirstByte(at)
+		}
 		sim.answerLimit(at, r, u)
 		r.router.fleet.RecordPrefill(at, r.Request, r.target)
 		if report != nil {
@@ -176,10 +181,20 @@
 			}
 		}
 	})
-	total := reading + u.runTime(sim.random, r.load.Time)
+	slow, outcome := sim.spoil(now, u)
+	total := reading + time.Duration(slow*float64(u.runTime(sim.random, r.load.Time)))
 	sim.events.add(now.Add(total), func(at time.Time) {
 		u.finish(at)
-		sim.respond(at.Add(back), r, func(at time.Time) { sim.finish(at, r, health.Good) })
+		sim.respond(at.Add(back), r, func(at time.Time) {
+			if u.pool.Prefill == 0 {
+				r.target.Rollout.MarkFirstByte(at)
+			}
+			sim.finish(at, r, outcome)
+			if outcome == health.Failed {
+				r.tried = append(r.tried, u.entry.ID)
+				sim.try(at, r)
+			}
+		})
 	})
 }
 
--- a/lab/fleet/scenario.go
+++ b/lab/fleet/scenario.go
@@ -14,6 +14,7 @@
 	Lags   []LagSection  `ini:"lag" validate:"dive"`
 	// Changes are those of the configuration.
 	Changes []ChangeSection `ini:"change" validate:"dive"`
+	Orders  []OrderSection  `ini:"order" validate:"max=1,dive"`
 }
 
 // FleetSection describes the routers and the links between them.
@@ -147,6 +148,12 @@
 	// that from a change of the configuration until all routers apply it.
 	Delay   time.Duration `ini:"delay" validate:"min=0"`
 	Applied time.Duration `ini:"applied" validate:"min=0"`
+	// Exposure is the highest number of attempts at a new release on trial as a fraction of
+	// what is permitted, Late how long after its 50th bad answer a bad one may get requests, and
+	// Left how many requests old upstreams may have when a roll-out is completed.
+	Exposure float64       `ini:"exposure" validate:"min=0"`
+	Late     time.Duration `ini:"late" validate:"min=0"`
+	Left     float64       `ini:"left" validate:"min=0"`
 	// Reread is the largest share of prompt tokens that engines may read though
 	// another engine has them.
 	Reread float64 `ini:"reread" validate:"min=0,max=1"`
--- a/lab/fleet/simulation.go
+++ b/lab/fleet/simulation.go
@@ -29,6 +29,8 @@
 	changedAt time.Time
 	figures   figures
 	requests  int
+	// rollout is that of the scenario; nil if it has none.
+	rollout *rolloutRun
 }
 
 // router is a simulated router. Epoch changes with each start and stop, so that what
@@ -65,6 +67,7 @@
 		upstreams: map[core.UpstreamID]*upstream{}, pools: map[string]*poolState{},
 	}
 	sim.catalog = sim.newCatalog()
+	sim.scheduleOrder()
 	for i := range s.Fleet.Routers {
 		r := &router{dataCentre: i % s.Fleet.DataCentres}
 		r.member = fleet.Member{ID: core.RouterID(fmt.Sprintf("router-%d", i)), Address: fmt.Sprintf("10.0.%d.%d:7", i/250, i%250), DataCentre: dataCentre(r.dataCentre), Incarnation: 1}
@@ -133,6 +136,7 @@
 	r.fleet = fleet.New(sim.now, fleet.Settings{
 		ID: r.member.ID, Address: r.member.Address, DataCentre: r.member.DataCentre, Incarnation: r.member.Incarnation,
 		Retry: retry.Limits{Ratio: 0.2, Slack: 600, Window: 10 * time.Second}, MaxLoadFactor: 2, Drain: 4 * time.Second, Evacuation: 5 * time.Second, LimitGrace: limitGrace,
+		Rollout:      sim.rolloutLimits(),
 		ParseCatalog: sim.parseCatalog,
 		ParseEntry: func(id core.UpstreamID, _ []byte) (roster.Entry, error) {
 			return sim.upstreams[id].entry, nil
@@ -142,6 +146,7 @@
 		r.fleet.AddMember(sim.now, other.member)
 	}
 	r.fleet.MarkMembersListed()
+	sim.startRollouts(r)
 	r.fleet.ApplyCatalog(sim.now, sim.catalog)
 	sim.readEntries(r)
 	epoch := r.epoch
