--- a/core/rollout/order.go
+++ b/core/rollout/order.go
@@ -60,3 +60,23 @@
 	})
 	return chosen[:min(max(minTrialUpstreams, int(share*float64(old))), len(chosen))]
 }
+
+// turnTime is for how long a part of the trial's upstreams gets its requests.
+const turnTime = time.Second
+
+// Turn returns those of the trial's upstreams that get its requests now: no more than the share
+// of the old ones, at least one. Each thus has, in turn, the load that it would have after the
+// roll-out, so that faults under load show in small pools, too. If none of them can take a
+// request, any other one of the trial may. age is the time since the order.
+func Turn(trial []core.UpstreamID, age time.Duration, old int, share float64) []core.UpstreamID {
+	n := max(int(share*float64(old)), 1)
+	if n >= len(trial) {
+		return trial
+	}
+	turn := int(max(age, 0)/turnTime) * n
+	chosen := make([]core.UpstreamID, 0, n)
+	for i := range n {
+		chosen = append(chosen, trial[(turn+i)%len(trial)])
+	}
+	return chosen
+}
--- a/core/rollout/state.go
+++ b/core/rollout/state.go
@@ -1,5 +1,7 @@
 package rollout
 
+import "cmp"
+
 // Stage is how far a roll-out has come.
 type Stage int
 
@@ -13,8 +15,9 @@
 	// Settling means that all requests go to the new release while the old one ends those
 	// that it has.
 	Settling
-	// Completed and RolledBack are final.
+	// Completed is final: the old upstreams may be stopped.
 	Completed
+	// RolledBack is final: the new release gets nothing any more.
 	RolledBack
 )
 
@@ -48,7 +51,47 @@
 	Written bool
 }
 
-// Merge returns which of two states of a pool's roll-out holds.
+// Merge returns which of two states of a pool's roll-out holds. The later order goes before the
+// earlier one. Of one order, what is in the store goes before all else, rolling back before what
+// isn't in the store, and otherwise the state with more changes. The result doesn't depend on the
+// sequence in which states are merged.
 func (s State) Merge(other State) State {
-	return s
+	if c := s.Order.Compare(other.Order); c != 0 {
+		if c < 0 {
+			return other
+		}
+		return s
+	}
+	merged := s
+	if other.outranks(s) {
+		merged = other
+	}
+	// The older age ends the roll-out earlier, which is the safe side.
+	merged.AgeMS = max(s.AgeMS, other.AgeMS)
+	return merged
+}
+
+// outranks reports whether the state goes before another one of the same order.
+func (s State) outranks(other State) bool {
+	return cmp.Or(
+		compareBool(s.Written && s.Stage.Final(), other.Written && other.Stage.Final()),
+		compareBool(s.Stage == RolledBack, other.Stage == RolledBack),
+		compareBool(s.Stage == Completed, other.Stage == Completed),
+		cmp.Compare(s.Sequence, other.Sequence),
+		// Two conductors have made as many changes: fewer requests to the new release hold.
+		cmp.Compare(other.Stage, s.Stage),
+		cmp.Compare(other.Share, s.Share),
+		cmp.Compare(s.ChangedMS, other.ChangedMS),
+		cmp.Compare(s.Reason, other.Reason),
+	) > 0
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
 }
