--- a/core/fleet/rollout_state.go
+++ b/core/fleet/rollout_state.go
@@ -51,7 +51,10 @@
 	if !f.rolloutsConfigured() || !m.valid() {
 		return nil
 	}
-	routers, rank, _ := f.membership(now)
+	routers, rank := 1, 0
+	if !f.knowsOrder(m.State.Order) {
+		routers, rank, _ = f.membership(now)
+	}
 	begunAt := agoMS(now, m.State.AgeMS+delayMS)
 	var change *RolloutChange
 	f.roster.Do(table.Hold{}, func(held table.Hold, u *upstreams) {
@@ -95,6 +98,14 @@
 	return e
 }
 
+// knowsOrder reports whether the router knows an order, or a later one of the pool.
+func (f *Fleet) knowsOrder(o rollout.Order) bool {
+	return table.Read(f.rollouts, table.Hold{}, func(t *rollouts) bool {
+		p := t.byPool[o.Pool]
+		return p != nil && p.ordered && o.Compare(p.state.Order) <= 0
+	})
+}
+
 // maxRolloutPools bounds the pools without upstreams of which messages may tell.
 const maxRolloutPools = 1000
 
--- a/core/fleet/rollout_status.go
+++ b/core/fleet/rollout_status.go
@@ -62,7 +62,7 @@
 // StatusWork returns what this router has to do at the store now.
 func (f *Fleet) StatusWork(now time.Time) StatusWork {
 	var w StatusWork
-	if !f.rolloutsConfigured() {
+	if !f.rolloutsConfigured() || !table.Read(f.rollouts, table.Hold{}, (*rollouts).needsStore) {
 		return w
 	}
 	routers, _, _ := f.reachableRouters(now)
@@ -81,6 +81,16 @@
 	return w
 }
 
+// needsStore reports whether a roll-out may need the store.
+func (t *rollouts) needsStore() bool {
+	for _, p := range t.byPool {
+		if p.ordered && !(p.state.Stage.Final() && p.state.Written) {
+			return true
+		}
+	}
+	return false
+}
+
 // ownStatus returns the status that is to be in the store.
 func (p *poolRollout) ownStatus() RolloutStatus {
 	o := p.state.Order
--- a/lab/fleet/report.go
+++ b/lab/fleet/report.go
@@ -116,6 +116,7 @@
 	r.Kind, r.KindShare = sim.figures.largestKind()
 	if sim.rollout != nil {
 		r.Rollout, r.Want = sim.rollout.result, sim.rollout.Want
+		r.Rollout.Told = float64(sim.figures.bytes["rollout_state"]+sim.figures.bytes["rollout_samples"]) / seconds / n
 	}
 	return r
 }
@@ -159,7 +160,7 @@
 		{"crowded", crowded, l.Crowded}, {"declined", r.Declined, l.Declined}, {"waiting", r.Waiting, l.Waiting}, {"refused", r.Refused, l.Refused}, {"reread", r.Reread, l.Reread},
 		{"sent", r.Sent, l.Sent}, {"busiest", r.Busiest, l.Busiest}, {"remote", r.Remote, l.Remote},
 		{"excess", r.Excess, l.Excess}, {"unused", 1 - r.Used, l.Unused},
-		{"exposure", r.Rollout.Exposure, l.Exposure}, {"late", r.Rollout.Late.Seconds(), l.Late.Seconds()}, {"left", float64(r.Rollout.Left), l.Left},
+		{"exposure", r.Rollout.Exposure, l.Exposure}, {"late", r.Rollout.Late.Seconds(), l.Late.Seconds()}, {"left", float64(r.Rollout.Left), l.Left}, {"told", r.Rollout.Told, l.Told},
 		{"delay", r.Delay.Seconds(), l.Delay.Seconds()}, {"applied", r.Applied.Seconds(), l.Applied.Seconds()},
 	}
 	var over []string
--- a/lab/fleet/scenario.go
+++ b/lab/fleet/scenario.go
@@ -154,6 +154,9 @@
 	Exposure float64       `ini:"exposure" validate:"min=0"`
 	Late     time.Duration `ini:"late" validate:"min=0"`
 	Left     float64       `ini:"left" validate:"min=0"`
+	// Told is the mean number of bytes a second that a router may send in messages about a
+	// roll-out.
+	Told float64 `ini:"told" validate:"min=0"`
 	// Reread is the largest share of prompt tokens that engines may read though
 	// another engine has them.
 	Reread float64 `ini:"reread" validate:"min=0,max=1"`
