--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -139,15 +139,10 @@
 		return Effects{Reply: f.replyOrigin(now, *m.OriginRequest)}
 	case m.OriginReply != nil:
 		return Effects{Origin: m.OriginReply}
-	case m.RolloutState != nil:
-		return f.receiveRolloutState(now, from, *m.RolloutState, delayMS)
-	case m.RolloutSamples != nil:
-		f.applyRolloutSamples(now, from, *m.RolloutSamples, delayMS)
-		return Effects{}
 	case m.PartEvidence != nil:
 		return Effects{PartChanges: f.mergeEvidence(now, m.PartEvidence.Parts), Forward: f.passOn(now, from, m)}
 	}
-	return Effects{}
+	return f.receiveRollout(now, from, m, delayMS)
 }
 
 // versionAndAge returns the version of the catalog in force, zero if there is none, and the time
--- a/core/fleet/rollout_conduct.go
+++ b/core/fleet/rollout_conduct.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"camphorpulley.org/core"
-	"camphorpulley.org/core/chat"
 	"camphorpulley.org/core/rollout"
 	"camphorpulley.org/core/table"
 )
@@ -181,74 +180,6 @@
 	return change
 }
 
-// expect chooses the conductor: the first of the routers, by rendezvous, that isn't silent.
-func (c *conducting) expect(now time.Time, self core.RouterID, o rollout.Order, routers []core.RouterID, ended bool) {
-	timeout := conductorTimeout
-	if ended {
-		timeout = endedConductorTimeout
-	}
-	for {
-		id := c.firstOf(o, routers, self)
-		if c.conductor != id {
-			c.conductor, c.expectedAt = id, now
-		}
-		if id == self || now.Sub(later(c.expectedAt, c.heardAt[id])) <= timeout {
-			return
-		}
-		if c.silent == nil {
-			c.silent = map[core.RouterID]bool{}
-		}
-		c.silent[id] = true
-	}
-}
-
-// firstOf returns the first of the routers, with this one, that aren't silent.
-func (c *conducting) firstOf(o rollout.Order, routers []core.RouterID, self core.RouterID) core.RouterID {
-	key := rolloutKey(o)
-	first, best := self, chat.Score(key, string(self))
-	for _, id := range routers {
-		if score := chat.Score(key, string(id)); score > best && !c.silent[id] {
-			first, best = id, score
-		}
-	}
-	return first
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-// rolloutKey is the key by which routers are ranked that are to conduct a roll-out. It doesn't
-// depend on the record of the order, which may be repeated.
-func rolloutKey(o rollout.Order) core.Digest {
-	return chat.Key("rollout", string(o.Pool)+" "+o.Target, nil)
-}
-
-// placeOf returns how many of the routers come before this one.
-func placeOf(o rollout.Order, routers []core.RouterID, self core.RouterID) int {
-	key, place := rolloutKey(o), 0
-	own := chat.Score(key, string(self))
-	for _, id := range routers {
-		if id != self && chat.Score(key, string(id)) > own {
-			place++
-		}
-	}
-	return place
-}
-
-// conducts reports whether this router decides on the roll-out. One that reaches fewer than
-// half of the routers doesn't: what it sees isn't what most requests meet. Neither does one
-// that may have missed how the roll-out began.
-func (f *Fleet) conducts(p *poolRollout, k ticking) bool {
-	if p.conduct.conductor != f.settings.ID || !k.majority || k.now.Before(p.conduct.listenUntil) {
-		return false
-	}
-	return p.begunSeen || (p.status.read && k.now.Sub(p.knownAt) >= beginGrace)
-}
-
 // decideAtOnce returns the final state of an order that needs no trial.
 func (f *Fleet) decideAtOnce(p *poolRollout, k ticking, s rollout.State) (rollout.State, bool) {
 	if s.Stage != rollout.None {
@@ -313,57 +244,3 @@
 	}
 	return running
 }
-
-// issue returns the message with the state if it is due. The conductor sends it regularly, and
-// any router that has written the final status once.
-func (f *Fleet) issue(p *poolRollout, k ticking) *RolloutState {
-	c := &p.conduct
-	final := p.state.Stage.Final()
-	conducts := f.conducts(p, k) || (final && c.conductor == f.settings.ID)
-	interval := issueInterval
-	if final {
-		interval = endedInterval
-	}
-	over := final && p.state.Written && k.now.Sub(p.endedAt) > endedRepeat
-	regular := conducts && !over && k.now.Sub(c.sentAt) >= interval
-	if !regular && !c.due {
-		return nil
-	}
-	c.due = false
-	if conducts {
-		c.sentAt, p.issuedAt = k.now, k.now
-	}
-	return f.stateMessage(k.now, p, conducts)
-}
-
-// stateMessage returns the message with the state of a roll-out as it is known now.
-func (f *Fleet) stateMessage(now time.Time, p *poolRollout, conducts bool) *RolloutState {
-	m := &RolloutState{State: p.state, BegunSeen: p.begunSeen, IssuedAgeMS: millisSince(now, p.issuedAt), Barred: slices.Sorted(maps.Keys(p.barred))}
-	m.State.AgeMS = now.Sub(p.begunAt).Milliseconds()
-	if conducts {
-		m.Conductor = f.settings.ID
-	}
-	return m
-}
-
-// tell returns the message that tells the conductor of an order that it doesn't seem to know;
-// nil if there is none.
-func (f *Fleet) tell(p *poolRollout, k ticking) *RolloutState {
-	c := &p.conduct
-	if c.conductor == f.settings.ID || c.conductor == "" || c.heardOrder.Compare(p.state.Order) >= 0 && c.heardOrder.Pool != "" {
-		return nil
-	}
-	if k.now.Sub(p.knownAt) < tellDelay || k.now.Sub(c.toldAt) < issueInterval {
-		return nil
-	}
-	c.toldAt = k.now
-	return f.stateMessage(k.now, p, false)
-}
-
-// report returns the message with this router's samples for the conductor.
-func (f *Fleet) report(p *poolRollout, k ticking) *RolloutSamples {
-	if p.state.Stage.Final() || p.state.Stage == rollout.None || p.conduct.conductor == f.settings.ID || p.conduct.conductor == "" {
-		return nil
-	}
-	return f.samplesMessage(k.now, p, oldRunning(k.u, k.st, p.state.Order), p.conduct.conductor)
-}
--- a/core/fleet/rollout_state.go
+++ b/core/fleet/rollout_state.go
@@ -81,6 +81,17 @@
 	return change
 }
 
+// receiveRollout applies a message about a roll-out. Other messages change nothing.
+func (f *Fleet) receiveRollout(now time.Time, from Member, m Message, delayMS int64) Effects {
+	switch {
+	case m.RolloutState != nil:
+		return f.receiveRolloutState(now, from, *m.RolloutState, delayMS)
+	case m.RolloutSamples != nil:
+		f.applyRolloutSamples(now, from, *m.RolloutSamples, delayMS)
+	}
+	return Effects{}
+}
+
 // receiveRolloutState applies the state that another router has sent, and passes it on.
 func (f *Fleet) receiveRolloutState(now time.Time, from Member, m RolloutState, delayMS int64) Effects {
 	var e Effects
--- a/core/fleet/rollout_status.go
+++ b/core/fleet/rollout_status.go
@@ -84,7 +84,7 @@
 // needsStore reports whether a roll-out may need the store.
 func (t *rollouts) needsStore() bool {
 	for _, p := range t.byPool {
-		if p.ordered && !(p.state.Stage.Final() && p.state.Written) {
+		if p.ordered && (!p.state.Stage.Final() || !p.state.Written) {
 			return true
 		}
 	}
--- a/router/cluster/rollout_writer.go
+++ b/router/cluster/rollout_writer.go
@@ -80,14 +80,16 @@
 	}
 	// What the store has may have changed what there is to write. A second status is written
 	// in the next step, at the new end.
-	for _, s := range w.fleet.StatusWork(time.Now()).Write {
-		if err := w.store.AppendStatus(ctx, s, page.End); err != nil {
-			return err
-		}
-		w.fleet.RecordStatusWritten(time.Now(), s)
-		w.log.Info("rollout_status_written", zap.String("service", string(s.Pool)), zap.String("target", s.Target),
-			zap.String("stage", s.Stage.String()), zap.Uint64("order", s.Offset))
+	work = w.fleet.StatusWork(time.Now())
+	if len(work.Write) == 0 {
 		return nil
 	}
+	s := work.Write[0]
+	if err := w.store.AppendStatus(ctx, s, page.End); err != nil {
+		return err
+	}
+	w.fleet.RecordStatusWritten(time.Now(), s)
+	w.log.Info("rollout_status_written", zap.String("service", string(s.Pool)), zap.String("target", s.Target),
+		zap.String("stage", s.Stage.String()), zap.Uint64("order", s.Offset))
 	return nil
 }
