--- a/lab/soak/router.go
+++ b/lab/soak/router.go
@@ -20,7 +20,8 @@
 )
 
 // settingsFormat is the format of a router's settings file. Its arguments are the
-// id, the zone, the addresses that newRouter chooses, and the address of the store.
+// id, the zone, the addresses that newRouter chooses, the address of the store, and the values
+// of the bounds on roll-outs, which are empty without them.
 const settingsFormat = `[router]
 id = %s
 datacentre = %s
@@ -42,6 +43,9 @@
 drain = 2000
 evacuate = 5000
 grace = 8
+share = %s
+allowance = %s
+revert = %s
 
 [log]
 level = info
@@ -54,9 +58,9 @@
 // router is a router's process, which is restarted whenever it exits.
 type router struct {
 	// listenAddress is where callers connect, readinessAddress where the load
-	// balancer checks.
-	id, listenAddress, readinessAddress string
-	settingsFile                        string
+	// balancer checks, statusAddress where operators read the status.
+	id, listenAddress, readinessAddress, statusAddress string
+	settingsFile                                       string
 	// mu guards the fields below.
 	mu sync.Mutex
 	// process is nil while no process runs.
@@ -96,7 +100,7 @@
 }
 
 // newRouter chooses addresses for a router and writes its settings file.
-func newRouter(dir, id, zone, store string) (*router, error) {
+func newRouter(dir, id, zone, store string, rollouts bool) (*router, error) {
 	var addresses [5]string
 	for i := range addresses {
 		var err error
@@ -104,8 +108,12 @@
 			return nil, err
 		}
 	}
-	r := &router{id: id, listenAddress: addresses[0], readinessAddress: addresses[1], settingsFile: filepath.Join(dir, id+".ini")}
-	text := fmt.Sprintf(settingsFormat, id, zone, addresses[0], addresses[1], addresses[2], addresses[3], addresses[4], store)
+	r := &router{id: id, listenAddress: addresses[0], readinessAddress: addresses[1], statusAddress: addresses[3], settingsFile: filepath.Join(dir, id+".ini")}
+	share, allowance, revert := "", "", ""
+	if rollouts {
+		share, allowance, revert = "0.1", "50", "5000"
+	}
+	text := fmt.Sprintf(settingsFormat, id, zone, addresses[0], addresses[1], addresses[2], addresses[3], addresses[4], store, share, allowance, revert)
 	return r, os.WriteFile(r.settingsFile, []byte(text), 0o600)
 }
 
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -28,6 +28,8 @@
 	faultTime time.Duration
 	routers   int
 	callers   int
+	// rollouts configures roll-outs of new releases.
+	rollouts bool
 	// plannedOnly restricts the faults to planned work.
 	plannedOnly bool
 	// unreadLogs sends the routers' logs to pipes that nobody reads.
@@ -115,7 +117,7 @@
 		}
 	}
 	for i := range s.options.routers {
-		r, err := newRouter(s.dir, fmt.Sprintf("router-%d", i+1), zones[i%len(zones)], s.storeProxy.Address())
+		r, err := newRouter(s.dir, fmt.Sprintf("router-%d", i+1), zones[i%len(zones)], s.storeProxy.Address(), s.rollouts)
 		if err != nil {
 			return err
 		}
