Compute verdicts beside the locks that requests wait for

The samples have a lock of their own now, and the conductor decides every 200 ms. go test ./core/fleet ./core/table passes.

--- a/core/fleet/rollout.go
+++ b/core/fleet/rollout.go
@@ -142,6 +142,7 @@
 	*p = poolRollout{
 		ordered: true, state: rollout.State{Order: o}, begunAt: begunAt, knownAt: now, releases: p.releases, barred: p.barred, exposed: p.exposed,
 	}
+	p.conduct.trial = table.New(table.RankTrials, rollout.Trial{})
 	change.State = p.state
 	return change
 }
--- a/core/fleet/rollout_conduct.go
+++ b/core/fleet/rollout_conduct.go
@@ -31,6 +31,8 @@
 	// tellDelay is how long a router that has read an order waits to hear of it from the
 	// conductor before it tells that of the order: the store may refuse the conductor.
 	tellDelay = 200 * time.Millisecond
+	// decideInterval is the time between two decisions: each compares thousands of samples.
+	decideInterval = 200 * time.Millisecond
 	// unknownGrace is how long a conductor waits for the entries of a service that it doesn't
 	// know.
 	unknownGrace = time.Second
@@ -42,7 +44,8 @@
 
 // conducting is what a router knows as the conductor of a roll-out, or of who that is.
 type conducting struct {
-	trial   rollout.Trial
+	// trial holds the samples of all routers.
+	trial   *table.Cell[rollout.Trial]
 	senders map[core.RouterID]sender
 	verdict rollout.Verdict
 	// conductor is the one that this router expects, since expectedAt; heardAt is when each
@@ -51,9 +54,9 @@
 	expectedAt time.Time
 	heardAt    map[core.RouterID]time.Time
 	silent     map[core.RouterID]bool
-	// tickedAt is when the router last checked the roll-out, listenUntil until when it
-	// doesn't conduct.
-	tickedAt, listenUntil time.Time
+	// tickedAt is when the router last checked the roll-out, decidedAt when it last decided on
+	// it, listenUntil until when it doesn't conduct.
+	tickedAt, decidedAt, listenUntil time.Time
 	// heardOrder is the order that the conductor was last heard of, toldAt when this router last
 	// told the conductor of its own.
 	heardOrder rollout.Order
@@ -78,9 +81,40 @@
 		return e
 	}
 	routers, known, _ := f.reachableRouters(now)
-	members := f.routerIDs(now)
+	k := ticking{now: now, routers: routers, members: f.routerIDs(now), majority: 2*len(routers) >= known}
+	verdicts := map[core.Pool]rollout.Verdict{}
+	for pool, d := range f.dueDecisions(k) {
+		// Not beside the locks that requests wait for: a verdict takes some milliseconds.
+		d.trial.Do(table.Hold{}, func(_ table.Hold, t *rollout.Trial) {
+			t.Add(now, f.settings.ID, d.samples)
+			verdicts[pool] = t.Verdict(now)
+		})
+	}
 	var spread []Message
-	var direct []Envelope
+	f.eachRollout(k, func(p *poolRollout, k ticking) {
+		if v, ok := verdicts[k.pool]; ok && f.conducts(p, k) {
+			if c := f.decide(p, k, v); c != nil {
+				e.Changes = append(e.Changes, *c)
+			}
+		}
+		if m := f.issue(p, k); m != nil {
+			spread = append(spread, Message{RolloutState: m})
+		}
+		if m := f.tell(p, k); m != nil {
+			e.Messages = append(e.Messages, Envelope{To: p.conduct.conductor, Message: Message{SentMS: f.uptimeMS(now), RolloutState: m}})
+		}
+		if m := f.report(p, k); m != nil {
+			e.Messages = append(e.Messages, Envelope{To: p.conduct.conductor, Message: Message{SentMS: f.uptimeMS(now), RolloutSamples: m}})
+		}
+	})
+	for _, m := range spread {
+		e.Messages = append(e.Messages, f.Spread(now, m)...)
+	}
+	return e
+}
+
+// eachRollout calls fn with each roll-out, in the order of the pools, within the locks.
+func (f *Fleet) eachRollout(k ticking, fn func(*poolRollout, ticking)) {
 	f.roster.Do(table.Hold{}, func(held table.Hold, u *upstreams) {
 		f.rollouts.Do(held, func(held table.Hold, t *rollouts) {
 			for _, pool := range slices.Sorted(maps.Keys(t.byPool)) {
@@ -89,28 +123,12 @@
 					continue
 				}
 				f.states.Do(held, func(_ table.Hold, st *states) {
-					k := ticking{now: now, pool: pool, u: u, st: st, routers: routers, members: members, majority: 2*len(routers) >= known}
-					if c := f.tickRollout(p, k); c != nil {
-						e.Changes = append(e.Changes, *c)
-					}
-					if m := f.issue(p, k); m != nil {
-						spread = append(spread, Message{RolloutState: m})
-					}
-					if m := f.tell(p, k); m != nil {
-						direct = append(direct, Envelope{To: p.conduct.conductor, Message: Message{SentMS: f.uptimeMS(now), RolloutState: m}})
-					}
-					if m := f.report(p, k); m != nil {
-						direct = append(direct, Envelope{To: p.conduct.conductor, Message: Message{SentMS: f.uptimeMS(now), RolloutSamples: m}})
-					}
+					k.pool, k.u, k.st = pool, u, st
+					fn(p, k)
 				})
 			}
 		})
 	})
-	for _, m := range spread {
-		e.Messages = append(e.Messages, f.Spread(now, m)...)
-	}
-	e.Messages = append(e.Messages, direct...)
-	return e
 }
 
 // releaseInterval is the time between two updates of the releases that pools have.
@@ -148,34 +166,51 @@
 	majority bool
 }
 
-// tickRollout chooses the conductor of a roll-out and, if that is this router, decides on the
-// next state. It returns the change of the stage; nil if there is none.
-func (f *Fleet) tickRollout(p *poolRollout, k ticking) *RolloutChange {
-	c := &p.conduct
-	if k.now.Sub(c.tickedAt) > rolloutLease && !c.tickedAt.IsZero() {
-		// The process was frozen: others may have taken over.
-		c.listenUntil = k.now.Add(listenTime)
-	}
-	c.tickedAt = k.now
-	c.expect(k.now, f.settings.ID, p.state.Order, k.routers, p.state.Stage.Final())
-	if p.state.Stage.Final() || !f.conducts(p, k) {
+// decision is what a conductor needs for its next decision.
+type decision struct {
+	trial   *table.Cell[rollout.Trial]
+	samples []rollout.Sample
+}
+
+// dueDecisions chooses the conductor of each roll-out, and returns what is needed for those that
+// this router is to decide on now.
+func (f *Fleet) dueDecisions(k ticking) map[core.Pool]decision {
+	due := map[core.Pool]decision{}
+	f.eachRollout(k, func(p *poolRollout, k ticking) {
+		c := &p.conduct
+		if k.now.Sub(c.tickedAt) > rolloutLease && !c.tickedAt.IsZero() {
+			// The process was frozen: others may have taken over.
+			c.listenUntil = k.now.Add(listenTime)
+		}
+		c.tickedAt = k.now
+		c.expect(k.now, f.settings.ID, p.state.Order, k.routers, p.state.Stage.Final())
+		if p.state.Stage.Final() || !f.conducts(p, k) || k.now.Sub(c.decidedAt) < decideInterval {
+			return
+		}
+		c.decidedAt = k.now
+		_, samples := p.collected.take(k.now, f.settings.ID)
+		due[k.pool] = decision{trial: c.trial, samples: slices.Clone(samples)}
+	})
+	return due
+}
+
+// decide decides on the next state. It returns the change of the stage; nil if there is none.
+func (f *Fleet) decide(p *poolRollout, k ticking, v rollout.Verdict) *RolloutChange {
+	if p.state.Stage.Final() {
 		return nil
 	}
-	_, samples := p.collected.take(k.now, f.settings.ID)
-	c.trial.Add(k.now, f.settings.ID, samples)
+	c := &p.conduct
+	c.verdict = v
 	s := p.state
 	s.AgeMS = k.now.Sub(p.begunAt).Milliseconds()
-	c.verdict = c.trial.Verdict(k.now)
 	next, decided := f.decideAtOnce(p, k, s)
 	if !decided {
-		next = rollout.Decide(k.now, s, c.verdict, f.progress(p, k))
-	}
-	if next.Stage != p.state.Stage || next.Share != p.state.Share || next.Sequence != p.state.Sequence {
-		c.due = true
+		next = rollout.Decide(k.now, s, v, f.progress(p, k))
 	}
+	c.due = c.due || next.Sequence != p.state.Sequence
 	change := p.set(k.now, next)
 	if change != nil {
-		change.Verdict = c.verdict
+		change.Verdict = v
 	}
 	return change
 }
--- a/core/fleet/rollout_sample.go
+++ b/core/fleet/rollout_sample.go
@@ -174,6 +174,8 @@
 	if !f.rolloutsConfigured() {
 		return
 	}
+	var accepted []rollout.Sample
+	var trial *table.Cell[rollout.Trial]
 	f.roster.Do(table.Hold{}, func(held table.Hold, u *upstreams) {
 		f.rollouts.Do(held, func(_ table.Hold, t *rollouts) {
 			p := t.byPool[m.Pool]
@@ -188,13 +190,16 @@
 				s = sender{incarnation: from.Incarnation}
 			}
 			if skip := s.next - min(m.First, s.next); skip < uint64(len(m.Samples)) {
-				p.conduct.trial.Add(now, from.ID, acceptedSamples(now, u, m.Pool, m.Samples[skip:], delayMS))
+				accepted, trial = acceptedSamples(now, u, m.Pool, m.Samples[skip:], delayMS), p.conduct.trial
 			}
 			s.next = max(s.next, m.First+uint64(len(m.Samples)))
 			s.stage, s.running = m.Stage, max(m.OldRunning, 0)
 			p.conduct.senders[from.ID] = s
 		})
 	})
+	if trial != nil {
+		trial.Do(table.Hold{}, func(_ table.Hold, t *rollout.Trial) { t.Add(now, from.ID, accepted) })
+	}
 }
 
 // acceptedSamples returns the samples of a message that can be true.
--- a/core/table/rank.go
+++ b/core/table/rank.go
@@ -16,6 +16,7 @@
 	RankFeeds                 // the position in the discovery feed
 	RankUpstreams             // the upstreams
 	RankRollouts              // the orders of roll-outs
+	RankTrials                // the samples of a roll-out
 	RankPermits               // the permits of upstreams
 	RankHoldings              // the permits that the router's requests hold or ask for
 	RankLoads                 // the load and health of upstreams
