--- a/core/rollout/decide.go
+++ b/core/rollout/decide.go
@@ -142,7 +142,7 @@
 }
 
 // move takes the next step once the last one is old enough. While the samples leave a doubt, it
-// is put off for as long as all steps can still be taken.
+// is put off for as long as all steps can still be taken, and then the release is rolled back.
 func (s State) move(age time.Duration, t schedule, v Verdict) State {
 	changed := time.Duration(s.ChangedMS) * time.Millisecond
 	if age-changed < t.step && age < t.complete {
@@ -153,8 +153,11 @@
 		next = len(moveShares)
 	}
 	left := time.Duration(moveSteps-next) * t.step
-	if v.Doubt && age+left < t.evidence+time.Duration(moveSteps)*t.step {
-		return s
+	if v.Doubt {
+		if age+left < t.evidence+time.Duration(moveSteps)*t.step {
+			return s
+		}
+		return s.change(RolledBack, 0, v.Reason)
 	}
 	if next < len(moveShares) {
 		return s.change(Moving, moveShares[next], v.Reason)
@@ -165,8 +168,9 @@
 // settle completes the roll-out once the old upstreams have no requests, or in time before the
 // deadline.
 func (s State) settle(age time.Duration, t schedule, v Verdict, p Progress) State {
-	// The requests have moved, and there is no time left to wait for more answers.
-	if age >= t.complete && v.Doubt {
+	// All requests go to the new release: waiting for more answers costs more than a good release
+	// that is rolled back.
+	if v.Doubt {
 		return s.change(RolledBack, 0, v.Reason)
 	}
 	settled := age - time.Duration(s.ChangedMS)*time.Millisecond
--- a/core/rollout/significance.go
+++ b/core/rollout/significance.go
@@ -73,7 +73,7 @@
 		clusters[k], sum = clusters[k].plus(r), sum.plus(r)
 	}
 	n := float64(sum.n)
-	if sum.excess < minExcess*n {
+	if sum.bad < minBad || sum.excess < minExcess*n {
 		return false
 	}
 	// What is struck on all routes says nothing about one that is worse than the others.
--- a/core/rollout/verdict.go
+++ b/core/rollout/verdict.go
@@ -20,7 +20,9 @@
 	spreadLevel = 1e-3
 	// doubtLevel and doubtSpreadLevel are those from which a trial doesn't suffice to move the
 	// requests: then the cost of waiting or rolling back is less than that of a bad release.
-	doubtLevel       = 3e-3
+	// While the old release has no answers to compare with, more is needed: aloneLevel.
+	doubtLevel       = 1e-2
+	aloneLevel       = 1e-3
 	doubtSpreadLevel = 0.2
 	// worstFraction is the part of the upstreams that is left out as the worst.
 	worstFraction = 0.2
@@ -31,6 +33,8 @@
 	minAnswers = 8
 	// minJudged is the least number of answers by which a release is called bad.
 	minJudged = 4
+	// minBad is the least number of bad answers: one alone leaves no doubt.
+	minBad = 2
 	// recentSlots are the slots of the comparison that finds what has begun lately.
 	recentSlots = 4
 	// baseShare is the share of bad answers that is always expected, since the old release's
@@ -81,7 +85,9 @@
 			v.Reason = figures + "; " + c.name
 			return v
 		}
-		v.Doubt = v.Doubt || c.excess(upstreams, h, doubtLevel/among, doubtSpreadLevel/among)
+		v.Doubt = v.Doubt || c.excess(upstreams, h, aloneLevel/among, doubtSpreadLevel/among)
+		c.answers = besideOld(c.answers)
+		v.Doubt = v.Doubt || c.excess(upstreams, h, doubtLevel/among, doubtSpreadLevel/min(among, 4))
 	}
 	switch {
 	case v.NewAnswers < minAnswers || v.OldAnswers < minAnswers:
@@ -131,7 +137,7 @@
 			}
 		}
 	}
-	beside.answers = slices.DeleteFunc(beside.answers, func(j judged) bool { return j.blind })
+	beside.answers = besideOld(beside.answers)
 	result := []comparison{all, late, beside}
 	for i, of := range []map[uint16]*comparison{routes, lateRoutes} {
 		for _, route := range slices.Sorted(maps.Keys(of)) {
@@ -144,6 +150,11 @@
 	return result
 }
 
+// besideOld returns the answers from while the old release answered, too.
+func besideOld(answers []judged) []judged {
+	return slices.DeleteFunc(slices.Clone(answers), func(j judged) bool { return j.blind })
+}
+
 func get(of map[uint16]*comparison, route uint16) *comparison {
 	c := of[route]
 	if c == nil {
