Let a release that comes after a completed roll-out serve at routers that start later

A router that had started after the end took a release without an order for a replaced one: both were new to it.

--- a/core/fleet/rollout.go
+++ b/core/fleet/rollout.go
@@ -61,7 +61,9 @@
 	// begunSeen is true if the router knows how the roll-out began: it has read the order when
 	// it was written, or has heard of a stage.
 	begunSeen bool
-	exposure  rollout.Exposure
+	// watched is true if the router knew of the roll-out before it ended.
+	watched  bool
+	exposure rollout.Exposure
 	// exposed counts this router's requests that went to the new release.
 	exposed int
 	// releases holds when each release of the pool was first and last seen.
@@ -169,7 +171,7 @@
 		return nil
 	}
 	if s.Stage.Final() {
-		p.endedAt = now
+		p.endedAt, p.watched = now, was != rollout.None
 		p.status.waitFrom = now
 	}
 	switch s.Stage {
--- a/core/fleet/rollout_choice.go
+++ b/core/fleet/rollout_choice.go
@@ -123,11 +123,21 @@
 		return eligible
 	}
 	return slices.DeleteFunc(slices.Clone(eligible), func(u roster.Upstream) bool {
-		old := replaced && u.Release != p.state.Order.Target && p.releases[u.Release].first.Before(p.endedAt.Add(newReleaseHold))
+		old := replaced && u.Release != p.state.Order.Target && p.replaces(u.Release, releases)
 		return old || p.barred[u.Release] || held[u.Release]
 	})
 }
 
+// replaces reports whether a release of the pool is one that the completed roll-out has replaced,
+// rather than one that came later without an order. A router that hasn't seen the roll-out tells
+// them apart by when their processes started.
+func (p *poolRollout) replaces(release string, releases poolReleases) bool {
+	if !p.watched {
+		return releases.startedMS[release] < releases.startedMS[p.state.Order.Target]
+	}
+	return p.releases[release].first.Before(p.endedAt.Add(newReleaseHold))
+}
+
 // heldReleases returns the releases that are new to a pool that has others. If all are new,
 // as for a router that has started, the one whose process started first isn't held.
 func (p *poolRollout) heldReleases(now time.Time, releases poolReleases) map[string]bool {
--- a/core/fleet/rollout_status.go
+++ b/core/fleet/rollout_status.go
@@ -75,7 +75,7 @@
 			if p.mustWrite(now, f.settings.ID, routers) {
 				w.Write = append(w.Write, p.ownStatus())
 			}
-			w.Read = w.Read || p.mustRead(now, f.settings.ID)
+			w.Read = w.Read || p.mustRead(now)
 		}
 	})
 	return w
@@ -119,12 +119,12 @@
 
 // mustRead reports whether the router has to know the status: it may have missed how the
 // roll-out began, or no longer hears how it goes on.
-func (p *poolRollout) mustRead(now time.Time, self core.RouterID) bool {
+func (p *poolRollout) mustRead(now time.Time) bool {
 	if p.state.Stage.Final() {
 		return false
 	}
 	if !p.begunSeen && !p.status.read {
-		return p.conduct.conductor == self || now.Sub(p.knownAt) > conductorTimeout
+		return true
 	}
 	silent := now.Sub(later(p.issuedAt, p.knownAt)) > 2*rolloutLease
 	return silent && now.Sub(p.status.readAt) >= statusCheckTime
