Let the store hold the operators' reads of most routers for longer

Cause: each router's read of the operators' records returns every 3 s where nothing changes; with 83 routers that was half of all calls to the store. It waits no longer because a read that the store has lost hides records, and only the router's own next read tells.

Change: heartbeats and digests state how far their sender has read (core/feed, Watch). In a data centre with more than three live routers only the first two by rendezvous read as before; the others let a read be held for 12 s and read again at once when another router is further, or when they no longer hear of others.

--- a/core/feed/script_test.go
+++ b/core/feed/script_test.go
@@ -12,6 +12,7 @@
 type router struct {
 	now             time.Time
 	progress        Progress
+	watch           Watch
 	reader, failing bool
 	// era is that of the batches.
 	era uint64
@@ -49,6 +50,11 @@
 			"read-delay": with(cmdReadDelay),
 			"next":       with(cmdNext),
 			"stale":      with(cmdStale),
+
+			"watch-read":   with(cmdWatchRead),
+			"watch-hear":   with(cmdWatchHear),
+			"watch-behind": with(cmdWatchBehind),
+			"watch-wait":   with(cmdWatchWait),
 		},
 	})
 }
--- a/core/fleet/digest.go
+++ b/core/fleet/digest.go
@@ -154,6 +154,7 @@
 func (f *Fleet) applyDigest(now time.Time, from Member, d Digest) Effects {
 	fresh := f.addSeenMembers(now, d.Members)
 	f.markSources(now, d.Sources)
+	f.hearOperatorPosition(now, d.Heartbeat.Operators)
 	newParts, changes := f.applyObservations(now, d.Heartbeat)
 	counts := runningCounts{countsOf(d.Heartbeat.Running), now}
 	if from.DataCentre == f.settings.DataCentre {
@@ -216,6 +217,7 @@
 		}
 	})
 	d.Heartbeat.Version, d.Heartbeat.VersionAgeMS = f.versionAndAge(now)
+	d.Heartbeat.Operators = f.operatorPosition()
 	d.Heartbeat.Parts, d.Heartbeat.Statements = f.partEvidence(now), f.statementReports(now)
 	d.Heartbeat.UpstreamsInService = len(f.inService(now))
 	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -83,6 +83,8 @@
 	appliedAt time.Time
 	fetch     catalog.Fetch
 	supply    catalog.Supply
+	// watch is how far the routers have read the operators' records.
+	watch feed.Watch
 }
 
 // upstreams is the table of the upstreams from discovery.
--- a/core/fleet/heartbeat.go
+++ b/core/fleet/heartbeat.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"camphorpulley.org/core"
+	"camphorpulley.org/core/feed"
 	"camphorpulley.org/core/poison"
 	"camphorpulley.org/core/prefix"
 	"camphorpulley.org/core/table"
@@ -16,6 +17,8 @@
 	// router is first known to have applied it; zero if that isn't stated.
 	Version      uint64
 	VersionAgeMS int64
+	// Operators is how far the sender has read the operators' records.
+	Operators feed.Position
 	// UpstreamsInService is the number of upstreams that the sender knows and that may
 	// get work.
 	UpstreamsInService int
@@ -70,6 +73,7 @@
 func (f *Fleet) NextHeartbeat(now time.Time) Heartbeat {
 	var b Heartbeat
 	b.Version, b.VersionAgeMS = f.versionAndAge(now)
+	b.Operators = f.operatorPosition()
 	var dropped []core.UpstreamID
 	f.roster.Do(table.Hold{}, func(_ table.Hold, u *upstreams) {
 		dropped = u.roster.PruneRemoved(now)
@@ -133,6 +137,7 @@
 			t.byID[from.ID] = m
 		}
 	})
+	f.hearOperatorPosition(now, b.Operators)
 	counts := countsOf(b.Running)
 	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
 		for id := range counts {
--- a/router/cluster/feed_reader.go
+++ b/router/cluster/feed_reader.go
@@ -11,18 +11,12 @@
 	"camphorpulley.org/base/logs"
 	"camphorpulley.org/base/worker"
 	"camphorpulley.org/core"
+	"camphorpulley.org/core/feed"
 	"camphorpulley.org/core/fleet"
 	"camphorpulley.org/core/rollout"
 )
 
 const (
-	// minLongPollWait and maxLongPollWait bound how long a read of the operators' feed
-	// waits for a new record.
-	minLongPollWait = 200 * time.Millisecond
-	maxLongPollWait = 4 * time.Second
-	// retryReserve is the time that is left for the read after a long poll without a
-	// response.
-	retryReserve = 300 * time.Millisecond
 	// initialBackoff and maxBackoff bound the time between retries while the store
 	// is unavailable. initialBackoff is a few round trips; maxBackoff is less than
 	// the 1 s in which a router must be up to date again.
@@ -62,6 +56,9 @@
 	// eraEnded is notified when the reader of another feed has learned that: a read that the
 	// store holds waits for an offset that says nothing any more. It may be nil.
 	eraEnded signal
+	// overtaken is true once a read was left to the store because of another router, until the
+	// next one is answered.
+	overtaken bool
 }
 
 // eraError reports a response of the store that belongs to an earlier era than the one
@@ -114,23 +111,24 @@
 			return err
 		}
 		f.applySnapshot(time.Now(), page)
-		f.next, f.synced = page.Next, true
+		f.synced = true
+		f.advance(page.Next)
 		return nil
 	}
-	wait := f.pollWait
-	if f.failedCalls > 0 {
-		// The first read after a failure must not wait for a new record, so that
-		// the recovery of the store is seen at once.
-		wait = 0
-	}
-	page, ended, err := f.poll(ctx, wait)
+	page, end, err := f.poll(ctx, f.nextWait(now))
 	if err != nil {
 		return err
 	}
-	if ended {
+	switch end {
+	case pollEraEnded:
 		f.synced = false
 		return nil
+	case pollOvertaken:
+		f.overtaken = true
+		return nil
+	case pollAnswered:
 	}
+	f.overtaken = false
 	isNew, err := f.recordEra(time.Now(), page.Era)
 	if err != nil {
 		return err
@@ -147,31 +145,15 @@
 		}
 		f.apply(time.Now(), e)
 	}
-	f.next = page.Next
+	f.advance(page.Next)
 	return nil
 }
 
-// poll reads the records from the next offset on. Ended is true if it has left the read to the
-// store, because the era has ended meanwhile.
-func (f *feedReader) poll(ctx context.Context, wait time.Duration) (page Page, ended bool, err error) {
-	type result struct {
-		page Page
-		err  error
-	}
-	done := make(chan result, 1)
-	from := f.next
-	go func() {
-		var r result
-		if panicked := worker.Protect(func() { r.page, r.err = f.store.Since(ctx, f.feed, from, wait) }); panicked != nil {
-			r.err = panicked
-		}
-		done <- r
-	}()
-	select {
-	case r := <-done:
-		return r.page, false, r.err
-	case <-f.eraEnded:
-		return Page{}, true, nil
+// advance records that the feed was read up to an offset.
+func (f *feedReader) advance(next uint64) {
+	f.next = next
+	if f.feed == OperatorFeed {
+		f.fleet.RecordOperatorPosition(feed.Position{Era: f.era, Next: next})
 	}
 }
 
@@ -296,13 +278,3 @@
 	f.fleet.SetOutOfService(now, out)
 	f.log.Info("datacentre_changed", zap.String("datacentre", string(dc)), zap.String("service", state))
 }
-
-// longPollWait returns how long a read of the operators' feed may wait. A read that the
-// store lost during an outage gets no response, and may have been sent at the end of it
-// by all routers at once, so that none can tell the others of a new record. It must
-// fail, and the next one end, within the recovery time, by which routers are up to date
-// again.
-func longPollWait(recovery time.Duration) time.Duration {
-	wait := recovery - PollMargin - initialBackoff - retryReserve
-	return min(max(wait, minLongPollWait), maxLongPollWait)
-}
--- a/router/cluster/feed_reader_test.go
+++ b/router/cluster/feed_reader_test.go
@@ -10,6 +10,7 @@
 
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/catalog"
+	"camphorpulley.org/core/feed"
 	"camphorpulley.org/core/fleet"
 )
 
@@ -206,3 +207,36 @@
 		t.Errorf("registrations after the store was restored: got %d, want 2", store.registrations)
 	}
 }
+
+// TestOvertakenReadIsLeft guards against an operator's record that is in force too late (CONFIG,
+// EVAC): where other routers wait for a short time, a router whose long read the store has lost
+// must read again once one of them has read more, and again wait for long afterwards.
+func TestOvertakenReadIsLeft(t *testing.T) {
+	store := &scriptedStore{reads: []scriptedRead{{Held: true}, {Events: []Event{catalogEvent(7)}}, {}}}
+	tables := fleet.New(time.Now(), fleet.Settings{ID: "r1", DataCentre: "a"})
+	heartbeat := func(next uint64) {
+		for _, id := range []core.RouterID{"r2", "r3", "r4", "r5"} {
+			from := fleet.Member{ID: id, DataCentre: "a", Incarnation: 1}
+			tables.Receive(time.Now(), from, fleet.Message{Heartbeat: &fleet.Heartbeat{Operators: feed.Position{Next: next}}})
+		}
+	}
+	heartbeat(1)
+	const pollWait = 2 * time.Second
+	r := &feedReader{feed: OperatorFeed, store: store, fleet: tables, log: zap.NewNop(), pollWait: pollWait}
+	r.step(t.Context())
+	time.AfterFunc(10*time.Millisecond, func() { heartbeat(2) })
+	r.step(t.Context())
+	if got := tables.CatalogVersion(); got != 0 {
+		t.Errorf("version before the second read: got %d, want none", got)
+	}
+	r.step(t.Context())
+	if got := tables.CatalogVersion(); got != 7 {
+		t.Errorf("version after the second read: got %d, want 7", got)
+	}
+	r.step(t.Context())
+	for i, long := range []bool{true, false, true} {
+		if got := store.waits[i]; (got > pollWait) != long || (!long && got != 0) {
+			t.Errorf("wait of read %d: got %s, want one over %s: %v", i, got, pollWait, long)
+		}
+	}
+}
--- a/router/wire/fleet.go
+++ b/router/wire/fleet.go
@@ -5,6 +5,7 @@
 
 	"camphorpulley.org/base/record"
 	"camphorpulley.org/core"
+	"camphorpulley.org/core/feed"
 	"camphorpulley.org/core/fleet"
 )
 
@@ -91,6 +92,8 @@
 	Statements         []fleetStatement  `cbor:"10,keyasint,omitempty"`
 	CutOff             []core.Pool       `cbor:"11,keyasint,omitempty"`
 	VersionAgeMS       int64             `cbor:"12,keyasint,omitempty"`
+	OperatorsEra       uint64            `cbor:"13,keyasint,omitempty"`
+	OperatorsNext      uint64            `cbor:"14,keyasint,omitempty"`
 }
 
 type fleetResults struct {
@@ -195,6 +198,7 @@
 func encodeFleetHeartbeat(b fleet.Heartbeat) *fleetHeartbeat {
 	return &fleetHeartbeat{
 		Version: b.Version, VersionAgeMS: b.VersionAgeMS, UpstreamsInService: b.UpstreamsInService,
+		OperatorsEra: b.Operators.Era, OperatorsNext: b.Operators.Next,
 		Running:     lo.Map(b.Running, func(r fleet.Running, _ int) fleetRunning { return fleetRunning(r) }),
 		Ejections:   lo.Map(b.Ejections, func(r fleet.Ejection, _ int) fleetEjection { return fleetEjection(r) }),
 		CachedParts: encodeCachedParts(b.CachedParts),
@@ -209,6 +213,7 @@
 func decodeFleetHeartbeat(b fleetHeartbeat) *fleet.Heartbeat {
 	return &fleet.Heartbeat{
 		Version: b.Version, VersionAgeMS: b.VersionAgeMS, UpstreamsInService: b.UpstreamsInService,
+		Operators:   feed.Position{Era: b.OperatorsEra, Next: b.OperatorsNext},
 		Running:     lo.Map(b.Running, func(r fleetRunning, _ int) fleet.Running { return fleet.Running(r) }),
 		Ejections:   lo.Map(b.Ejections, func(r fleetEjection, _ int) fleet.Ejection { return fleet.Ejection(r) }),
 		CachedParts: decodeCachedParts(b.CachedParts),
