Let a new conductor wait for samples, and count the time of orders that are read late

A conductor that has just taken over waits 1 s for the samples of the others before it decides, and is told of a stage that it has forgotten.

--- a/core/fleet/rollout.go
+++ b/core/fleet/rollout.go
@@ -99,6 +99,17 @@
 // ApplyOrder applies an operator's order. Fresh is true if it was read as it was written,
 // rather than with all records. It returns nil if the order is known.
 func (f *Fleet) ApplyOrder(now time.Time, o rollout.Order, fresh bool) *RolloutChange {
+	return f.applyOrder(now, now, o, fresh)
+}
+
+// ApplyLateOrder applies an order that was read after reads had failed, and may have been written
+// at any time since the last one that had succeeded. Its time counts from then, but half of it is
+// left at least.
+func (f *Fleet) ApplyLateOrder(now, since time.Time, o rollout.Order) *RolloutChange {
+	return f.applyOrder(now, later(since, now.Add(-o.Duration/2)), o, true)
+}
+
+func (f *Fleet) applyOrder(now, begunAt time.Time, o rollout.Order, fresh bool) *RolloutChange {
 	if !f.rolloutsConfigured() {
 		return nil
 	}
@@ -117,7 +128,7 @@
 				change = &RolloutChange{State: p.state, Was: p.state.Stage, Repeated: true}
 			}
 		default:
-			change = p.begin(now, now, o)
+			change = p.begin(now, begunAt, o)
 			if p.begunSeen = fresh; fresh {
 				p.exposure.Grant(f.settings.Rollout, routers, rank)
 			}
--- a/core/fleet/rollout_conduct.go
+++ b/core/fleet/rollout_conduct.go
@@ -33,6 +33,9 @@
 	tellDelay = 200 * time.Millisecond
 	// decideInterval is the time between two decisions: each compares thousands of samples.
 	decideInterval = 200 * time.Millisecond
+	// takeoverWait is how long a new conductor of a roll-out that has begun repeats its state
+	// before it decides: the routers send it their earlier samples within that time.
+	takeoverWait = 2 * sampleInterval
 	// unknownGrace is how long a conductor waits for the entries of a service that it doesn't
 	// know.
 	unknownGrace = time.Second
@@ -57,10 +60,10 @@
 	// tickedAt is when the router last checked the roll-out, decidedAt when it last decided on
 	// it, listenUntil until when it doesn't conduct.
 	tickedAt, decidedAt, listenUntil time.Time
-	// heardOrder is the order that the conductor was last heard of, toldAt when this router last
-	// told the conductor of its own.
-	heardOrder rollout.Order
-	toldAt     time.Time
+	// heard is the state that the conductor was last heard of, toldAt when this router last told
+	// the conductor of its own.
+	heard  rollout.State
+	toldAt time.Time
 	// sentAt is when this router last issued the state. due is true if it is to tell it at
 	// once.
 	sentAt time.Time
@@ -187,6 +190,9 @@
 		if p.state.Stage.Final() || !f.conducts(p, k) || k.now.Sub(c.decidedAt) < decideInterval {
 			return
 		}
+		if p.state.Stage != rollout.None && k.now.Sub(c.expectedAt) < takeoverWait {
+			return
+		}
 		c.decidedAt = k.now
 		_, samples := p.collected.take(k.now, f.settings.ID)
 		due[k.pool] = decision{trial: c.trial, samples: slices.Clone(samples)}
--- a/core/fleet/rollout_issue.go
+++ b/core/fleet/rollout_issue.go
@@ -40,11 +40,13 @@
 	return m
 }
 
-// tell returns the message that tells the conductor of an order that it doesn't seem to know;
-// nil if there is none.
+// tell returns the message that tells the conductor of an order that it doesn't seem to know, or
+// of a stage that it has forgotten because it has started again; nil if there is none.
 func (f *Fleet) tell(p *poolRollout, k ticking) *RolloutState {
 	c := &p.conduct
-	if c.conductor == f.settings.ID || c.conductor == "" || c.heardOrder.Compare(p.state.Order) >= 0 && c.heardOrder.Pool != "" {
+	order := c.heard.Order.Compare(p.state.Order)
+	known := c.heard.Order.Pool != "" && (order > 0 || order == 0 && c.heard.Sequence >= p.state.Sequence)
+	if c.conductor == f.settings.ID || c.conductor == "" || known || (p.state.Stage.Final() && p.state.Written) {
 		return nil
 	}
 	if k.now.Sub(p.knownAt) < tellDelay || k.now.Sub(c.toldAt) < issueInterval {
--- a/core/fleet/rollout_state.go
+++ b/core/fleet/rollout_state.go
@@ -168,7 +168,7 @@
 	}
 	c := &p.conduct
 	if m.Conductor == c.conductor {
-		c.heardOrder = m.State.Order
+		c.heard = m.State
 	}
 	if c.heardAt == nil {
 		c.heardAt = map[core.RouterID]time.Time{}
--- a/core/fleet/rollout_status.go
+++ b/core/fleet/rollout_status.go
@@ -32,7 +32,7 @@
 	maxStatusWriters = 16
 	// statusCheckTime is the time between two reads of the status by a router that doesn't
 	// hear from a conductor.
-	statusCheckTime = time.Second
+	statusCheckTime = 2 * time.Second
 )
 
 // statusProgress is what a router knows of the status in the store.
--- a/router/cluster/feed_reader.go
+++ b/router/cluster/feed_reader.go
@@ -47,8 +47,9 @@
 	// synced is true once the whole feed was read, until there is a gap.
 	synced bool
 	// failedCalls counts the failed calls to the store, reads and registrations,
-	// since the last successful read.
+	// since the last successful read, which was at readAt.
 	failedCalls int
+	readAt      time.Time
 	// outOfService holds the data centres that operators have taken out of service.
 	outOfService map[core.DataCentre]bool
 	// restoreGrace is how long after the store has come back from an older copy what it
@@ -208,6 +209,7 @@
 
 // recordSuccess logs the first successful read after failures.
 func (f *feedReader) recordSuccess() {
+	f.readAt = time.Now()
 	if f.failedCalls == 0 {
 		return
 	}
@@ -255,10 +257,13 @@
 // applyFreshOrder applies the order of a record that was read as it was written.
 func (f *feedReader) applyFreshOrder(now time.Time, e Event) {
 	var c *fleet.RolloutChange
-	if e.Order != nil {
-		c = f.fleet.ApplyOrder(now, *e.Order, true)
-	} else {
+	switch {
+	case e.WithdrawnOrder != nil:
 		c = f.fleet.WithdrawOrder(now, *e.WithdrawnOrder)
+	case f.failedCalls > 0:
+		c = f.fleet.ApplyLateOrder(now, f.readAt, *e.Order)
+	default:
+		c = f.fleet.ApplyOrder(now, *e.Order, true)
 	}
 	if c != nil {
 		logRolloutChange(f.log, "", *c)
--- a/router/cluster/feed_reader_test.go
+++ b/router/cluster/feed_reader_test.go
@@ -11,6 +11,7 @@
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/catalog"
 	"camphorpulley.org/core/fleet"
+	"camphorpulley.org/core/rollout"
 )
 
 // scriptedRead is the result of one Since call of a scripted store.
@@ -206,3 +207,40 @@
 		t.Errorf("registrations after the store was restored: got %d, want 2", store.registrations)
 	}
 }
+
+// TestLateOrder guards against a roll-out that ends after its deadline: an order that was read
+// only when the store was back may have been written at any time since the last read before. At
+// least half of the time is left for it.
+func TestLateOrder(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		fails       int
+		duration    time.Duration
+		least, most time.Duration
+	}{
+		{"read at once", 0, time.Minute, 0, 250 * time.Millisecond},
+		{"read after failures", 2, time.Minute, 250 * time.Millisecond, 10 * time.Second},
+		{"short", 2, 400 * time.Millisecond, 200 * time.Millisecond, 290 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			reads := []scriptedRead{{}}
+			for range c.fails {
+				reads = append(reads, scriptedRead{Err: errors.New("read timed out")})
+			}
+			order := rollout.Order{Pool: "p", Target: "v2", Duration: c.duration, Offset: 4}
+			reads = append(reads, scriptedRead{Events: []Event{{Order: &order}}})
+			tables := fleet.New(time.Now(), fleet.Settings{ID: "r1", Rollout: rollout.Limits{Share: 0.1}})
+			r := &feedReader{feed: OperatorFeed, store: &scriptedStore{reads: reads}, fleet: tables, log: zap.NewNop(), pollWait: time.Second}
+			for range 1 + len(reads) {
+				r.step(t.Context())
+			}
+			all := tables.Rollouts(time.Now())
+			if len(all) != 1 {
+				t.Fatalf("roll-outs: got %d, want one", len(all))
+			}
+			if age := time.Duration(all[0].AgeMS) * time.Millisecond; age < c.least || age > c.most {
+				t.Errorf("age of the order: got %s, want %s to %s", age, c.least, c.most)
+			}
+		})
+	}
+}
