--- a/core/feed/watch.go
+++ b/core/feed/watch.go
@@ -18,6 +18,9 @@
 	// watchGrace is for how long another router may be further before a router reads again: the
 	// response to its own read is usually on its way.
 	watchGrace = 250 * time.Millisecond
+	// doubtTime is for how long positions of others are ignored after a read that didn't reach
+	// them: the store may have come back from an older copy without saying so.
+	doubtTime = 3 * time.Second
 )
 
 // Position is how far a router has read a feed. The zero value has read nothing.
@@ -42,14 +45,21 @@
 	// HeardAt when a router first stated a position further than Own.
 	Own, Heard Position
 	HeardAt    time.Time
+	// DoubtedUntil is until when what others state is ignored.
+	DoubtedUntil time.Time
 }
 
-// Read records how far this router has read.
-func (w *Watch) Read(p Position) { w.Own = p }
+// Read records that a read of this router, which has just been answered, has come to a position.
+func (w *Watch) Read(now time.Time, p Position) {
+	w.Own = p
+	if w.Heard.After(p) && now.Sub(w.HeardAt) >= watchGrace {
+		w.Heard, w.DoubtedUntil = Position{}, now.Add(doubtTime)
+	}
+}
 
 // Hear records how far another router has read at a time.
 func (w *Watch) Hear(now time.Time, p Position) {
-	if !p.After(w.Own) {
+	if !p.After(w.Own) || now.Before(w.DoubtedUntil) {
 		return
 	}
 	if !w.Heard.After(w.Own) {
--- a/core/fleet/watch.go
+++ b/core/fleet/watch.go
@@ -8,8 +8,8 @@
 )
 
 // RecordOperatorPosition records how far this router has read the operators' records.
-func (f *Fleet) RecordOperatorPosition(p feed.Position) {
-	f.catalog.Do(table.Hold{}, func(_ table.Hold, t *catalogs) { t.watch.Read(p) })
+func (f *Fleet) RecordOperatorPosition(now time.Time, p feed.Position) {
+	f.catalog.Do(table.Hold{}, func(_ table.Hold, t *catalogs) { t.watch.Read(now, p) })
 }
 
 // OperatorsBehind reports whether another router has read more of the operators' records for
--- a/router/cluster/feed_poll.go
+++ b/router/cluster/feed_poll.go
@@ -23,7 +23,7 @@
 	switch {
 	case f.failedCalls > 0 || f.overtaken:
 		return 0
-	case f.feed == OperatorFeed:
+	case f.feed == OperatorFeed && f.confirmAt.IsZero():
 		return f.fleet.OperatorWait(now, f.pollWait)
 	}
 	return f.pollWait
