Read the fourth figure of load reports

Reports with four figures were discarded as a whole, so that routers lost the load of each upstream that states how long work takes on its host. An invalid fourth figure or a fifth one is now refused alone, with at most one log line a second.

--- a/core/load/tracker.go
+++ b/core/load/tracker.go
@@ -11,6 +11,9 @@
 // Report is the load that an upstream reports in a response, in requests.
 type Report struct {
 	Running, Waiting, Slots int
+	// Pace is how long work takes on the upstream's host at the moment, in hundredths of what
+	// is usual; zero if it isn't stated.
+	Pace int
 }
 
 // Total returns the number of requests that run or wait.
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -90,6 +90,7 @@
 		return err
 	}
 	if a.helper == "" {
+		a.logLoadRefused(time.Now())
 		a.recordStatement()
 	}
 	if a.headers.NotRun || a.headers.Misdirected {
--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -61,6 +61,9 @@
 	Encoded bool
 	// Load is the load that the upstream reports; nil if it reports none.
 	Load *load.Report
+	// LoadRefused is the load report, cut to a bounded length, if a figure in it was refused;
+	// else empty.
+	LoadRefused string
 	// Says is what the upstream says about itself.
 	Says statement.Answer
 }
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -34,6 +34,9 @@
 	Send func(fleet.Envelope)
 	// buffered is the size of the bodies that are held, in bytes.
 	buffered atomic.Int64
+	// loadRefusedAt is when a refused figure of a load report was last logged, in nanoseconds
+	// since the Unix epoch.
+	loadRefusedAt atomic.Int64
 	// quotaWaiters holds by upstream the requests that wait for quota.
 	quotaWaiters waiters[core.UpstreamID]
 	// originReplies holds by stream the requests that wait for where it began.
