Leave engines on slow hosts for usual ones where the caller gains by it

A router hears of an engine once in ten seconds and a host is slow for 600 ms, so that it chose slow hosts as often as others. What one router hears of a host now reaches all others at once (message HostPaces, at most once in 250 ms for an upstream), with its age. Among engines the time until the answer begins is compared: the pace, what has to be read or fetched, and the distance. Where some upstream states the figure, run times tell the pace of applications.

go test ./core/... ./router/wire ./router/gateway ./platform ./ctl: passed.

--- a/core/fleet/candidates.go
+++ b/core/fleet/candidates.go
@@ -75,7 +75,7 @@
 		s, reach := st.get(u.ID), st.reach(u.DataCentre)
 		all[i] = Candidate{
 			Upstream: u, Load: s.load.Total(now, peerAge), CachedTokens: cached[i].shared,
-			PartsMissing: cached[i].shared < prompt, TotalCached: cached[i].total,
+			PartsMissing: cached[i].shared < prompt, TotalCached: cached[i].total, Pace: s.pace.Factor(now),
 			FailureRate: s.health.FailureRate(now), SameDataCentre: u.DataCentre == f.settings.DataCentre,
 			Score: chat.Score(r.AffinityKey, string(u.ID)), Draw: chat.Score(r.draw, string(u.ID)), state: s,
 			Excluded: s.excluded(now) || reach.Ejected(now), Limited: s.limited(now, u.StartedMS),
--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -9,6 +9,7 @@
 	"github.com/samber/lo"
 
 	"camphorpulley.org/core"
+	"camphorpulley.org/core/pace"
 	"camphorpulley.org/core/prefix"
 	"camphorpulley.org/core/roster"
 	"camphorpulley.org/core/table"
@@ -29,6 +30,13 @@
 	Certain bool
 	// ChosenAt is when the target was chosen.
 	ChosenAt time.Time
+	// Route is the name of the request's route, Engine true if its pool is one of engines.
+	Route  string
+	Engine bool
+	// Pace is how many times longer than usual work was expected to take on the host when it
+	// was chosen, Work what the target has to do until its answer begins.
+	Pace float64
+	Work pace.Work
 	// CandidateCount is the number of upstreams that were eligible.
 	CandidateCount int
 	// Ask is not nil if the upstream is limited and this router has to ask another one
@@ -73,6 +81,7 @@
 	var all []Candidate
 	var ask *Envelope
 	var refusal *core.Refusal
+	var demand demandOf
 	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
 		all = f.candidates(now, st, r, eligible, cached, peerAge)
 		setSlotShares(all, routers, rank, settled)
@@ -83,6 +92,7 @@
 		}
 		engines := st.enginesFor(now, r, bound, demanding, peerAge)
 		candidates := affordable(now, f.limitRamp(), r, len(tried) > 0, bound, willing(now, f.settings.Drain, permitted(r, all)))
+		demand = st.demandOf(r, all)
 		best, ask = firstWithQuota(candidates, func(left []Candidate) Candidate {
 			bound.mark(policy.LocalOnly(), left)
 			st.setExpectedLoads(now, r.Pool.Name, peerAge, left)
@@ -93,7 +103,7 @@
 				left = slices.DeleteFunc(left, func(c Candidate) bool { return c.Excluded })
 			}
 			markSpread(policy, engines, left)
-			return preferred(policy, left)
+			return preferredByPace(policy, demand, left)
 		}, func(c Candidate) (bool, *Envelope) { return f.takeQuota(now, r, c) })
 		switch {
 		case best.state == nil && held:
@@ -110,12 +120,15 @@
 	if refusal != nil || ask != nil {
 		return Target{Upstream: best.Upstream, Ask: ask}, refusal
 	}
-	return f.newTarget(now, r, best, len(all)), nil
+	return f.newTarget(now, r, best, len(all), demand.work(best)), nil
 }
 
-// newTarget returns the target for a chosen candidate.
-func (f *Fleet) newTarget(now time.Time, r Request, best Candidate, candidates int) Target {
-	t := Target{Upstream: best.Upstream, Load: best.Load, CachedTokens: best.CachedTokens, SharedTokens: prefix.TotalTokens(r.SharedParts), Certain: best.Certain, ChosenAt: now, CandidateCount: candidates}
+// newTarget returns the target for a chosen candidate, which has to do some work.
+func (f *Fleet) newTarget(now time.Time, r Request, best Candidate, candidates int, w pace.Work) Target {
+	t := Target{
+		Upstream: best.Upstream, Load: best.Load, CachedTokens: best.CachedTokens, SharedTokens: prefix.TotalTokens(r.SharedParts), Certain: best.Certain, ChosenAt: now, CandidateCount: candidates,
+		Route: r.Route.Name, Engine: r.Pool.Engine != nil, Pace: best.Pace, Work: w,
+	}
 	if r.Pool.Engine != nil && t.CachedTokens < t.SharedTokens {
 		t.FetchFrom = f.fetchSource(now, r, best)
 	}
--- a/core/fleet/full_upstream.go
+++ b/core/fleet/full_upstream.go
@@ -33,6 +33,9 @@
 			full = &Message{FullUpstream: &FullUpstream{Upstream: t.ID, Load: total}}
 		}
 		s.load.ApplyReport(now, report)
+		if report.Pace > 0 {
+			st.recordBegin(now, t, report)
+		}
 	})
 	return full
 }
--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -28,6 +28,7 @@
 	StreamRecords   []StreamRecord
 	OriginRequest   *OriginRequest
 	OriginReply     *OriginReply
+	HostPaces       []HostPace
 }
 
 // Kind returns the name of the message's kind, for metrics; empty if it has no content.
@@ -61,6 +62,8 @@
 		return "origin_request"
 	case m.OriginReply != nil:
 		return "origin_reply"
+	case len(m.HostPaces) > 0:
+		return "host_paces"
 	}
 	return ""
 }
@@ -110,9 +113,6 @@
 		e := f.applyPeerSegment(now, segment)
 		e.Forward = f.passOn(now, from, Message{Segment: &segment})
 		return e
-	case m.FullUpstream != nil:
-		f.applyFullUpstream(now, *m.FullUpstream, delayMS)
-		return Effects{Forward: f.passOn(now, from, m)}
 	case m.Digest != nil:
 		changes := f.mergeStatements(now, m.Digest.Heartbeat.Statements, delayMS)
 		e := f.applyDigest(now, from, *m.Digest)
@@ -131,6 +131,19 @@
 		return Effects{Reply: f.replyOrigin(now, *m.OriginRequest)}
 	case m.OriginReply != nil:
 		return Effects{Origin: m.OriginReply}
+	}
+	return f.receiveObservation(now, from, m, delayMS)
+}
+
+// receiveObservation applies what another router has told all others at once of an upstream or
+// of a part of a prompt, and passes it on.
+func (f *Fleet) receiveObservation(now time.Time, from Member, m Message, delayMS int64) Effects {
+	switch {
+	case m.FullUpstream != nil:
+		f.applyFullUpstream(now, *m.FullUpstream, delayMS)
+		return Effects{Forward: f.passOn(now, from, m)}
+	case len(m.HostPaces) > 0:
+		return Effects{Forward: f.passOnPaces(now, from, f.mergePaces(now, m.HostPaces, delayMS))}
 	case m.PartEvidence != nil:
 		return Effects{PartChanges: f.mergeEvidence(now, m.PartEvidence.Parts), Forward: f.passOn(now, from, m)}
 	}
--- a/core/fleet/policy.go
+++ b/core/fleet/policy.go
@@ -33,6 +33,8 @@
 	InSpread bool
 	// TotalCached is the estimated number of tokens of all prompts in the cache.
 	TotalCached int
+	// Pace is how many times longer than usual work is expected to take on the host.
+	Pace float64
 	// FailureRate is the recent failure rate, from 0 to 1.
 	FailureRate float64
 	// Excluded is true if the upstream gets work only when there is no other.
--- a/core/fleet/request_verbs_test.go
+++ b/core/fleet/request_verbs_test.go
@@ -128,6 +128,9 @@
 		s.router.RecordPrefill(sim.now, s.request, s.target)
 	}
 	s.router.FinishAttempt(sim.now, s.target, outcome, nil)
+	if outcome == health.Good {
+		sim.tellPaces(s.router, s.router.RecordRun(sim.now, s.target, nil))
+	}
 	if outcome == health.Unreachable {
 		s.detours.Unreached++
 	}
--- a/core/fleet/roster.go
+++ b/core/fleet/roster.go
@@ -6,6 +6,7 @@
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/health"
 	"camphorpulley.org/core/load"
+	"camphorpulley.org/core/pace"
 	"camphorpulley.org/core/prefix"
 	"camphorpulley.org/core/roster"
 	"camphorpulley.org/core/table"
@@ -38,6 +39,7 @@
 		if s := st.byID[id]; s != nil {
 			s.health = health.Record{}
 			s.load = load.Tracker{Local: s.load.Local}
+			s.pace = pace.Record{}
 			if up, ok := u.roster.Get(id); ok {
 				s.resetStatement(up.StartedMS)
 			}
--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -46,7 +46,9 @@
 	// copies counts the snapshots that each router has sent and that aren't empty.
 	copies   map[string]int
 	requests map[string]*sentRequest
-	slack    float64
+	// paceMessages counts the messages about hosts that routers have begun to spread.
+	paceMessages int
+	slack        float64
 }
 
 type simulationKey struct{}
@@ -115,6 +117,13 @@
 		"region":               cmdRegion,
 		"run":                  cmdRun,
 		"report":               cmdReport,
+		"pace":                 cmdPace,
+		"finish-at":            cmdFinishAt,
+		"not-at":               cmdNotAt,
+		"at-least":             cmdAtLeast,
+		"pace-known":           cmdPaceKnown,
+		"pace-messages":        cmdPaceMessages,
+		"tell-pace":            cmdTellPace,
 		"freeze":               cmdFreeze,
 		"thaw":                 cmdThaw,
 		"request-snapshot":     cmdRequestSnapshot,
--- a/core/fleet/status.go
+++ b/core/fleet/status.go
@@ -67,6 +67,11 @@
 	LastSeenAgoMS int64 `json:"alive_ms"`
 	// CachedTokens is the estimated number of prompt tokens in its cache.
 	CachedTokens int `json:"stored"`
+	// Pace is how long work is expected to take on the upstream's host, in hundredths of what
+	// is usual. PaceAgeMS is the age of the last observation in milliseconds; -1 if there is
+	// none.
+	Pace      int   `json:"pace"`
+	PaceAgeMS int64 `json:"pace_ms"`
 }
 
 // Exclusion is a reason why an upstream gets no work, or little.
@@ -124,6 +129,7 @@
 		d := UpstreamStatus{
 			ID: up.ID, Pool: up.Pool, DataCentre: up.DataCentre, LocalRequests: state.load.Local, Load: state.load.Total(now, peerAge),
 			FailureRate: state.health.FailureRate(now), LastSeenAgoMS: millisSince(now, state.lastSeen),
+			Pace: int(100 * state.pace.Factor(now)), PaceAgeMS: millisSince(now, state.pace.At),
 		}
 		switch {
 		case up.Draining, state.said.Leaving(up.StartedMS):
--- a/core/fleet/upstream_state.go
+++ b/core/fleet/upstream_state.go
@@ -8,6 +8,7 @@
 	"camphorpulley.org/core/health"
 	"camphorpulley.org/core/lineage"
 	"camphorpulley.org/core/load"
+	"camphorpulley.org/core/pace"
 	"camphorpulley.org/core/quota"
 	"camphorpulley.org/core/ratelimit"
 	"camphorpulley.org/core/statement"
@@ -46,6 +47,8 @@
 	allotment allotment
 	bucket    quota.Bucket
 	purse     quota.Purse
+	// pace is what is known of the pace of the upstream's host.
+	pace pace.Record
 }
 
 // livenessWindow is how recently an upstream must have sent data to count as running
@@ -90,6 +93,14 @@
 	demand demand.Keys
 	// refusals holds by pool the times of requests that were refused because of limits.
 	refusals map[core.Pool]*ratelimit.Window
+	// paceStated is true once any upstream has stated the pace of its host.
+	paceStated bool
+	// untold holds the upstreams whose pace other routers are to be told.
+	untold []core.UpstreamID
+	// bases holds by route what is known of the time until answers begin, runs the recent
+	// runs at applications.
+	bases map[string]*pace.Base
+	runs  map[string]*pace.Runs
 }
 
 // refusalsOf returns the refusals of a pool, creating them on first use.
--- a/ctl/fleet.go
+++ b/ctl/fleet.go
@@ -68,11 +68,11 @@
 	for _, s := range statuses {
 		for _, u := range s.Upstreams {
 			rows = append(rows, []any{
-				s.Router, u.ID, u.Pool, u.DataCentre, u.Exclusion, u.RemainingMS, u.LocalRequests, u.Load, fmt.Sprintf("%.2f", u.FailureRate), u.LastSeenAgoMS, u.CachedTokens,
+				s.Router, u.ID, u.Pool, u.DataCentre, u.Exclusion, u.RemainingMS, u.LocalRequests, u.Load, fmt.Sprintf("%.2f", u.FailureRate), u.LastSeenAgoMS, u.CachedTokens, u.Pace,
 			})
 		}
 	}
 	return printTable([]any{
-		"router", "upstream", "pool", "data centre", "left alone", "for ms", "own", "load", "failing", "alive ms ago", "tokens",
+		"router", "upstream", "pool", "data centre", "left alone", "for ms", "own", "load", "failing", "alive ms ago", "tokens", "pace",
 	}, rows)
 }
--- a/router/cluster/router.go
+++ b/router/cluster/router.go
@@ -94,6 +94,9 @@
 		{Name: "limited_upstreams", Description: "upstreams that name a limit of requests per second", Read: func() int64 {
 			return int64(r.fleet.LimitedUpstreams(time.Now()))
 		}},
+		{Name: "slow_upstreams", Description: "upstreams whose hosts are known to be slow", Read: func() int64 {
+			return int64(r.fleet.SlowUpstreams(time.Now()))
+		}},
 		{Name: "cut_off_pools", Description: "pools of which this router can't reach any upstream", Read: func() int64 {
 			return int64(r.fleet.CutOffPools(time.Now()))
 		}},
--- a/router/metrics/metrics.go
+++ b/router/metrics/metrics.go
@@ -25,6 +25,7 @@
 	dropped       metric.Int64Counter
 	crashes       metric.Int64Counter
 	messageBytes  metric.Int64Counter
+	messages      metric.Int64Counter
 	firstByte     metric.Float64Histogram
 	underestimate metric.Int64Histogram
 }
@@ -58,6 +59,7 @@
 		{&m.dropped, "dropped_parts", "late, doubled or crossed parts of answers"},
 		{&m.crashes, "crashes", "requests that were running when an upstream crashed"},
 		{&m.messageBytes, "message_bytes", "bytes of messages to other routers by kind and reach"},
+		{&m.messages, "messages", "messages to other routers by kind and reach"},
 	}
 	for _, c := range counters {
 		if *c.target, err = meter.Int64Counter(c.name, metric.WithDescription(c.description)); err != nil {
@@ -143,7 +145,7 @@
 // therefore a suspect.
 func (m *Metrics) CrashSuspect(pool core.Pool) { m.count(m.crashes, pool) }
 
-// MessageSent counts the bytes of a message to another router by its kind. Local is true
+// MessageSent counts a message to another router and its bytes by its kind. Local is true
 // if that router is in the same data centre.
 func (m *Metrics) MessageSent(kind string, local bool, bytes int) {
 	if m.messageBytes == nil {
@@ -153,8 +155,9 @@
 	if local {
 		reach = "local"
 	}
-	m.messageBytes.Add(context.Background(), int64(bytes),
-		metric.WithAttributes(attribute.String("kind", kind), attribute.String("reach", reach)))
+	attributes := metric.WithAttributes(attribute.String("kind", kind), attribute.String("reach", reach))
+	m.messageBytes.Add(context.Background(), int64(bytes), attributes)
+	m.messages.Add(context.Background(), 1, attributes)
 }
 
 func (m *Metrics) count(c metric.Int64Counter, pool core.Pool) {
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -90,6 +90,7 @@
 		return err
 	}
 	if a.helper == "" {
+		a.recordPace(time.Now())
 		a.logLoadRefused(time.Now())
 		a.recordStatement()
 	}
--- a/router/relay/attempt_log.go
+++ b/router/relay/attempt_log.go
@@ -22,7 +22,7 @@
 		zap.String("outcome", a.outcome.String()), zap.Int("status", a.status), zap.Bool("sent", a.sent), zap.String("address", t.Address), zap.Uint64("conn", a.connSerial),
 		zap.Bool("reused", a.reusedConn), zap.Int("skipped", a.skipped), zap.Int("events", a.events), zap.String("limit", a.headers.Says.Limit.String()),
 		zap.String("brittle", a.headers.Says.Brittle.String()), zap.Bool("leaving", a.headers.Says.Leaving), zap.Duration("after", a.headers.Says.RetryAfter),
-		zap.Duration("took", took), zap.Int("load", t.Load), zap.String("reported", reportedLoad(a.reported)), zap.Int("held", t.CachedTokens), zap.Int("prompt", t.SharedTokens),
+		zap.Duration("took", took), zap.Int("load", t.Load), zap.String("reported", reportedLoad(a.reported)), zap.Int("pace", statedPace(a.reported)), zap.Int("expected_pace", int(100*t.Pace)), zap.Int("held", t.CachedTokens), zap.Int("prompt", t.SharedTokens),
 		zap.String("fetch", t.FetchFrom), zap.Int("candidates", t.CandidateCount), zap.Bool("rests", ejected), logs.Err(err),
 	}
 	if a.outcome == health.Broken && !a.underWay() && len(a.SharedParts) > 0 {
@@ -39,6 +39,14 @@
 	return strconv.Itoa(r.Total())
 }
 
+// statedPace returns the pace in a report in hundredths; zero if it states none.
+func statedPace(r *load.Report) int {
+	if r == nil {
+		return 0
+	}
+	return r.Pace
+}
+
 // partNames returns the ids of parts in hexadecimal.
 func partNames(parts []prefix.Part) []string {
 	return lo.Map(parts, func(p prefix.Part, _ int) string { return strconv.FormatUint(uint64(p.ID), 16) })
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -227,6 +227,9 @@
 	err := a.protectedRun()
 	now := time.Now()
 	ejected := f.Fleet.FinishAttempt(now, target, a.outcome, a.headers.Load)
+	if a.outcome == health.Good && a.helper == "" {
+		f.tellPaces(f.Fleet.RecordRun(now, target, a.headers.Load))
+	}
 	f.Metrics.Ended(s.Pool.Name, a.outcome.String())
 	if a.reported != nil && a.helper == "" {
 		f.Metrics.LoadUnderestimate(s.Pool.Name, a.reported.Total()-target.Load-1)
--- a/router/wire/fleet.go
+++ b/router/wire/fleet.go
@@ -30,6 +30,7 @@
 	StreamRecords   []fleetStreamRecord   `cbor:"13,keyasint,omitempty"`
 	OriginRequest   *fleetOriginRequest   `cbor:"14,keyasint,omitempty"`
 	OriginReply     *fleetOriginReply     `cbor:"15,keyasint,omitempty"`
+	HostPaces       []fleetHostPace       `cbor:"23,keyasint,omitempty"`
 }
 
 type fleetEvidence struct {
@@ -157,7 +158,7 @@
 // EncodeFleetMessage encodes a message of package fleet.
 func EncodeFleetMessage(m fleet.Message) ([]byte, error) {
 	w := fleetMessage{SentMS: m.SentMS, Handshake: (*fleetMember)(m.Handshake), SnapshotRequest: (*fleetSnapshotRequest)(m.SnapshotRequest), FullUpstream: (*fleetFullUpstream)(m.FullUpstream)}
-	w.Statements = encodeStatements(m.Statements)
+	w.Statements, w.HostPaces = encodeStatements(m.Statements), encodeHostPaces(m.HostPaces)
 	w.StreamRecords, w.OriginRequest, w.OriginReply = encodeStreamRecords(m.StreamRecords), (*fleetOriginRequest)(m.OriginRequest), encodeOriginReply(m.OriginReply)
 	if q := m.QuotaRequest; q != nil {
 		w.QuotaRequest = &fleetQuotaRequest{Limit: fleetStatement(q.Limit), Count: q.Count, Preferred: q.Preferred}
@@ -225,7 +226,7 @@
 		return fleet.Message{}, err
 	}
 	m := fleet.Message{SentMS: w.SentMS, Handshake: (*fleet.Member)(w.Handshake), SnapshotRequest: (*fleet.SnapshotRequest)(w.SnapshotRequest), FullUpstream: (*fleet.FullUpstream)(w.FullUpstream)}
-	m.Statements = decodeStatements(w.Statements)
+	m.Statements, m.HostPaces = decodeStatements(w.Statements), decodeHostPaces(w.HostPaces)
 	m.StreamRecords, m.OriginRequest, m.OriginReply = decodeStreamRecords(w.StreamRecords), (*fleet.OriginRequest)(w.OriginRequest), decodeOriginReply(w.OriginReply)
 	if q := w.QuotaRequest; q != nil {
 		m.QuotaRequest = &fleet.QuotaRequest{Limit: fleet.StatementReport(q.Limit), Count: q.Count, Preferred: q.Preferred}
--- a/router/wire/fleet_test.go
+++ b/router/wire/fleet_test.go
@@ -41,6 +41,7 @@
 	}},
 	{StreamRecords: []fleet.StreamRecord{{Stream: 7, Pool: "p", Certain: true, Release: "v1", LeftMS: 900}, {Stream: 8, Pool: "p", LeftMS: 1}}},
 	{OriginRequest: &fleet.OriginRequest{Stream: 7, Pool: "p", LifeMS: 17000}},
+	{HostPaces: []fleet.HostPace{{Upstream: "u1", Hundredths: 250, AgeMS: 12}, {Upstream: "u2", Hundredths: 100}}},
 	{OriginReply: &fleet.OriginReply{Stream: 7, Report: lineage.Report{Knowledge: lineage.Recorded, Release: "v1"}}},
 	{SentMS: 12, FullUpstream: &fleet.FullUpstream{Upstream: "u", Load: 17, PauseMS: 900}},
 	{SnapshotRequest: &fleet.SnapshotRequest{Version: 2, WithCachedParts: true}},
