--- a/lab/fleet/report.go
+++ b/lab/fleet/report.go
@@ -10,6 +10,9 @@
 // figures are what a simulation counts after its warm-up.
 type figures struct {
 	attempts, declined, waited, refused, reads int
+	// answers counts the answers, late those after the objective, messages the control
+	// messages, paces those of them about hosts.
+	answers, late, messages, paces int
 	// silent counts the requests for quota that got no response.
 	silent                                    int
 	remoteBytes                               int
@@ -29,6 +32,10 @@
 		f.bytes = map[string]int{}
 	}
 	f.bytes[kind] += bytes
+	f.messages++
+	if kind == "host_paces" {
+		f.paces++
+	}
 	if !local {
 		f.remoteBytes += bytes
 	}
@@ -61,6 +68,10 @@
 	Routers                   int
 	Attempts                  int
 	Declined, Waiting, Reread float64
+	// Late is the share of answers that came after the objective. Messages is the number of
+	// control messages per second that a router sent, Paces that of those about hosts, and
+	// PaceBytes their bytes.
+	Late, Messages, Paces, PaceBytes float64
 	// Crowded is the highest share of requests, by pool, that reached an upstream
 	// above the bound within five seconds.
 	Crowded map[string]float64
@@ -102,6 +113,9 @@
 	r.Remote = float64(sim.figures.remoteBytes) / seconds / n
 	r.Declined = ratio(sim.figures.declined, sim.figures.attempts)
 	r.Waiting = ratio(sim.figures.waited, sim.figures.attempts)
+	r.Late = ratio(sim.figures.late, sim.figures.answers)
+	r.Messages, r.Paces = float64(sim.figures.messages)/seconds/n, float64(sim.figures.paces)/seconds/n
+	r.PaceBytes = float64(sim.figures.bytes["host_paces"]) / seconds / n
 	r.Reread = ratio(sim.figures.rereadTokens, sim.figures.promptTokens)
 	r.Fetched = ratio(sim.figures.fetchedTokens, sim.figures.promptTokens)
 	r.Refused = ratio(sim.figures.refused, sim.requests)
@@ -130,6 +144,7 @@
 	if r.Excess > 0 {
 		fmt.Fprintf(&b, " excess=%.3f used=%.3f", r.Excess, r.Used)
 	}
+	fmt.Fprintf(&b, " late=%.4f messages=%.1f paces=%.1f/%.0f", r.Late, r.Messages, r.Paces, r.PaceBytes)
 	fmt.Fprintf(&b, " underestimate=%d delay=%s applied=%s kind=%s/%.2f", r.Underestimate, r.Delay.Round(time.Millisecond), r.Applied.Round(time.Millisecond), r.Kind, r.KindShare)
 	fmt.Fprintf(&b, " reread=%.4f fetched=%.4f sent=%.0f busiest=%.0f remote=%.0f reads=%.2f",
 		r.Reread, r.Fetched, r.Sent, r.Busiest, r.Remote, r.Reads)
@@ -146,7 +161,7 @@
 		name       string
 		got, limit float64
 	}{
-		{"crowded", crowded, l.Crowded}, {"declined", r.Declined, l.Declined}, {"waiting", r.Waiting, l.Waiting}, {"refused", r.Refused, l.Refused}, {"reread", r.Reread, l.Reread},
+		{"crowded", crowded, l.Crowded}, {"declined", r.Declined, l.Declined}, {"waiting", r.Waiting, l.Waiting}, {"late", r.Late, l.Late}, {"refused", r.Refused, l.Refused}, {"reread", r.Reread, l.Reread},
 		{"sent", r.Sent, l.Sent}, {"busiest", r.Busiest, l.Busiest}, {"remote", r.Remote, l.Remote},
 		{"excess", r.Excess, l.Excess}, {"unused", 1 - r.Used, l.Unused},
 		{"delay", r.Delay.Seconds(), l.Delay.Seconds()}, {"applied", r.Applied.Seconds(), l.Applied.Seconds()},
--- a/lab/fleet/request.go
+++ b/lab/fleet/request.go
@@ -39,6 +39,8 @@
 	router *router
 	tried  []core.UpstreamID
 	target fleet.Target
+	// arrivedAt is when its router got it.
+	arrivedAt time.Time
 }
 
 // arrive sends a request to a router of a data centre, or of the next one with a
@@ -59,7 +61,7 @@
 		sim.figures.refused++
 		return
 	}
-	sim.try(now, &request{Request: admitted, load: l, router: r})
+	sim.try(now, &request{Request: admitted, load: l, router: r, arrivedAt: now})
 }
 
 // pickRouter returns a running router of a data centre, or of another one; nil if none
@@ -161,14 +163,20 @@
 		sim.countRead(r, missing, known)
 	}
 	report := u.report()
-	sim.respond(now.Add(reading+back), r, func(at time.Time) {
+	begins := u.endOf(now, reading+r.load.First)
+	u.statePace(begins, report)
+	sim.respond(begins.Add(back), r, func(at time.Time) {
 		if r.router.stopped {
 			return
 		}
 		r.router.fleet.MarkSeen(at, r.target)
 		sim.answerLimit(at, r, u)
 		r.router.fleet.RecordPrefill(at, r.Request, r.target)
+		if r.Pool.Engine != nil {
+			sim.countAnswer(at, r)
+		}
 		if report != nil {
+			sim.tellPaces(at, r.router, r.router.fleet.RecordPace(at, r.target, *report))
 			if full := r.router.fleet.RecordLoad(at, r.target, *report); full != nil {
 				for _, e := range r.router.fleet.Spread(at, *full) {
 					sim.post(r.router, e.To, e.Message)
@@ -176,10 +184,15 @@
 			}
 		}
 	})
-	total := reading + u.runTime(sim.random, r.load.Time)
-	sim.events.add(now.Add(total), func(at time.Time) {
+	ends := u.endOf(begins, u.runTime(sim.random, r.load.Time))
+	sim.events.add(ends, func(at time.Time) {
 		u.finish(at)
-		sim.respond(at.Add(back), r, func(at time.Time) { sim.finish(at, r, health.Good) })
+		sim.respond(at.Add(back), r, func(at time.Time) {
+			if r.Pool.Engine == nil {
+				sim.countAnswer(at, r)
+			}
+			sim.finish(at, r, health.Good)
+		})
 	})
 }
 
@@ -198,6 +211,9 @@
 	if !r.router.stopped {
 		r.router.fleet.FinishAttempt(now, r.target, o, nil)
 	}
+	if !r.router.stopped && o == health.Good {
+		sim.tellPaces(now, r.router, r.router.fleet.RecordRun(now, r.target, nil))
+	}
 }
 
 // anyHas reports whether an engine of a pool has all of the parts in its cache.
--- a/lab/fleet/scenario.go
+++ b/lab/fleet/scenario.go
@@ -58,6 +58,24 @@
 	Limited   float64       `ini:"limited" validate:"min=0,max=1"`
 	Limit     float64       `ini:"limit" validate:"min=0"`
 	LimitFrom time.Duration `ini:"limitfrom" validate:"min=0"`
+	// Uneven is the share of the hosts that are slow at any time, Spell for how long at a time
+	// on average, and Slowness how many times longer work then takes. States is true if load
+	// reports state that.
+	Uneven   float64       `ini:"uneven" validate:"min=0,lt=1"`
+	Spell    time.Duration `ini:"spell" validate:"required_with=Uneven"`
+	Slowness float64       `ini:"slowness" validate:"required_with=Uneven"`
+	States   bool          `ini:"states"`
+}
+
+// defaultObjective is the objective of routes that set none.
+const defaultObjective = 400 * time.Millisecond
+
+// objective returns the objective of the load's route.
+func (l LoadSection) objective() time.Duration {
+	if l.Objective == 0 {
+		return defaultObjective
+	}
+	return l.Objective
 }
 
 // LoadSection describes requests of one kind.
@@ -74,6 +92,10 @@
 	Body int `ini:"body" validate:"min=0"`
 	// Time is the mean run time without other requests beside it.
 	Time time.Duration `ini:"time" validate:"gt=0"`
+	// First is the time until the first event without reading, Objective the route's objective
+	// of that time; zero means defaultObjective.
+	First     time.Duration `ini:"first" validate:"min=0"`
+	Objective time.Duration `ini:"objective" validate:"min=0"`
 	// Prompts is the number of prompts; each has Tokens tokens that requests share.
 	Prompts int `ini:"prompts" validate:"min=0"`
 	Tokens  int `ini:"tokens" validate:"min=0"`
@@ -130,6 +152,9 @@
 	// of those that may wait at an upstream longer than their mean run time.
 	Declined float64 `ini:"declined" validate:"min=0,max=1"`
 	Waiting  float64 `ini:"waiting" validate:"min=0,max=1"`
+	// Late is the largest share of answers that may begin later than the route's objective, or
+	// end later if the upstreams aren't engines.
+	Late float64 `ini:"late" validate:"min=0,max=1"`
 	// Refused is the largest share of requests that routers may refuse.
 	Refused float64 `ini:"refused" validate:"min=0,max=1"`
 	// Excess is the highest number of requests that a limited upstream may get in four
--- a/lab/fleet/simulation.go
+++ b/lab/fleet/simulation.go
@@ -108,6 +108,7 @@
 				ID: id, Pool: pool.Name, Address: string(id) + ":8000", DataCentre: dataCentre(i % sim.scenario.Fleet.DataCentres), Slots: p.Slots, StartedMS: 1,
 			}}
 			u.entry.Source = []byte(id)
+			u.spells = p.spells(sim.random, start.Add(sim.scenario.Run.Warmup+sim.scenario.Run.Time))
 			if float64(i) < p.Limited*float64(p.Upstreams) {
 				u.limit = &limit{perSecond: p.Limit}
 			}
@@ -117,7 +118,7 @@
 	kinds := map[string]catalog.Kind{"once": catalog.AtMostOnce, "safe": catalog.Idempotent, "stream": catalog.Stream}
 	for _, l := range sim.scenario.Loads {
 		c.Routes = append(c.Routes, catalog.Route{
-			Name: l.Name, Host: l.Name, Prefix: "/", Kind: kinds[l.Kind], Timeout: 10 * time.Second, LatencyObjective: 400 * time.Millisecond,
+			Name: l.Name, Host: l.Name, Prefix: "/", Kind: kinds[l.Kind], Timeout: 10 * time.Second, LatencyObjective: l.objective(),
 			MaxRuns: 2, Deterministic: l.Resume, Public: true, Pools: []catalog.PoolWeight{{Pool: core.Pool(l.Pool), Weight: 1}},
 		})
 	}
--- a/lab/fleet/upstream.go
+++ b/lab/fleet/upstream.go
@@ -19,6 +19,8 @@
 	cache   map[core.Digest]bool
 	// limit is the limit that the upstream names from a time on; nil if it names none.
 	limit *limit
+	// spells are the times at which the host is slow.
+	spells []spell
 }
 
 // busy returns the number of requests that run or wait.
