--- a/router/gateway/script_test.go
+++ b/router/gateway/script_test.go
@@ -17,6 +17,7 @@
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/catalog"
 	"camphorpulley.org/core/fleet"
+	"camphorpulley.org/core/load"
 	"camphorpulley.org/core/prefix"
 	"camphorpulley.org/core/retry"
 	"camphorpulley.org/core/roster"
@@ -65,6 +66,7 @@
 			"each-cut": with(cmdEachCut), "request-while-closing": with(cmdRequestWhileClosing), "helper": with(cmdHelper), "cut-off": with(cmdCutOff), "stop-helper-in": with(cmdStopHelperIn), "relayed": with(cmdRelayed), "silent-router": with(cmdSilentRouter),
 			"told": with(cmdTold), "leave": with(cmdLeave), "pipeline": with(cmdPipeline), "stop-in": with(cmdStopIn), "told-stop": with(cmdToldStop),
 			"started": with(cmdStarted), "entry": with(cmdEntry), "answer-question": with(cmdAnswerQuestion), "asked": with(cmdAsked), "requests": with(cmdRequests), "received-at-most": with(cmdReceivedAtMost), "heap-at-most": with(cmdHeapAtMost),
+			"watch-told": with(cmdWatchTold), "told-pace": with(cmdToldPace), "told-nothing": with(cmdToldNothing),
 		},
 	})
 }
@@ -87,6 +89,8 @@
 	entries   []roster.Entry
 	// helpers are other routers, which reach the upstreams when the gateway doesn't.
 	helpers []*helper
+	// toldOthers holds the messages that the router sends to all others, from watch-told on.
+	toldOthers chan fleet.Message
 	// timeout is the time-out in milliseconds that callers send; empty sends none.
 	timeout string
 	// parts are the parts of the prompt that callers send, one letter each.
@@ -183,8 +187,8 @@
 // time-out in milliseconds), X-Parts (the parts of the prompt, one letter each),
 // Last-Event-Id and Resumes. Upstreams are sent X-Id, X-Left (the
 // time left in milliseconds) and Last-Event-Id, and respond with X-Id, X-Signed and
-// X-Not-Run, X-Leaving, X-Limit, a number of requests per second, and Retry-After, a number
-// of seconds. Refusals carry Retry-After. X-Panic makes the attempt panic.
+// X-Not-Run, X-Leaving, X-Limit, a number of requests per second, X-Pace, the pace of the host in
+// hundredths, and Retry-After, a number of seconds. Refusals carry Retry-After. X-Panic makes the attempt panic.
 type headerCodec struct{}
 
 func (headerCodec) ParseRequest(r *http.Request) gateway.RequestHeaders {
@@ -237,11 +241,15 @@
 		says.Limit = statement.NewLimit(perSecond)
 	}
 	says.Leaving = h.Get("X-Leaving") != ""
+	var reported *load.Report
+	if hundredths, err := strconv.Atoi(h.Get("X-Pace")); err == nil {
+		reported = &load.Report{Running: 1, Pace: hundredths}
+	}
 	if seconds, err := strconv.Atoi(h.Get("Retry-After")); err == nil {
 		says.RetryAfter = time.Duration(seconds) * time.Second
 	}
 	return relay.ResponseHeaders{
-		Says: says, RequestID: h.Get("X-Id"), Signed: h.Get("X-Signed") != "", NotRun: h.Get("X-Not-Run") != "" || status == http.StatusMisdirectedRequest,
+		Says: says, Load: reported, RequestID: h.Get("X-Id"), Signed: h.Get("X-Signed") != "", NotRun: h.Get("X-Not-Run") != "" || status == http.StatusMisdirectedRequest,
 		Misdirected: status == http.StatusMisdirectedRequest, Encoded: h.Get("Content-Encoding") != "",
 	}
 }
