Weigh the way to another data centre against what a request waits for

Where the settings [links] price it, requests stay in their data centre unless that costs the caller more; what leaves is spread over the others by room. Without a price nothing changes.

--- a/core/fleet/admit.go
+++ b/core/fleet/admit.go
@@ -35,6 +35,8 @@
 	Relayed bool
 	// Content is the digest of method, path and body.
 	Content core.Digest
+	// Bytes is the size of the body.
+	Bytes int
 }
 
 // Request is a request that Admit has accepted.
@@ -67,6 +69,8 @@
 	Origin lineage.Origin
 	// CatalogVersion is that of the catalog under which the request was admitted.
 	CatalogVersion uint64
+	// Bytes is the size of the body.
+	Bytes int
 	// Asks is how often the request has asked for quota.
 	Asks int
 }
@@ -113,7 +117,7 @@
 	if !ok {
 		return Request{}, notRunRefusal(http.StatusNotFound, codeNoRoute, "no route has this host and path")
 	}
-	r := Request{ID: a.ID, Route: route, Content: a.Content, CatalogVersion: c.Version, Resumes: a.Resumes, Resuming: a.Resuming, Relayed: a.Relayed}
+	r := Request{ID: a.ID, Route: route, Content: a.Content, CatalogVersion: c.Version, Resumes: a.Resumes, Resuming: a.Resuming, Relayed: a.Relayed, Bytes: a.Bytes}
 	if c.Keys != nil && !route.Public {
 		if r.Account, ok = c.Keys[a.APIKey]; !ok {
 			return r, notRunRefusal(http.StatusUnauthorized, codeBadKey, "the API key is not known")
--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -9,6 +9,7 @@
 	"github.com/samber/lo"
 
 	"camphorpulley.org/core"
+	"camphorpulley.org/core/locality"
 	"camphorpulley.org/core/pace"
 	"camphorpulley.org/core/prefix"
 	"camphorpulley.org/core/roster"
@@ -37,6 +38,8 @@
 	// was chosen, Work what the target has to do until its answer begins.
 	Pace float64
 	Work pace.Work
+	// Away is why it is in another data centre in spite of what the way costs.
+	Away locality.Reason
 	// CandidateCount is the number of upstreams that were eligible.
 	CandidateCount int
 	// Ask is not nil if the upstream is limited and this router has to ask another one
@@ -81,7 +84,8 @@
 	var all []Candidate
 	var ask *Envelope
 	var refusal *core.Refusal
-	var demand demandOf
+	var place placement
+	contacts := f.contactsWith(now)
 	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
 		all = f.candidates(now, st, r, eligible, cached, peerAge)
 		setSlotShares(all, routers, rank, settled)
@@ -92,7 +96,7 @@
 		}
 		engines := st.enginesFor(now, r, bound, demanding, peerAge)
 		candidates := affordable(now, f.limitRamp(), r, len(tried) > 0, bound, willing(now, f.settings.Drain, permitted(r, all)))
-		demand = st.demandOf(r, all)
+		place = placement{demand: st.demandOf(r, all, f.settings.Links), ways: f.waysOf(st, r, bound, contacts)}
 		best, ask = firstWithQuota(candidates, func(left []Candidate) Candidate {
 			bound.mark(policy.LocalOnly(), left)
 			st.setExpectedLoads(now, r.Pool.Name, peerAge, left)
@@ -103,7 +107,7 @@
 				left = slices.DeleteFunc(left, func(c Candidate) bool { return c.Excluded })
 			}
 			markSpread(policy, engines, left)
-			return preferredByPace(policy, demand, left)
+			return preferredByWay(now, policy, &place, left)
 		}, func(c Candidate) (bool, *Envelope) { return f.takeQuota(now, r, c) })
 		switch {
 		case best.state == nil && held:
@@ -111,23 +115,28 @@
 		case best.state == nil:
 			refusal = st.refuseChoice(now, r, all, routers)
 		case ask == nil:
-			best.state.load.Local++
-			if best.Upstream.Cold(now) {
-				best.state.cold.Add(now)
-			}
+			best.begin(now)
 		}
 	})
 	if refusal != nil || ask != nil {
 		return Target{Upstream: best.Upstream, Ask: ask}, refusal
 	}
-	return f.newTarget(now, r, best, len(all), demand.work(best)), nil
+	return f.newTarget(now, r, best, len(all), place), nil
+}
+
+// begin counts an attempt at the upstream.
+func (c Candidate) begin(now time.Time) {
+	c.state.load.Local++
+	if c.Upstream.Cold(now) {
+		c.state.cold.Add(now)
+	}
 }
 
-// newTarget returns the target for a chosen candidate, which has to do some work.
-func (f *Fleet) newTarget(now time.Time, r Request, best Candidate, candidates int, w pace.Work) Target {
+// newTarget returns the target for a chosen candidate.
+func (f *Fleet) newTarget(now time.Time, r Request, best Candidate, candidates int, p placement) Target {
 	t := Target{
 		Upstream: best.Upstream, Load: best.Load, CachedTokens: best.CachedTokens, SharedTokens: prefix.TotalTokens(r.SharedParts), Certain: best.Certain, ChosenAt: now, CandidateCount: candidates,
-		Route: r.Route.Name, Engine: r.Pool.Engine != nil, Pace: best.Pace, Work: w,
+		Route: r.Route.Name, Engine: r.Pool.Engine != nil, Pace: best.Pace, Work: p.demand.work(best), Away: p.away,
 	}
 	if r.Pool.Engine != nil && t.CachedTokens < t.SharedTokens {
 		t.FetchFrom = f.fetchSource(now, r, best)
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"camphorpulley.org/core/catalog"
 	"camphorpulley.org/core/feed"
 	"camphorpulley.org/core/lineage"
+	"camphorpulley.org/core/locality"
 	"camphorpulley.org/core/poison"
 	"camphorpulley.org/core/prefix"
 	"camphorpulley.org/core/retry"
@@ -48,6 +49,9 @@
 	// LimitGrace is how long after an upstream has first named a limit of requests per
 	// second all routers together may exceed it.
 	LimitGrace time.Duration
+	// Links is what the ways to other data centres cost; zero leaves placement as it is. Its
+	// delay counts until one is measured.
+	Links locality.Link
 	// ParseCatalog parses the text of a catalog.
 	ParseCatalog func(text []byte) (*catalog.Catalog, error)
 	// ParseEntry parses the text of an upstream's entry.
--- a/core/fleet/relay.go
+++ b/core/fleet/relay.go
@@ -5,6 +5,7 @@
 
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/chat"
+	"camphorpulley.org/core/locality"
 	"camphorpulley.org/core/table"
 )
 
@@ -25,6 +26,8 @@
 	// relay is the router that made its last digest, at the time heardAt.
 	relay   core.RouterID
 	heardAt time.Time
+	// since is from when on it has been heard of without a gap.
+	since time.Time
 }
 
 // live reports whether the router has sent a message recently, or was just listed.
@@ -112,7 +115,11 @@
 			if t.centres == nil {
 				t.centres = map[core.DataCentre]centre{}
 			}
-			t.centres[s.DataCentre] = centre{relay: s.Relay, heardAt: at}
+			since := t.centres[s.DataCentre].since
+			if at.Sub(t.centres[s.DataCentre].heardAt) >= locality.MaxSilence {
+				since = at
+			}
+			t.centres[s.DataCentre] = centre{relay: s.Relay, heardAt: at, since: since}
 		}
 	})
 }
--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -12,6 +12,7 @@
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/catalog"
 	"camphorpulley.org/core/fleet"
+	"camphorpulley.org/core/locality"
 	"camphorpulley.org/core/retry"
 	"camphorpulley.org/core/roster"
 )
@@ -49,6 +50,8 @@
 	// paceMessages counts the messages about hosts that routers have begun to spread.
 	paceMessages int
 	slack        float64
+	// links is what the ways between data centres cost for routers that start later.
+	links locality.Link
 }
 
 type simulationKey struct{}
@@ -117,6 +120,8 @@
 		"region":               cmdRegion,
 		"run":                  cmdRun,
 		"report":               cmdReport,
+		"links":                cmdLinks,
+		"count-at":             cmdCountAt,
 		"pace":                 cmdPace,
 		"finish-at":            cmdFinishAt,
 		"not-at":               cmdNotAt,
@@ -206,7 +211,7 @@
 func cmdRouter(_ *testscript.TestScript, sim *simulation, a []string) {
 	f := fleet.New(sim.now, fleet.Settings{
 		ID: core.RouterID(a[0]), DataCentre: core.DataCentre(a[1]), Address: a[0], Detour: "detour-" + a[0], MaxLoadFactor: 2,
-		Regions: sim.regions, Drain: 2 * time.Second, Evacuation: 5 * time.Second, Incarnation: core.Incarnation(sim.now.UnixMilli()),
+		Regions: sim.regions, Links: sim.links, Drain: 2 * time.Second, Evacuation: 5 * time.Second, Incarnation: core.Incarnation(sim.now.UnixMilli()),
 		Retry: retry.Limits{Ratio: 0.2, Slack: sim.slack, Window: 10 * time.Second},
 		ParseCatalog: func(text []byte) (*catalog.Catalog, error) {
 			c := sim.catalog
--- a/core/fleet/slow_host.go
+++ b/core/fleet/slow_host.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"camphorpulley.org/core/locality"
 	"camphorpulley.org/core/pace"
 	"camphorpulley.org/core/prefix"
 )
@@ -21,14 +22,19 @@
 	shared, own, mostCached int
 	// engines is true if the pool is one of engines.
 	engines bool
+	// distance is the delay of the way to another data centre and back.
+	distance time.Duration
 }
 
 // demandOf returns what a request asks of the candidates.
-func (st *states) demandOf(r Request, all []Candidate) demandOf {
-	d := demandOf{objective: r.Route.LatencyObjective, shared: prefix.TotalTokens(r.SharedParts), own: r.OwnTokens, engines: r.Pool.Engine != nil}
+func (st *states) demandOf(r Request, all []Candidate, link locality.Link) demandOf {
+	d := demandOf{distance: remoteDistance, objective: r.Route.LatencyObjective, shared: prefix.TotalTokens(r.SharedParts), own: r.OwnTokens, engines: r.Pool.Engine != nil}
 	if b := st.bases[r.Route.Name]; b != nil {
 		d.base = b.Mean
 	}
+	if link.Delay > 0 {
+		d.distance = 2 * link.Delay
+	}
 	for _, c := range all {
 		d.mostCached = max(d.mostCached, c.CachedTokens)
 	}
@@ -40,7 +46,7 @@
 	w := pace.Work{Base: d.base, Fetch: max(d.mostCached-c.CachedTokens, 0)}
 	w.Read = max(d.shared-c.CachedTokens-w.Fetch, 0) + d.own
 	if !c.SameDataCentre {
-		w.Distance = remoteDistance
+		w.Distance = d.distance
 	}
 	return w
 }
--- a/core/fleet/upstream_state.go
+++ b/core/fleet/upstream_state.go
@@ -8,6 +8,7 @@
 	"camphorpulley.org/core/health"
 	"camphorpulley.org/core/lineage"
 	"camphorpulley.org/core/load"
+	"camphorpulley.org/core/locality"
 	"camphorpulley.org/core/pace"
 	"camphorpulley.org/core/quota"
 	"camphorpulley.org/core/ratelimit"
@@ -101,6 +102,10 @@
 	// runs at applications.
 	bases map[string]*pace.Base
 	runs  map[string]*pace.Runs
+	// answerBytes holds by route the mean size of answers, wayDelays the measured delays to
+	// other data centres.
+	answerBytes map[string]*load.Mean
+	wayDelays   map[core.DataCentre]*locality.Delay
 }
 
 // refusalsOf returns the refusals of a pool, creating them on first use.
--- a/core/load/run_time.go
+++ b/core/load/run_time.go
@@ -27,6 +27,9 @@
 	r.square += runTimeWeight * (s*s - r.square)
 }
 
+// Mean returns the mean run time; zero if none is known.
+func (r *RunTime) Mean() time.Duration { return time.Duration(r.mean * float64(time.Second)) }
+
 // Remaining returns the mean time until the requests that are running now end. Long
 // requests are overrepresented among them.
 func (r *RunTime) Remaining() time.Duration {
--- a/core/locality/locality.go
+++ b/core/locality/locality.go
@@ -28,6 +28,9 @@
 	// Upstreams their number.
 	Slots, Upstreams int
 	Load             float64
+	// Crowding is where the mean load there lies between that of the whole pool, 0, and the
+	// bound on the load, 1.
+	Crowding float64
 	// RunTime is how long a request holds a slot on average.
 	RunTime time.Duration
 	// Work is how long the upstream that is preferred there takes until the answer begins:
@@ -53,7 +56,7 @@
 	Here Reason = ""
 	// NoUpstream means that there is none in the own data centre.
 	NoUpstream Reason = "none"
-	// NoRoom means that all upstreams there are over the bound on the load.
+	// NoRoom means that the upstreams there are near the bound on the load, or over it.
 	NoRoom Reason = "full"
 	// Waiting means that requests wait for slots there.
 	Waiting Reason = "wait"
@@ -63,8 +66,8 @@
 )
 
 const (
-	// maxSilence is the silence from which on a data centre isn't known: a few digests.
-	maxSilence = 2 * time.Second
+	// MaxSilence is the silence from which on a data centre isn't known: a few digests.
+	MaxSilence = 3 * time.Second
 	// returnTime is the time within which a data centre that is heard of again, or for the first
 	// time, gets its full share of what others can't take: the router knows little of it, and
 	// its upstreams may be cold.
@@ -72,6 +75,11 @@
 	// minGain is the least gain, as a fraction of the objective, for which a request leaves,
 	// and the margin within which data centres count as equal.
 	minGain = 0.05
+	// crowdedFrom and crowdedAt are the Crowding from which on requests leave, and at which all
+	// do. Counts of other routers' requests are late, so that a data centre that keeps what it
+	// can up to the bound exceeds it.
+	crowdedFrom = 0.15
+	crowdedAt   = 0.6
 	// maxLeaving is the largest part of the requests that leave while there is room here but they
 	// have to wait: if all left, all would return together.
 	maxLeaving = 0.5
@@ -80,7 +88,7 @@
 )
 
 // known reports whether the router knows what goes on in the data centre.
-func (p Place) known() bool { return p.Local || p.Silence < maxSilence }
+func (p Place) known() bool { return p.Local || p.Silence < MaxSilence }
 
 // returning returns the share of its room that counts, from 0 to 1.
 func (p Place) returning() float64 {
@@ -122,14 +130,24 @@
 
 // room returns how many requests the data centre takes besides, as far as it counts.
 func (p Place) room() float64 {
-	return max(float64(p.Slots)-p.Load, 0) * p.returning()
+	return max(float64(p.Slots)-p.Load, 0) * p.returning() * (1 - p.overflow())
 }
 
+// overflow returns the part of the requests that the data centre has no room for, as it is near
+// the bound on the load.
+func (p Place) overflow() float64 {
+	return min(max((p.Crowding-crowdedFrom)/(crowdedAt-crowdedFrom), 0), 1)
+}
+
+// Draws are random numbers from 0 to below 1 of one request: whether it leaves, where it goes, and
+// whether it goes to places that are just back.
+type Draws struct{ Leave, Place, Back float64 }
+
 // Choose returns the place for a request, or -1 if its order among all upstreams is to decide: no
-// place is known that takes it. Draws are two random numbers from 0 to 1. Of the requests that
-// wait here, only the part leaves by which the wait is too long, and they are spread over the
-// others by room, so that not all go the same way.
-func Choose(objective time.Duration, places []Place, drawLeave, drawPlace float64) (int, Reason) {
+// place is known that takes it. Of the requests that wait here, only the part leaves by which the
+// wait is too long, and they are spread over the others by room, so that not all go the same way.
+// If all others are just back, most stay.
+func Choose(objective time.Duration, places []Place, d Draws) (int, Reason) {
 	local := -1
 	cheapest := time.Duration(math.MaxInt64)
 	for i, p := range places {
@@ -141,20 +159,21 @@
 		}
 	}
 	margin := time.Duration(minGain * float64(objective))
-	reason, most := leaveReason(places, local, cheapest, margin, drawLeave)
+	reason, most := leaveReason(places, local, cheapest, margin, d.Leave)
 	if reason == Here {
 		return local, Here
 	}
-	total := 0.0
+	total, back := 0.0, 0.0
 	for _, p := range places {
 		if p.takes(most) {
 			total += p.room()
+			back = max(back, p.returning())
 		}
 	}
-	if total <= 0 {
+	if total <= 0 || d.Back >= back {
 		return otherwise(places, local)
 	}
-	left := drawPlace * total
+	left := d.Place * total
 	last := -1
 	for i, p := range places {
 		if !p.takes(most) {
@@ -182,6 +201,8 @@
 		return reason, cheapest + margin
 	case cheapest == math.MaxInt64:
 		return Here, 0
+	case draw < places[local].overflow():
+		return NoRoom, cheapest + margin
 	}
 	here := places[local]
 	gain := here.Cost() - cheapest
--- a/core/locality/script_test.go
+++ b/core/locality/script_test.go
@@ -98,6 +98,8 @@
 			p.Upstreams = int(s.number(value))
 		case "load":
 			p.Load = s.number(value)
+		case "crowding":
+			p.Crowding = s.number(value)
 		case "run":
 			p.RunTime = s.duration(value)
 		case "work":
@@ -126,7 +128,7 @@
 	count, objective := int(s.number(args[0])), s.duration(args[1])
 	got, why := map[string]int{}, map[Reason]bool{}
 	for range count {
-		i, reason := Choose(objective, s.places, s.random.Float64(), s.random.Float64())
+		i, reason := Choose(objective, s.places, Draws{Leave: s.random.Float64(), Place: s.random.Float64(), Back: s.random.Float64()})
 		name := "none"
 		if i >= 0 {
 			name = s.names[i]
--- a/lab/fleet/report.go
+++ b/lab/fleet/report.go
@@ -13,6 +13,8 @@
 	// answers counts the answers, late those after the objective, messages the control
 	// messages, paces those of them about hosts.
 	answers, late, messages, paces int
+	// crossed counts the attempts in other data centres.
+	crossed int
 	// silent counts the requests for quota that got no response.
 	silent                                    int
 	remoteBytes                               int
@@ -72,6 +74,8 @@
 	// control messages per second that a router sent, Paces that of those about hosts, and
 	// PaceBytes their bytes.
 	Late, Messages, Paces, PaceBytes float64
+	// Crossed is the share of attempts that went to other data centres.
+	Crossed float64
 	// Crowded is the highest share of requests, by pool, that reached an upstream
 	// above the bound within five seconds.
 	Crowded map[string]float64
@@ -115,6 +119,7 @@
 	r.Waiting = ratio(sim.figures.waited, sim.figures.attempts)
 	r.Late = ratio(sim.figures.late, sim.figures.answers)
 	r.Messages, r.Paces = float64(sim.figures.messages)/seconds/n, float64(sim.figures.paces)/seconds/n
+	r.Crossed = ratio(sim.figures.crossed, sim.figures.attempts)
 	r.PaceBytes = float64(sim.figures.bytes["host_paces"]) / seconds / n
 	r.Reread = ratio(sim.figures.rereadTokens, sim.figures.promptTokens)
 	r.Fetched = ratio(sim.figures.fetchedTokens, sim.figures.promptTokens)
@@ -144,7 +149,7 @@
 	if r.Excess > 0 {
 		fmt.Fprintf(&b, " excess=%.3f used=%.3f", r.Excess, r.Used)
 	}
-	fmt.Fprintf(&b, " late=%.4f messages=%.1f paces=%.1f/%.0f", r.Late, r.Messages, r.Paces, r.PaceBytes)
+	fmt.Fprintf(&b, " late=%.4f crossed=%.4f messages=%.1f paces=%.1f/%.0f", r.Late, r.Crossed, r.Messages, r.Paces, r.PaceBytes)
 	fmt.Fprintf(&b, " underestimate=%d delay=%s applied=%s kind=%s/%.2f", r.Underestimate, r.Delay.Round(time.Millisecond), r.Applied.Round(time.Millisecond), r.Kind, r.KindShare)
 	fmt.Fprintf(&b, " reread=%.4f fetched=%.4f sent=%.0f busiest=%.0f remote=%.0f reads=%.2f",
 		r.Reread, r.Fetched, r.Sent, r.Busiest, r.Remote, r.Reads)
@@ -161,7 +166,7 @@
 		name       string
 		got, limit float64
 	}{
-		{"crowded", crowded, l.Crowded}, {"declined", r.Declined, l.Declined}, {"waiting", r.Waiting, l.Waiting}, {"late", r.Late, l.Late}, {"refused", r.Refused, l.Refused}, {"reread", r.Reread, l.Reread},
+		{"crowded", crowded, l.Crowded}, {"declined", r.Declined, l.Declined}, {"waiting", r.Waiting, l.Waiting}, {"late", r.Late, l.Late}, {"crossed", r.Crossed, l.Crossed}, {"refused", r.Refused, l.Refused}, {"reread", r.Reread, l.Reread},
 		{"sent", r.Sent, l.Sent}, {"busiest", r.Busiest, l.Busiest}, {"remote", r.Remote, l.Remote},
 		{"excess", r.Excess, l.Excess}, {"unused", 1 - r.Used, l.Unused},
 		{"delay", r.Delay.Seconds(), l.Delay.Seconds()}, {"applied", r.Applied.Seconds(), l.Applied.Seconds()},
--- a/lab/fleet/request.go
+++ b/lab/fleet/request.go
@@ -16,6 +16,9 @@
 	var arrive func(time.Time)
 	arrive = func(now time.Time) {
 		dc := sim.random.IntN(sim.scenario.Fleet.DataCentres)
+		if l.Tilt > 0 && sim.random.Float64() < l.Tilt {
+			dc = 0
+		}
 		for range clump {
 			sim.events.add(now.Add(time.Duration(sim.random.Int64N(int64(clumpSpread)))), func(at time.Time) { sim.arrive(at, l, dc) })
 		}
@@ -118,7 +121,11 @@
 	}
 	u := sim.upstreams[r.target.ID]
 	there := sim.delay(r.router.member.DataCentre, u.entry.DataCentre)
+	r.router.fleet.RecordConnect(now, r.target, 2*there)
 	if sim.measuring() {
+		if r.router.fleet.Crosses(r.target) != "" {
+			sim.figures.crossed++
+		}
 		sim.figures.underestimated = append(sim.figures.underestimated, u.busy()-r.target.Load)
 	}
 	sent := r.router.out.transfer(now, r.load.Body, sim.scenario.Fleet.Link)
--- a/lab/fleet/scenario.go
+++ b/lab/fleet/scenario.go
@@ -26,6 +26,10 @@
 	// Link is what a router's link carries in each direction, in megabits per second; zero
 	// means that nothing waits for it.
 	Link float64 `ini:"link" validate:"min=0"`
+	// Way and Price are the routers' settings of what the ways between data centres cost: the
+	// delay, and milliseconds for a kilobyte.
+	Way   time.Duration `ini:"way" validate:"min=0"`
+	Price float64       `ini:"price" validate:"min=0"`
 }
 
 // RunSection sets the random seed and the simulated time. Nothing is measured during
@@ -88,6 +92,9 @@
 	// Rate is the number of requests per second, which arrive in groups of Clump.
 	Rate  float64 `ini:"rate" validate:"gt=0"`
 	Clump int     `ini:"clump" validate:"min=0"`
+	// Tilt is the share of the requests that arrive in the first data centre, beside its part of
+	// the others.
+	Tilt float64 `ini:"tilt" validate:"min=0,max=1"`
 	// Body is the size of a request in bytes.
 	Body int `ini:"body" validate:"min=0"`
 	// Time is the mean run time without other requests beside it.
@@ -155,6 +162,8 @@
 	// Late is the largest share of answers that may begin later than the route's objective, or
 	// end later if the upstreams aren't engines.
 	Late float64 `ini:"late" validate:"min=0,max=1"`
+	// Crossed is the largest share of attempts that may go to other data centres.
+	Crossed float64 `ini:"crossed" validate:"min=0,max=1"`
 	// Refused is the largest share of requests that routers may refuse.
 	Refused float64 `ini:"refused" validate:"min=0,max=1"`
 	// Excess is the highest number of requests that a limited upstream may get in four
--- a/router/cluster/settings.go
+++ b/router/cluster/settings.go
@@ -9,6 +9,7 @@
 
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/fleet"
+	"camphorpulley.org/core/locality"
 	"camphorpulley.org/core/retry"
 )
 
@@ -17,6 +18,7 @@
 	Router      RouterSection `ini:"router"`
 	Store       StoreSection  `ini:"store"`
 	Bounds      BoundsSection `ini:"bounds"`
+	Links       LinksSection  `ini:"links"`
 	Log         LogSection    `ini:"log"`
 	DataCentres []DataCentre  `ini:"datacentre" validate:"dive"`
 }
@@ -67,6 +69,14 @@
 	GraceSeconds float64 `ini:"grace" validate:"gt=0"`
 }
 
+// LinksSection holds what the ways between data centres cost. Zero leaves placement as it is.
+type LinksSection struct {
+	// DelayMS is the delay of the way in one direction, in milliseconds, until one is measured.
+	DelayMS float64 `ini:"delay" validate:"min=0"`
+	// Price is what a kilobyte costs that crosses, in milliseconds of the caller's objective.
+	Price float64 `ini:"price" validate:"min=0"`
+}
+
 // defaultRecovery applies to settings without a recovery time.
 const defaultRecovery = 3 * time.Second
 
@@ -109,6 +119,7 @@
 		Drain:         time.Duration(s.Bounds.DrainMS) * time.Millisecond,
 		Evacuation:    time.Duration(s.Bounds.EvacuationMS) * time.Millisecond,
 		LimitGrace:    s.Bounds.recovery(),
+		Links:         locality.Link{Delay: time.Duration(s.Links.DelayMS * float64(time.Millisecond)), Price: s.Links.Price},
 		ParseCatalog:  a.ParseCatalog,
 		ParseEntry:    a.ParseEntry,
 	}
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -121,7 +121,7 @@
 	}
 	headers.Relayed = h.Relayed
 	headers.Resuming = headers.HasLastEventID || headers.Resumes != ""
-	headers.Content = contentDigest(r, headers, body)
+	headers.Content, headers.Bytes = contentDigest(r, headers, body), len(body)
 	request, refusal := h.Fleet.Admit(arrived, headers.CallerRequest)
 	if refusal != nil {
 		h.refuse(w, headers.ID, request.Pool.Name, refusal)
--- a/router/gateway/script_test.go
+++ b/router/gateway/script_test.go
@@ -179,6 +179,9 @@
 // LoadUnderestimate implements relay.Metrics.
 func (noMetrics) LoadUnderestimate(core.Pool, int) {}
 
+// Crossed implements relay.Metrics.
+func (noMetrics) Crossed(core.Pool, string, int) {}
+
 func (noMetrics) Request(core.Pool, string) {}
 
 func (noMetrics) FirstByte(core.Pool, time.Duration) {}
--- a/router/metrics/metrics.go
+++ b/router/metrics/metrics.go
@@ -26,6 +26,8 @@
 	crashes       metric.Int64Counter
 	messageBytes  metric.Int64Counter
 	messages      metric.Int64Counter
+	crossed       metric.Int64Counter
+	crossedBytes  metric.Int64Counter
 	firstByte     metric.Float64Histogram
 	underestimate metric.Int64Histogram
 }
@@ -60,6 +62,8 @@
 		{&m.crashes, "crashes", "requests that were running when an upstream crashed"},
 		{&m.messageBytes, "message_bytes", "bytes of messages to other routers by kind and reach"},
 		{&m.messages, "messages", "messages to other routers by kind and reach"},
+		{&m.crossed, "crossed_attempts", "attempts in other data centres by pool and why they went there"},
+		{&m.crossedBytes, "crossed_bytes", "bytes of these attempts' requests and answers"},
 	}
 	for _, c := range counters {
 		if *c.target, err = meter.Int64Counter(c.name, metric.WithDescription(c.description)); err != nil {
@@ -137,6 +141,17 @@
 // Only package relay calls it.
 func (m *Metrics) Kept(pool core.Pool) { m.count(m.kept, pool) }
 
+// Crossed counts an attempt in another data centre and the bytes of its request and answer by why
+// it went there. Only package relay calls it.
+func (m *Metrics) Crossed(pool core.Pool, why string, bytes int) {
+	if m.crossed == nil {
+		return
+	}
+	attributes := metric.WithAttributes(poolAttribute(pool), attribute.String("why", why))
+	m.crossed.Add(context.Background(), 1, attributes)
+	m.crossedBytes.Add(context.Background(), int64(bytes), attributes)
+}
+
 // DroppedEvent counts an event that was dropped rather than delivered: a duplicate,
 // or a late one of an earlier attempt.
 func (m *Metrics) DroppedEvent(pool core.Pool) { m.count(m.dropped, pool) }
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -54,6 +54,8 @@
 	resumed bool
 	// kept is true once the attempt was overdue while no other upstream took the request.
 	kept bool
+	// answerBytes is the size of the answer so far.
+	answerBytes int
 	// outcome is what the fleet is told of the attempt.
 	outcome health.Outcome
 }
@@ -69,6 +71,9 @@
 		a.connectFailed = true
 		return err
 	}
+	if !c.Reused() && a.helper == "" {
+		a.forwarder.Fleet.RecordConnect(time.Now(), a.target, time.Since(now))
+	}
 	if err := a.identify(c); err != nil {
 		return err
 	}
@@ -268,6 +273,7 @@
 		return errUpstreamFailed
 	}
 	a.exchange.SetPhase(a.id, answer.Completed)
+	a.answerBytes = len(body)
 	a.writer.WriteHeader(resp.StatusCode, resp.Header, len(body))
 	if err := a.writer.Write(body); err != nil {
 		return &CallerWriteError{Cause: err}
--- a/router/relay/attempt_log.go
+++ b/router/relay/attempt_log.go
@@ -23,7 +23,7 @@
 		zap.Bool("reused", a.reusedConn), zap.Int("skipped", a.skipped), zap.Int("events", a.events), zap.String("limit", a.headers.Says.Limit.String()),
 		zap.String("brittle", a.headers.Says.Brittle.String()), zap.Bool("leaving", a.headers.Says.Leaving), zap.Duration("after", a.headers.Says.RetryAfter),
 		zap.Duration("took", took), zap.Int("load", t.Load), zap.String("reported", reportedLoad(a.reported)), zap.Int("pace", statedPace(a.reported)), zap.Int("expected_pace", int(100*t.Pace)), zap.Int("held", t.CachedTokens), zap.Int("prompt", t.SharedTokens),
-		zap.String("fetch", t.FetchFrom), zap.Int("candidates", t.CandidateCount), zap.Bool("rests", ejected), logs.Err(err),
+		zap.String("fetch", t.FetchFrom), zap.Int("candidates", t.CandidateCount), zap.String("away", string(t.Away)), zap.Bool("rests", ejected), logs.Err(err),
 	}
 	if a.outcome == health.Broken && !a.underWay() && len(a.SharedParts) > 0 {
 		fields = append(fields, zap.Strings("parts", partNames(a.SharedParts)))
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -53,6 +53,9 @@
 	// LoadUnderestimate records by how many requests the load that an upstream reports
 	// exceeds the one that the router believed when it chose the upstream.
 	LoadUnderestimate(pool core.Pool, requests int)
+	// Crossed counts an attempt in another data centre and the bytes of its request and answer
+	// by why it went there.
+	Crossed(pool core.Pool, why string, bytes int)
 }
 
 // IncompleteResponseError reports a response that has been sent to the caller in
@@ -227,8 +230,8 @@
 	err := a.protectedRun()
 	now := time.Now()
 	ejected := f.Fleet.FinishAttempt(now, target, a.outcome, a.headers.Load)
-	if a.outcome == health.Good && a.helper == "" {
-		f.tellPaces(f.Fleet.RecordRun(now, target, a.headers.Load))
+	if a.helper == "" {
+		a.recordRun(now)
 	}
 	f.Metrics.Ended(s.Pool.Name, a.outcome.String())
 	if a.reported != nil && a.helper == "" {
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -169,6 +169,7 @@
 	if !a.streamStarted {
 		a.sendHeader(resp)
 	}
+	a.answerBytes += len(e.raw)
 	if err := a.writer.Write(e.raw); err != nil {
 		return &CallerWriteError{Cause: err}
 	}
