Tell nothing of hosts while messages are late

go test ./core/fleet -run TestScripts/pace and the cases fleet-pace of ./proof: passed; the script pace-delays fails without the rule (fleet-pace-told-late).

--- a/core/fleet/host_pace.go
+++ b/core/fleet/host_pace.go
@@ -77,12 +77,15 @@
 }
 
 // TakeHostPaces returns the message to all other routers about the hosts of which they are to be
-// told; nil if there are none. What another router has told in the meantime is left out.
+// told; nil if there are none. What another router has told in the meantime is left out. While
+// messages take longer than pace.MaxDelay on average there is none: since no router would hear in
+// time that others have told, each would tell all.
 func (f *Fleet) TakeHostPaces(now time.Time) *Message {
 	var all []HostPace
+	late := table.Read(f.members, table.Hold{}, func(t *members) bool { return t.delays.mean >= pace.MaxDelay })
 	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
 		for _, id := range st.untold {
-			if s := st.byID[id]; s != nil && s.pace.Own {
+			if s := st.byID[id]; s != nil && s.pace.Own && !late {
 				all = append(all, HostPace{Upstream: id, Hundredths: s.pace.Hundredths, AgeMS: max(now.Sub(s.pace.At).Milliseconds(), 0)})
 			}
 		}
--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -19,6 +19,9 @@
 	weightTime = 400 * time.Millisecond
 	// forgetAfter is the age from which on an observation counts for nothing.
 	forgetAfter = 3 * weightTime
+	// MaxDelay is the mean delay of messages from which on telling is worth nothing: half of the
+	// weight is lost on the way.
+	MaxDelay = 300 * time.Millisecond
 	// TellInterval is the shortest time between two messages about one upstream, of all routers
 	// together as far as they hear of each other.
 	TellInterval = 250 * time.Millisecond
