--- a/core/fleet/candidates.go
+++ b/core/fleet/candidates.go
@@ -102,18 +102,21 @@
 	// Most is the highest load that an upstream may have, Mean that of all upstreams.
 	Most int
 	Mean float64
+	// Slots are those of all upstreams together.
+	Slots int
 }
 
 // poolBound returns the bound for a pool, a multiple of the mean load plus a slack. The
 // mean includes upstreams that get no new work, which lower it.
 func (f *Fleet) poolBound(now time.Time, st *states, pool []roster.Upstream, peerAge time.Duration) loadBound {
-	total := 0
+	total, slots := 0, 0
 	for _, u := range pool {
+		slots += slotsOf(u)
 		total += st.get(u.ID).load.Total(now, peerAge)
 	}
 	mean := float64(total) / float64(max(len(pool), 1))
 	multiple := 1 + (max(f.settings.MaxLoadFactor, 1)-1)*boundFraction
-	return loadBound{Most: int(multiple*mean) + boundSlack, Mean: mean}
+	return loadBound{Most: int(multiple*mean) + boundSlack, Mean: mean, Slots: slots}
 }
 
 // mark sets OverBound on candidates that one more request would put over the bound,
--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -96,7 +96,7 @@
 		}
 		engines := st.enginesFor(now, r, bound, demanding, peerAge)
 		candidates := affordable(now, f.limitRamp(), r, len(tried) > 0, bound, willing(now, f.settings.Drain, permitted(r, all)))
-		place = placement{demand: st.demandOf(r, all, f.settings.Links), ways: f.waysOf(st, r, bound, contacts)}
+		place = placement{demand: st.demandOf(r, all, f.settings.Links), ways: f.waysOf(st, r, bound, routers, contacts)}
 		best, ask = firstWithQuota(candidates, func(left []Candidate) Candidate {
 			bound.mark(policy.LocalOnly(), left)
 			st.setExpectedLoads(now, r.Pool.Name, peerAge, left)
--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -47,9 +47,11 @@
 	return all
 }
 
-// waysOf returns the ways for a request.
-func (f *Fleet) waysOf(st *states, r Request, b loadBound, contacts map[core.DataCentre]contact) ways {
-	if !f.settings.Links.Priced() {
+// waysOf returns the ways for a request. They don't count for applications that together have fewer
+// slots than there are routers: what other routers send there is known too late for the bound on the
+// load to hold in one data centre.
+func (f *Fleet) waysOf(st *states, r Request, b loadBound, routers int, contacts map[core.DataCentre]contact) ways {
+	if !f.settings.Links.Priced() || (r.Pool.Engine == nil && b.Slots < routers) {
 		return ways{}
 	}
 	w := ways{priced: true, contacts: contacts, bound: b, bytes: r.Bytes, runTime: st.runTime(r.Pool.Name).Mean()}
