--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -38,7 +38,7 @@
 	// was chosen, Work what the target has to do until its answer begins.
 	Pace float64
 	Work pace.Work
-	// Away is why it is in another data centre in spite of what the way costs.
+	// Away is why it is in another data centre in spite of what the link costs.
 	Away locality.Reason
 	// CandidateCount is the number of upstreams that were eligible.
 	CandidateCount int
@@ -96,7 +96,7 @@
 		}
 		engines := st.enginesFor(now, r, bound, demanding, peerAge)
 		candidates := affordable(now, f.limitRamp(), r, len(tried) > 0, bound, willing(now, f.settings.Drain, permitted(r, all)))
-		place = placement{demand: st.demandOf(r, all, f.settings.Links), ways: f.waysOf(st, r, bound, routers, contacts)}
+		place = placement{demand: st.demandOf(r, all, f.settings.Links), links: f.linkCostsOf(st, r, bound, routers, contacts)}
 		best, ask = firstWithQuota(candidates, func(left []Candidate) Candidate {
 			bound.mark(policy.LocalOnly(), left)
 			st.setExpectedLoads(now, r.Pool.Name, peerAge, left)
@@ -107,7 +107,7 @@
 				left = slices.DeleteFunc(left, func(c Candidate) bool { return c.Excluded })
 			}
 			markSpread(policy, engines, left)
-			return preferredByWay(now, policy, &place, left)
+			return preferredByLink(now, policy, &place, left)
 		}, func(c Candidate) (bool, *Envelope) { return f.takeQuota(now, r, c) })
 		switch {
 		case best.state == nil && held:
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -49,7 +49,7 @@
 	// LimitGrace is how long after an upstream has first named a limit of requests per
 	// second all routers together may exceed it.
 	LimitGrace time.Duration
-	// Links is what the ways to other data centres cost; zero leaves placement as it is. Its
+	// Links is what the links to other data centres cost; zero leaves placement as it is. Its
 	// delay counts until one is measured.
 	Links locality.Link
 	// ParseCatalog parses the text of a catalog.
--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -17,12 +17,12 @@
 // contact is how a router has heard of another data centre.
 type contact struct{ silence, steady time.Duration }
 
-// ways is what a router knows of the ways to other data centres. If they aren't priced, placement
-// doesn't depend on them.
-type ways struct {
+// linkCosts is what a router knows of the links to other data centres. If they aren't priced,
+// placement doesn't depend on them.
+type linkCosts struct {
 	priced   bool
 	contacts map[core.DataCentre]contact
-	// link returns the way to a data centre.
+	// link returns the link to a data centre.
 	link func(core.DataCentre) locality.Link
 	// bound is the bound on the load of the pool's upstreams.
 	bound loadBound
@@ -32,7 +32,7 @@
 	draws   locality.Draws
 }
 
-// contactsWith returns how the router has heard of the other data centres; nil if the ways there
+// contactsWith returns how the router has heard of the other data centres; nil if the links
 // aren't priced.
 func (f *Fleet) contactsWith(now time.Time) map[core.DataCentre]contact {
 	if !f.settings.Links.Priced() {
@@ -47,14 +47,14 @@
 	return all
 }
 
-// waysOf returns the ways for a request. They don't count for applications that together have fewer
-// slots than there are routers: what other routers send there is known too late for the bound on the
-// load to hold in one data centre.
-func (f *Fleet) waysOf(st *states, r Request, b loadBound, routers int, contacts map[core.DataCentre]contact) ways {
+// linkCostsOf returns the costs of the links for a request. They don't count for applications
+// that together have fewer slots than there are routers: what other routers send there is known
+// too late for the bound on the load to hold in one data centre.
+func (f *Fleet) linkCostsOf(st *states, r Request, b loadBound, routers int, contacts map[core.DataCentre]contact) linkCosts {
 	if !f.settings.Links.Priced() || (r.Pool.Engine == nil && b.Slots < routers) {
-		return ways{}
+		return linkCosts{}
 	}
-	w := ways{priced: true, contacts: contacts, bound: b, bytes: r.Bytes, runTime: st.runTime(r.Pool.Name).Mean()}
+	w := linkCosts{priced: true, contacts: contacts, bound: b, bytes: r.Bytes, runTime: st.runTime(r.Pool.Name).Mean()}
 	if b := st.answerBytes[r.Route.Name]; b != nil {
 		w.bytes += int(b.Value)
 	}
@@ -62,7 +62,7 @@
 		Leave: uniform(chat.Score(r.draw, "leave")), Place: uniform(chat.Score(r.draw, "place")), Back: uniform(chat.Score(r.draw, "back")),
 	}
 	w.link = func(dc core.DataCentre) locality.Link {
-		return locality.Link{Delay: st.wayDelays[dc].OneWay(f.settings.Links.Delay), Price: f.settings.Links.Price}
+		return locality.Link{Delay: st.linkDelays[dc].OneWay(f.settings.Links.Delay), Price: f.settings.Links.Price}
 	}
 	return w
 }
@@ -74,13 +74,13 @@
 // data centre.
 type placement struct {
 	demand demandOf
-	ways   ways
+	links  linkCosts
 	away   locality.Reason
 }
 
-// preferredByWay returns the best candidate in view of what the ways to other data centres cost.
-func preferredByWay[P Policy](now time.Time, policy P, p *placement, all []Candidate) Candidate {
-	d, w := p.demand, p.ways
+// preferredByLink returns the best candidate in view of what the links to other data centres cost.
+func preferredByLink[P Policy](now time.Time, policy P, p *placement, all []Candidate) Candidate {
+	d, w := p.demand, p.links
 	p.away = locality.Here
 	if !w.priced || (policy.LocalOnly() && hasRoomHere(all)) {
 		return preferredByPace(policy, d, all)
@@ -122,7 +122,7 @@
 }
 
 // place returns a data centre whose candidates are given, best among them.
-func (w ways) place(now time.Time, d demandOf, best Candidate, all []Candidate) locality.Place {
+func (w linkCosts) place(now time.Time, d demandOf, best Candidate, all []Candidate) locality.Place {
 	dc := best.Upstream.DataCentre
 	p := locality.Place{
 		Local: best.SameDataCentre, Full: true, RunTime: w.runTime, Bytes: w.bytes, Link: w.link(dc),
@@ -158,13 +158,13 @@
 		return
 	}
 	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
-		d := st.wayDelays[t.DataCentre]
+		d := st.linkDelays[t.DataCentre]
 		if d == nil {
-			if st.wayDelays == nil {
-				st.wayDelays = map[core.DataCentre]*locality.Delay{}
+			if st.linkDelays == nil {
+				st.linkDelays = map[core.DataCentre]*locality.Delay{}
 			}
 			d = &locality.Delay{}
-			st.wayDelays[t.DataCentre] = d
+			st.linkDelays[t.DataCentre] = d
 		}
 		d.Record(now, took)
 	})
--- a/core/fleet/place_verbs_test.go
+++ b/core/fleet/place_verbs_test.go
@@ -9,7 +9,7 @@
 	"camphorpulley.org/core"
 )
 
-// links DELAY PRICE: sets what the ways between data centres cost for routers that start later.
+// links DELAY PRICE: sets what the links between data centres cost for routers that start later.
 func cmdLinks(ts *testscript.TestScript, sim *simulation, a []string) {
 	var err error
 	sim.links.Delay, err = time.ParseDuration(a[0])
--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -50,7 +50,7 @@
 	// paceMessages counts the messages about hosts that routers have begun to spread.
 	paceMessages int
 	slack        float64
-	// links is what the ways between data centres cost for routers that start later.
+	// links is what the links between data centres cost for routers that start later.
 	links locality.Link
 }
 
--- a/core/fleet/slow_host.go
+++ b/core/fleet/slow_host.go
@@ -8,7 +8,7 @@
 	"camphorpulley.org/core/prefix"
 )
 
-// remoteDistance is the delay of the way to another data centre and back: within a region it is
+// remoteDistance is the delay of the link to another data centre and back: within a region it is
 // below that.
 const remoteDistance = 2 * time.Millisecond
 
@@ -22,7 +22,7 @@
 	shared, own, mostCached int
 	// engines is true if the pool is one of engines.
 	engines bool
-	// distance is the delay of the way to another data centre and back.
+	// distance is the delay of the link to another data centre and back.
 	distance time.Duration
 }
 
--- a/core/fleet/upstream_state.go
+++ b/core/fleet/upstream_state.go
@@ -102,10 +102,10 @@
 	// runs at applications.
 	bases map[string]*pace.Base
 	runs  map[string]*pace.Runs
-	// answerBytes holds by route the mean size of answers, wayDelays the measured delays to
+	// answerBytes holds by route the mean size of answers, linkDelays the measured delays to
 	// other data centres.
 	answerBytes map[string]*load.Mean
-	wayDelays   map[core.DataCentre]*locality.Delay
+	linkDelays  map[core.DataCentre]*locality.Delay
 }
 
 // refusalsOf returns the refusals of a pool, creating them on first use.
--- a/core/locality/delay.go
+++ b/core/locality/delay.go
@@ -6,8 +6,8 @@
 // counts, since connections also wait for processors.
 const delayWindow = 30 * time.Second
 
-// Delay is the delay of the way to another data centre as measured by opening connections, which
-// takes the way there and back. The zero value knows none.
+// Delay is the delay of the link to another data centre as measured by opening connections, which
+// takes a round trip. The zero value knows none.
 type Delay struct {
 	current, previous time.Duration
 	startedAt         time.Time
--- a/core/locality/locality.go
+++ b/core/locality/locality.go
@@ -7,9 +7,9 @@
 	"time"
 )
 
-// Link is what the way to another data centre costs.
+// Link is what the link to another data centre costs.
 type Link struct {
-	// Delay is that of the way in one direction.
+	// Delay is that of one direction.
 	Delay time.Duration
 	// Price is what a kilobyte costs that crosses, in milliseconds of the caller's objective.
 	Price float64
@@ -40,7 +40,7 @@
 	Connected bool
 	// Bytes is the size of the request and of its answer.
 	Bytes int
-	// Link is the way there.
+	// Link is the link to it.
 	Link Link
 	// Silence is the time since the data centre was last heard of, Steady that for which it has
 	// been heard of without a gap.
@@ -112,17 +112,17 @@
 	return time.Duration((queue + beyond) * float64(p.RunTime))
 }
 
-// Crossing returns what the way there costs.
+// Crossing returns what the link costs.
 func (p Place) Crossing() time.Duration {
 	if p.Local {
 		return 0
 	}
-	ways := 2.0
+	trips := 2.0
 	if !p.Connected {
-		ways = 4
+		trips = 4
 	}
 	price := p.Link.Price * float64(p.Bytes) / 1000
-	return time.Duration(ways*float64(p.Link.Delay) + price*float64(time.Millisecond))
+	return time.Duration(trips*float64(p.Link.Delay) + price*float64(time.Millisecond))
 }
 
 // Cost returns what the request costs there altogether.
@@ -145,7 +145,7 @@
 
 // Choose returns the place for a request, or -1 if its order among all upstreams is to decide: no
 // place is known that takes it. Of the requests that wait here, only the part leaves by which the
-// wait is too long, and they are spread over the others by room, so that not all go the same way.
+// wait is too long, and they are spread over the others by room, so that not all go to the same one.
 // If all others are just back, most stay.
 func Choose(objective time.Duration, places []Place, d Draws) (int, Reason) {
 	local := -1
--- a/core/pace/work.go
+++ b/core/pace/work.go
@@ -19,7 +19,7 @@
 	Base time.Duration
 	// Read and Fetch are the numbers of prompt tokens to read and to fetch.
 	Read, Fetch int
-	// Distance is the delay of the way there and back.
+	// Distance is the delay of the link there and back.
 	Distance time.Duration
 }
 
--- a/lab/fleet/scenario.go
+++ b/lab/fleet/scenario.go
@@ -26,10 +26,10 @@
 	// Link is what a router's link carries in each direction, in megabits per second; zero
 	// means that nothing waits for it.
 	Link float64 `ini:"link" validate:"min=0"`
-	// Way and Price are the routers' settings of what the ways between data centres cost: the
+	// LinkDelay and Price are the routers' settings of what the links between data centres cost: the
 	// delay, and milliseconds for a kilobyte.
-	Way   time.Duration `ini:"way" validate:"min=0"`
-	Price float64       `ini:"price" validate:"min=0"`
+	LinkDelay time.Duration `ini:"linkdelay" validate:"min=0"`
+	Price     float64       `ini:"price" validate:"min=0"`
 }
 
 // RunSection sets the random seed and the simulated time. Nothing is measured during
--- a/lab/fleet/simulation.go
+++ b/lab/fleet/simulation.go
@@ -135,7 +135,7 @@
 	r.fleet = fleet.New(sim.now, fleet.Settings{
 		ID: r.member.ID, Address: r.member.Address, DataCentre: r.member.DataCentre, Incarnation: r.member.Incarnation,
 		Retry: retry.Limits{Ratio: 0.2, Slack: 600, Window: 10 * time.Second}, MaxLoadFactor: 2, Drain: 4 * time.Second, Evacuation: 5 * time.Second, LimitGrace: limitGrace,
-		Links:        locality.Link{Delay: sim.scenario.Fleet.Way, Price: sim.scenario.Fleet.Price},
+		Links:        locality.Link{Delay: sim.scenario.Fleet.LinkDelay, Price: sim.scenario.Fleet.Price},
 		ParseCatalog: sim.parseCatalog,
 		ParseEntry: func(id core.UpstreamID, _ []byte) (roster.Entry, error) {
 			return sim.upstreams[id].entry, nil
--- a/router/cluster/settings.go
+++ b/router/cluster/settings.go
@@ -69,9 +69,9 @@
 	GraceSeconds float64 `ini:"grace" validate:"gt=0"`
 }
 
-// LinksSection holds what the ways between data centres cost. Zero leaves placement as it is.
+// LinksSection holds what the links between data centres cost. Zero leaves placement as it is.
 type LinksSection struct {
-	// DelayMS is the delay of the way in one direction, in milliseconds, until one is measured.
+	// DelayMS is the delay of the link in one direction, in milliseconds, until one is measured.
 	DelayMS float64 `ini:"delay" validate:"min=0"`
 	// Price is what a kilobyte costs that crosses, in milliseconds of the caller's objective.
 	Price float64 `ini:"price" validate:"min=0"`
