--- a/core/feed/watch_verbs_test.go
+++ b/core/feed/watch_verbs_test.go
@@ -12,7 +12,9 @@
 }
 
 // watch-read ERA NEXT: the router has read the operators' records before NEXT.
-func cmdWatchRead(ts *testscript.TestScript, r *router, a []string) { r.watch.Read(r.now, position(ts, a)) }
+func cmdWatchRead(ts *testscript.TestScript, r *router, a []string) {
+	r.watch.Read(r.now, position(ts, a))
+}
 
 // watch-hear ERA NEXT: another router states that it has.
 func cmdWatchHear(ts *testscript.TestScript, r *router, a []string) {
--- a/core/fleet/candidates.go
+++ b/core/fleet/candidates.go
@@ -75,7 +75,7 @@
 		s, reach := st.get(u.ID), st.reach(u.DataCentre)
 		all[i] = Candidate{
 			Upstream: u, Load: s.load.Total(now, peerAge), CachedTokens: cached[i].shared,
-			PartsMissing: cached[i].shared < prompt, TotalCached: cached[i].total,
+			PartsMissing: cached[i].shared < prompt, TotalCached: cached[i].total, Pace: s.pace.Factor(now),
 			FailureRate: s.health.FailureRate(now), SameDataCentre: u.DataCentre == f.settings.DataCentre,
 			Score: chat.Score(r.AffinityKey, string(u.ID)), Draw: chat.Score(r.draw, string(u.ID)), state: s,
 			Excluded: s.excluded(now) || reach.Ejected(now), Limited: s.limited(now, u.StartedMS),
@@ -102,18 +102,21 @@
 	// Most is the highest load that an upstream may have, Mean that of all upstreams.
 	Most int
 	Mean float64
+	// Slots are those of all upstreams together.
+	Slots int
 }
 
 // poolBound returns the bound for a pool, a multiple of the mean load plus a slack. The
 // mean includes upstreams that get no new work, which lower it.
 func (f *Fleet) poolBound(now time.Time, st *states, pool []roster.Upstream, peerAge time.Duration) loadBound {
-	total := 0
+	total, slots := 0, 0
 	for _, u := range pool {
+		slots += slotsOf(u)
 		total += st.get(u.ID).load.Total(now, peerAge)
 	}
 	mean := float64(total) / float64(max(len(pool), 1))
 	multiple := 1 + (max(f.settings.MaxLoadFactor, 1)-1)*boundFraction
-	return loadBound{Most: int(multiple*mean) + boundSlack, Mean: mean}
+	return loadBound{Most: int(multiple*mean) + boundSlack, Mean: mean, Slots: slots}
 }
 
 // mark sets OverBound on candidates that one more request would put over the bound,
--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -9,6 +9,8 @@
 	"github.com/samber/lo"
 
 	"camphorpulley.org/core"
+	"camphorpulley.org/core/locality"
+	"camphorpulley.org/core/pace"
 	"camphorpulley.org/core/prefix"
 	"camphorpulley.org/core/roster"
 	"camphorpulley.org/core/table"
@@ -29,6 +31,15 @@
 	Certain bool
 	// ChosenAt is when the target was chosen.
 	ChosenAt time.Time
+	// Route is the name of the request's route, Engine true if its pool is one of engines.
+	Route  string
+	Engine bool
+	// Pace is how many times longer than usual work was expected to take on the host when it
+	// was chosen, Work what the target has to do until its answer begins.
+	Pace float64
+	Work pace.Work
+	// Away is why it is in another data centre in spite of what the link costs.
+	Away locality.Reason
 	// CandidateCount is the number of upstreams that were eligible.
 	CandidateCount int
 	// Ask is not nil if the upstream is limited and this router has to ask another one
@@ -82,6 +93,8 @@
 	var all []Candidate
 	var ask *Envelope
 	var refusal *core.Refusal
+	var place placement
+	contacts := f.contactsWith(now)
 	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
 		all = f.candidates(now, st, r, a.eligible, cached, peerAge)
 		setSlotShares(all, routers, rank, settled)
@@ -92,6 +105,7 @@
 		}
 		engines := st.enginesFor(now, r, bound, demanding, peerAge)
 		candidates := affordable(now, f.limitRamp(), r, a.retry, bound, willing(now, f.settings.Drain, permitted(r, all)))
+		place = placement{demand: st.demandOf(r, all, f.settings.Links), links: f.linkCostsOf(st, r, bound, routers, contacts)}
 		best, ask = firstWithQuota(candidates, func(left []Candidate) Candidate {
 			bound.mark(policy.LocalOnly(), left)
 			st.setExpectedLoads(now, r.Pool.Name, peerAge, left)
@@ -102,7 +116,7 @@
 				left = slices.DeleteFunc(left, func(c Candidate) bool { return c.Excluded || (a.underBound && c.OverBound) })
 			}
 			markSpread(policy, engines, left)
-			return preferred(policy, left)
+			return preferredByLink(now, policy, &place, left)
 		}, func(c Candidate) (bool, *Envelope) { return f.takeQuota(now, r, c) })
 		switch {
 		case best.state == nil && a.held:
@@ -112,21 +126,29 @@
 		case best.state == nil:
 			refusal = st.refuseChoice(now, r, all, routers)
 		case ask == nil:
-			best.state.load.Local++
-			if best.Upstream.Cold(now) {
-				best.state.cold.Add(now)
-			}
+			best.begin(now)
 		}
 	})
 	if refusal != nil || ask != nil {
 		return Target{Upstream: best.Upstream, Ask: ask}, refusal
 	}
-	return f.newTarget(now, r, best, len(all)), nil
+	return f.newTarget(now, r, best, len(all), place), nil
+}
+
+// begin counts an attempt at the upstream.
+func (c Candidate) begin(now time.Time) {
+	c.state.load.Local++
+	if c.Upstream.Cold(now) {
+		c.state.cold.Add(now)
+	}
 }
 
 // newTarget returns the target for a chosen candidate.
-func (f *Fleet) newTarget(now time.Time, r Request, best Candidate, candidates int) Target {
-	t := Target{Upstream: best.Upstream, Load: best.Load, CachedTokens: best.CachedTokens, SharedTokens: prefix.TotalTokens(r.SharedParts), Certain: best.Certain, ChosenAt: now, CandidateCount: candidates}
+func (f *Fleet) newTarget(now time.Time, r Request, best Candidate, candidates int, p placement) Target {
+	t := Target{
+		Upstream: best.Upstream, Load: best.Load, CachedTokens: best.CachedTokens, SharedTokens: prefix.TotalTokens(r.SharedParts), Certain: best.Certain, ChosenAt: now, CandidateCount: candidates,
+		Route: r.Route.Name, Engine: r.Pool.Engine != nil, Pace: best.Pace, Work: p.demand.work(best), Away: p.away,
+	}
 	if r.Pool.Engine != nil && t.CachedTokens < t.SharedTokens {
 		t.FetchFrom = f.fetchSource(now, r, best)
 	}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"camphorpulley.org/core/catalog"
 	"camphorpulley.org/core/feed"
 	"camphorpulley.org/core/lineage"
+	"camphorpulley.org/core/locality"
 	"camphorpulley.org/core/poison"
 	"camphorpulley.org/core/prefix"
 	"camphorpulley.org/core/retry"
@@ -51,6 +52,9 @@
 	LimitGrace time.Duration
 	// Rollout bounds the roll-outs of new releases. With a share of zero there are none.
 	Rollout rollout.Limits
+	// Links is what the links to other data centres cost; zero leaves placement as it is. Its
+	// delay counts until one is measured.
+	Links locality.Link
 	// ParseCatalog parses the text of a catalog.
 	ParseCatalog func(text []byte) (*catalog.Catalog, error)
 	// ParseEntry parses the text of an upstream's entry.
--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -13,6 +13,7 @@
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/catalog"
 	"camphorpulley.org/core/fleet"
+	"camphorpulley.org/core/locality"
 	"camphorpulley.org/core/retry"
 	"camphorpulley.org/core/roster"
 )
@@ -47,8 +48,12 @@
 	// copies counts the snapshots that each router has sent and that aren't empty.
 	copies   map[string]int
 	requests map[string]*sentRequest
-	slack    float64
 	rollout  rolloutStore
+	// paceMessages counts the messages about hosts that routers have begun to spread.
+	paceMessages int
+	slack        float64
+	// links is what the links between data centres cost for routers that start later.
+	links locality.Link
 }
 
 type simulationKey struct{}
@@ -117,6 +122,15 @@
 		"region":               cmdRegion,
 		"run":                  cmdRun,
 		"report":               cmdReport,
+		"links":                cmdLinks,
+		"count-at":             cmdCountAt,
+		"pace":                 cmdPace,
+		"finish-at":            cmdFinishAt,
+		"not-at":               cmdNotAt,
+		"at-least":             cmdAtLeast,
+		"pace-known":           cmdPaceKnown,
+		"pace-messages":        cmdPaceMessages,
+		"tell-pace":            cmdTellPace,
 		"freeze":               cmdFreeze,
 		"thaw":                 cmdThaw,
 		"request-snapshot":     cmdRequestSnapshot,
@@ -200,7 +214,7 @@
 func cmdRouter(_ *testscript.TestScript, sim *simulation, a []string) {
 	f := fleet.New(sim.now, fleet.Settings{
 		ID: core.RouterID(a[0]), DataCentre: core.DataCentre(a[1]), Address: a[0], Detour: "detour-" + a[0], MaxLoadFactor: 2,
-		Regions: sim.regions, Drain: 2 * time.Second, Evacuation: 5 * time.Second, Incarnation: core.Incarnation(sim.now.UnixMilli()),
+		Regions: sim.regions, Links: sim.links, Drain: 2 * time.Second, Evacuation: 5 * time.Second, Incarnation: core.Incarnation(sim.now.UnixMilli()),
 		Retry: retry.Limits{Ratio: 0.2, Slack: sim.slack, Window: 10 * time.Second}, Rollout: sim.rollout.limits,
 		ParseCatalog: func(text []byte) (*catalog.Catalog, error) {
 			c := sim.catalog
--- a/core/fleet/upstream_state.go
+++ b/core/fleet/upstream_state.go
@@ -8,6 +8,8 @@
 	"camphorpulley.org/core/health"
 	"camphorpulley.org/core/lineage"
 	"camphorpulley.org/core/load"
+	"camphorpulley.org/core/locality"
+	"camphorpulley.org/core/pace"
 	"camphorpulley.org/core/quota"
 	"camphorpulley.org/core/ratelimit"
 	"camphorpulley.org/core/statement"
@@ -46,6 +48,8 @@
 	allotment allotment
 	bucket    quota.Bucket
 	purse     quota.Purse
+	// pace is what is known of the pace of the upstream's host.
+	pace pace.Record
 }
 
 // livenessWindow is how recently an upstream must have sent data to count as running
@@ -90,6 +94,18 @@
 	demand demand.Keys
 	// refusals holds by pool the times of requests that were refused because of limits.
 	refusals map[core.Pool]*ratelimit.Window
+	// paceStated is true once any upstream has stated the pace of its host.
+	paceStated bool
+	// untold holds the upstreams whose pace other routers are to be told.
+	untold []core.UpstreamID
+	// bases holds by route what is known of the time until answers begin, runs the recent
+	// runs at applications.
+	bases map[string]*pace.Base
+	runs  map[string]*pace.Runs
+	// answerBytes holds by route the mean size of answers, linkDelays the measured delays to
+	// other data centres.
+	answerBytes map[string]*load.Mean
+	linkDelays  map[core.DataCentre]*locality.Delay
 }
 
 // refusalsOf returns the refusals of a pool, creating them on first use.
--- a/lab/fleet/request.go
+++ b/lab/fleet/request.go
@@ -16,6 +16,9 @@
 	var arrive func(time.Time)
 	arrive = func(now time.Time) {
 		dc := sim.random.IntN(sim.scenario.Fleet.DataCentres)
+		if l.Tilt > 0 && sim.random.Float64() < l.Tilt {
+			dc = 0
+		}
 		for range clump {
 			sim.events.add(now.Add(time.Duration(sim.random.Int64N(int64(clumpSpread)))), func(at time.Time) { sim.arrive(at, l, dc) })
 		}
@@ -39,6 +42,8 @@
 	router *router
 	tried  []core.UpstreamID
 	target fleet.Target
+	// arrivedAt is when its router got it.
+	arrivedAt time.Time
 }
 
 // arrive sends a request to a router of a data centre, or of the next one with a
@@ -60,7 +65,7 @@
 		return
 	}
 	sim.countRequest(admitted.Pool.Name)
-	sim.try(now, &request{Request: admitted, load: l, router: r})
+	sim.try(now, &request{Request: admitted, load: l, router: r, arrivedAt: now})
 }
 
 // pickRouter returns a running router of a data centre, or of another one; nil if none
@@ -118,7 +123,11 @@
 	u := sim.upstreams[r.target.ID]
 	sim.countExposed(now, u)
 	there := sim.delay(r.router.member.DataCentre, u.entry.DataCentre)
+	r.router.fleet.RecordConnect(now, r.target, 2*there)
 	if sim.measuring() {
+		if r.router.fleet.Crosses(r.target) != "" {
+			sim.figures.crossed++
+		}
 		sim.figures.underestimated = append(sim.figures.underestimated, u.busy()-r.target.Load)
 	}
 	sent := r.router.out.transfer(now, r.load.Body, sim.scenario.Fleet.Link)
@@ -163,7 +172,9 @@
 		sim.countRead(r, missing, known)
 	}
 	report := u.report()
-	sim.respond(now.Add(reading+back), r, func(at time.Time) {
+	begins := u.endOf(now, reading+r.load.First)
+	u.statePace(begins, report)
+	sim.respond(begins.Add(back), r, func(at time.Time) {
 		if r.router.stopped {
 			return
 		}
@@ -173,7 +184,11 @@
 		}
 		sim.answerLimit(at, r, u)
 		r.router.fleet.RecordPrefill(at, r.Request, r.target)
+		if r.Pool.Engine != nil {
+			sim.countAnswer(at, r)
+		}
 		if report != nil {
+			sim.tellPaces(at, r.router, r.router.fleet.RecordPace(at, r.target, *report))
 			if full := r.router.fleet.RecordLoad(at, r.target, *report); full != nil {
 				for _, e := range r.router.fleet.Spread(at, *full) {
 					sim.post(r.router, e.To, e.Message)
@@ -182,11 +197,12 @@
 		}
 	})
 	slow, outcome := sim.spoil(now, u)
-	total := reading + time.Duration(slow*float64(u.runTime(sim.random, r.load.Time)))
-	sim.events.add(now.Add(total), func(at time.Time) {
+	ends := u.endOf(begins, time.Duration(slow*float64(u.runTime(sim.random, r.load.Time))))
+	sim.events.add(ends, func(at time.Time) {
 		u.finish(at)
 		sim.respond(at.Add(back), r, func(at time.Time) {
-			if u.pool.Prefill == 0 {
+			if r.Pool.Engine == nil {
+				sim.countAnswer(at, r)
 				r.target.Rollout.MarkFirstByte(at)
 			}
 			sim.finish(at, r, outcome)
@@ -213,6 +229,9 @@
 	if !r.router.stopped {
 		r.router.fleet.FinishAttempt(now, r.target, o, nil)
 	}
+	if !r.router.stopped && o == health.Good {
+		sim.tellPaces(now, r.router, r.router.fleet.RecordRun(now, r.target, nil))
+	}
 }
 
 // anyHas reports whether an engine of a pool has all of the parts in its cache.
--- a/lab/fleet/scenario.go
+++ b/lab/fleet/scenario.go
@@ -27,6 +27,10 @@
 	// Link is what a router's link carries in each direction, in megabits per second; zero
 	// means that nothing waits for it.
 	Link float64 `ini:"link" validate:"min=0"`
+	// LinkDelay and Price are the routers' settings of what the links between data centres cost: the
+	// delay, and milliseconds for a kilobyte.
+	LinkDelay time.Duration `ini:"linkdelay" validate:"min=0"`
+	Price     float64       `ini:"price" validate:"min=0"`
 }
 
 // RunSection sets the random seed and the simulated time. Nothing is measured during
@@ -59,6 +63,24 @@
 	Limited   float64       `ini:"limited" validate:"min=0,max=1"`
 	Limit     float64       `ini:"limit" validate:"min=0"`
 	LimitFrom time.Duration `ini:"limitfrom" validate:"min=0"`
+	// Uneven is the share of the hosts that are slow at any time, Spell for how long at a time
+	// on average, and Slowness how many times longer work then takes. States is true if load
+	// reports state that.
+	Uneven   float64       `ini:"uneven" validate:"min=0,lt=1"`
+	Spell    time.Duration `ini:"spell" validate:"required_with=Uneven"`
+	Slowness float64       `ini:"slowness" validate:"required_with=Uneven"`
+	States   bool          `ini:"states"`
+}
+
+// defaultObjective is the objective of routes that set none.
+const defaultObjective = 400 * time.Millisecond
+
+// objective returns the objective of the load's route.
+func (l LoadSection) objective() time.Duration {
+	if l.Objective == 0 {
+		return defaultObjective
+	}
+	return l.Objective
 }
 
 // LoadSection describes requests of one kind.
@@ -71,10 +93,17 @@
 	// Rate is the number of requests per second, which arrive in groups of Clump.
 	Rate  float64 `ini:"rate" validate:"gt=0"`
 	Clump int     `ini:"clump" validate:"min=0"`
+	// Tilt is the share of the requests that arrive in the first data centre, beside its part of
+	// the others.
+	Tilt float64 `ini:"tilt" validate:"min=0,max=1"`
 	// Body is the size of a request in bytes.
 	Body int `ini:"body" validate:"min=0"`
 	// Time is the mean run time without other requests beside it.
 	Time time.Duration `ini:"time" validate:"gt=0"`
+	// First is the time until the first event without reading, Objective the route's objective
+	// of that time; zero means defaultObjective.
+	First     time.Duration `ini:"first" validate:"min=0"`
+	Objective time.Duration `ini:"objective" validate:"min=0"`
 	// Prompts is the number of prompts; each has Tokens tokens that requests share.
 	Prompts int `ini:"prompts" validate:"min=0"`
 	Tokens  int `ini:"tokens" validate:"min=0"`
@@ -131,6 +160,11 @@
 	// of those that may wait at an upstream longer than their mean run time.
 	Declined float64 `ini:"declined" validate:"min=0,max=1"`
 	Waiting  float64 `ini:"waiting" validate:"min=0,max=1"`
+	// Late is the largest share of answers that may begin later than the route's objective, or
+	// end later if the upstreams aren't engines.
+	Late float64 `ini:"late" validate:"min=0,max=1"`
+	// Crossed is the largest share of attempts that may go to other data centres.
+	Crossed float64 `ini:"crossed" validate:"min=0,max=1"`
 	// Refused is the largest share of requests that routers may refuse.
 	Refused float64 `ini:"refused" validate:"min=0,max=1"`
 	// Excess is the highest number of requests that a limited upstream may get in four
@@ -149,10 +183,10 @@
 	Delay   time.Duration `ini:"delay" validate:"min=0"`
 	Applied time.Duration `ini:"applied" validate:"min=0"`
 	// Exposure is the highest number of attempts at a new release on trial as a fraction of
-	// what is permitted, Late how long after its 50th bad answer a bad one may get requests, and
+	// what is permitted, After how long after its 50th bad answer a bad one may get requests, and
 	// Left how many requests old upstreams may have when a roll-out is completed.
 	Exposure float64       `ini:"exposure" validate:"min=0"`
-	Late     time.Duration `ini:"late" validate:"min=0"`
+	After    time.Duration `ini:"after" validate:"min=0"`
 	Left     float64       `ini:"left" validate:"min=0"`
 	// Told is the mean number of bytes a second that a router may send in messages about a
 	// roll-out.
--- a/lab/fleet/simulation.go
+++ b/lab/fleet/simulation.go
@@ -9,6 +9,7 @@
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/catalog"
 	"camphorpulley.org/core/fleet"
+	"camphorpulley.org/core/locality"
 	"camphorpulley.org/core/retry"
 	"camphorpulley.org/core/roster"
 )
@@ -111,6 +112,7 @@
 				ID: id, Pool: pool.Name, Address: string(id) + ":8000", DataCentre: dataCentre(i % sim.scenario.Fleet.DataCentres), Slots: p.Slots, StartedMS: 1,
 			}}
 			u.entry.Source = []byte(id)
+			u.spells = p.spells(sim.random, start.Add(sim.scenario.Run.Warmup+sim.scenario.Run.Time))
 			if float64(i) < p.Limited*float64(p.Upstreams) {
 				u.limit = &limit{perSecond: p.Limit}
 			}
@@ -120,7 +122,7 @@
 	kinds := map[string]catalog.Kind{"once": catalog.AtMostOnce, "safe": catalog.Idempotent, "stream": catalog.Stream}
 	for _, l := range sim.scenario.Loads {
 		c.Routes = append(c.Routes, catalog.Route{
-			Name: l.Name, Host: l.Name, Prefix: "/", Kind: kinds[l.Kind], Timeout: 10 * time.Second, LatencyObjective: 400 * time.Millisecond,
+			Name: l.Name, Host: l.Name, Prefix: "/", Kind: kinds[l.Kind], Timeout: 10 * time.Second, LatencyObjective: l.objective(),
 			MaxRuns: 2, Deterministic: l.Resume, Public: true, Pools: []catalog.PoolWeight{{Pool: core.Pool(l.Pool), Weight: 1}},
 		})
 	}
@@ -137,6 +139,7 @@
 		ID: r.member.ID, Address: r.member.Address, DataCentre: r.member.DataCentre, Incarnation: r.member.Incarnation,
 		Retry: retry.Limits{Ratio: 0.2, Slack: 600, Window: 10 * time.Second}, MaxLoadFactor: 2, Drain: 4 * time.Second, Evacuation: 5 * time.Second, LimitGrace: limitGrace,
 		Rollout:      sim.rolloutLimits(),
+		Links:        locality.Link{Delay: sim.scenario.Fleet.LinkDelay, Price: sim.scenario.Fleet.Price},
 		ParseCatalog: sim.parseCatalog,
 		ParseEntry: func(id core.UpstreamID, _ []byte) (roster.Entry, error) {
 			return sim.upstreams[id].entry, nil
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -34,6 +34,9 @@
 	Send func(fleet.Envelope)
 	// buffered is the size of the bodies that are held, in bytes.
 	buffered atomic.Int64
+	// loadRefusedAt is when a refused figure of a load report was last logged, in nanoseconds
+	// since the Unix epoch.
+	loadRefusedAt atomic.Int64
 	// quotaWaiters holds by upstream the requests that wait for quota.
 	quotaWaiters waiters[core.UpstreamID]
 	// originReplies holds by stream the requests that wait for where it began.
@@ -50,6 +53,9 @@
 	// LoadUnderestimate records by how many requests the load that an upstream reports
 	// exceeds the one that the router believed when it chose the upstream.
 	LoadUnderestimate(pool core.Pool, requests int)
+	// Crossed counts an attempt in another data centre and the bytes of its request and answer
+	// by why it went there.
+	Crossed(pool core.Pool, why string, bytes int)
 }
 
 // IncompleteResponseError reports a response that has been sent to the caller in
@@ -224,6 +230,9 @@
 	err := a.protectedRun()
 	now := time.Now()
 	ejected := f.Fleet.FinishAttempt(now, target, a.outcome, a.headers.Load)
+	if a.helper == "" {
+		a.recordRun(now)
+	}
 	f.Metrics.Ended(s.Pool.Name, a.outcome.String())
 	if a.reported != nil && a.helper == "" {
 		f.Metrics.LoadUnderestimate(s.Pool.Name, a.reported.Total()-target.Load-1)
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -170,6 +170,7 @@
 	if !a.streamStarted {
 		a.sendHeader(resp)
 	}
+	a.answerBytes += len(e.raw)
 	if err := a.writer.Write(e.raw); err != nil {
 		return &CallerWriteError{Cause: err}
 	}
--- a/router/wire/fleet.go
+++ b/router/wire/fleet.go
@@ -31,6 +31,7 @@
 	OriginReply     *fleetOriginReply     `cbor:"15,keyasint,omitempty"`
 	RolloutState    *fleetRolloutState    `cbor:"16,keyasint,omitempty"`
 	RolloutSamples  *fleetRolloutSamples  `cbor:"17,keyasint,omitempty"`
+	HostPaces       []fleetHostPace       `cbor:"23,keyasint,omitempty"`
 }
 
 type fleetEvidence struct {
@@ -162,7 +163,7 @@
 // EncodeFleetMessage encodes a message of package fleet.
 func EncodeFleetMessage(m fleet.Message) ([]byte, error) {
 	w := fleetMessage{SentMS: m.SentMS, Handshake: (*fleetMember)(m.Handshake), SnapshotRequest: (*fleetSnapshotRequest)(m.SnapshotRequest), FullUpstream: (*fleetFullUpstream)(m.FullUpstream)}
-	w.Statements = encodeStatements(m.Statements)
+	w.Statements, w.HostPaces = encodeStatements(m.Statements), encodeHostPaces(m.HostPaces)
 	w.StreamRecords, w.OriginRequest, w.OriginReply = encodeStreamRecords(m.StreamRecords), (*fleetOriginRequest)(m.OriginRequest), encodeOriginReply(m.OriginReply)
 	w.RolloutState, w.RolloutSamples = encodeRolloutState(m.RolloutState), encodeRolloutSamples(m.RolloutSamples)
 	if q := m.QuotaRequest; q != nil {
@@ -233,7 +234,7 @@
 		return fleet.Message{}, err
 	}
 	m := fleet.Message{SentMS: w.SentMS, Handshake: (*fleet.Member)(w.Handshake), SnapshotRequest: (*fleet.SnapshotRequest)(w.SnapshotRequest), FullUpstream: (*fleet.FullUpstream)(w.FullUpstream)}
-	m.Statements = decodeStatements(w.Statements)
+	m.Statements, m.HostPaces = decodeStatements(w.Statements), decodeHostPaces(w.HostPaces)
 	m.StreamRecords, m.OriginRequest, m.OriginReply = decodeStreamRecords(w.StreamRecords), (*fleet.OriginRequest)(w.OriginRequest), decodeOriginReply(w.OriginReply)
 	m.RolloutState, m.RolloutSamples = decodeRolloutState(w.RolloutState), decodeRolloutSamples(w.RolloutSamples)
 	if q := w.QuotaRequest; q != nil {
