Decide who gets the scarce slots of a pool

Counts of other routers are older than a request of 30 ms runs, so that upstreams of few slots reject requests while others have places. Package dispatch grants the slots of a pool by the earliest expected end, queues what finds none, refuses at once what can't end in time and spreads the returns of refused callers. Nothing uses it yet.

--- /dev/null
+++ b/core/dispatch/dispatch.go
@@ -0,0 +1,337 @@
+// Package dispatch decides which requests get the slots of a pool of applications that has
+// fewer slots than there are routers. One router, the dispatcher, holds a Dispatcher for the
+// pool and grants the slots to the requests of all routers. The package has no sockets, clocks
+// or goroutines: the time is an argument, and what follows for other requests is returned.
+package dispatch
+
+import (
+	"time"
+
+	"camphorpulley.org/core"
+)
+
+// Key identifies a request: the router that has it and a number that the router gives to no
+// other one.
+type Key struct {
+	Router core.RouterID
+	Number uint64
+}
+
+// Request asks for a slot.
+type Request struct {
+	Key
+	// Rank is the priority; zero goes first.
+	Rank       int
+	Account    core.Account
+	DataCentre core.DataCentre
+	// Objective is when the answer should be there; zero if there is no objective. Deadline is
+	// when the caller gives up.
+	Objective, Deadline time.Time
+	// Excluded are the upstreams that must not get the request: it has been there, or its
+	// router can't use them.
+	Excluded []core.UpstreamID
+	// Runs is how often upstreams may have run the request.
+	Runs int
+}
+
+// Upstream is an upstream of the pool that may get work.
+type Upstream struct {
+	ID         core.UpstreamID
+	DataCentre core.DataCentre
+	Slots      int
+	// Running is the number of requests there as the routers count them. It counts when the
+	// upstream is first seen.
+	Running int
+	// Cold is true while the upstream keeps to Limits.ColdRate.
+	Cold bool
+}
+
+// Limits bound what a Dispatcher grants.
+type Limits struct {
+	// Share is the fraction of the slots that it may grant; the dispatchers of other parts of a
+	// partition grant the rest. At each upstream it may grant one at least.
+	Share float64
+	// LoadFactor is the highest load of an upstream as a multiple of the mean of the pool.
+	LoadFactor float64
+	// ColdRate is the number of requests per second to a cold upstream; zero sets no bound.
+	ColdRate float64
+}
+
+// Kind is what was decided on a request.
+type Kind int
+
+// The kinds of decisions.
+const (
+	// Granted requests go to an upstream at once.
+	Granted Kind = iota + 1
+	// Queued requests are decided on later.
+	Queued
+	// Refused requests can't end in time.
+	Refused
+)
+
+// Decision is what was decided on a request.
+type Decision struct {
+	Key
+	Kind Kind
+	// Upstream is the one whose slot was granted.
+	Upstream core.UpstreamID
+	// After is the longest time until the next decision on a queued request, or the time after
+	// which the caller of a refused one may return.
+	After time.Duration
+}
+
+// Outcome is how a granted slot was used.
+type Outcome int
+
+// The outcomes. Unused is also that of a request that no longer waits for a slot.
+const (
+	Unused Outcome = iota
+	// Answered requests have a complete answer.
+	Answered
+	// Rejected requests were turned away by a full upstream.
+	Rejected
+	// Unreached requests found no connection to the upstream.
+	Unreached
+	// Lost requests have failed or were given up after they were sent.
+	Lost
+)
+
+const (
+	// firstRunTime is the run time that is assumed until one is known.
+	firstRunTime = 50 * time.Millisecond
+	// minLease and leaseRuns bound how long a slot that isn't returned counts as taken: a few
+	// run times of a slow host, since the answers of a router that has died never come.
+	minLease  = time.Second
+	leaseRuns = 20
+	// maxGrants and maxQueued bound the memory of a pool, in requests.
+	maxGrants = 4096
+	maxQueued = 512
+	// maxPassed is how many requests that can't use the free slots are passed over for others at
+	// a time.
+	maxPassed = 16
+	// beyondSlots is how many requests beyond its slots an upstream may have, so that a slot
+	// that becomes free doesn't wait for two messages.
+	beyondSlots = 1
+)
+
+// grant is a slot that is taken. Those that were found at an upstream have no router.
+type grant struct {
+	host *host
+	at   time.Time
+	// lease is until when the slot counts as taken. waits is true if the request was one beyond
+	// the slots, so that the time that it takes says little of the upstream's pace.
+	lease time.Time
+	waits bool
+}
+
+// Dispatcher grants the slots of one pool. The zero value has no upstreams.
+type Dispatcher struct {
+	limits Limits
+	hosts  []*host
+	grants map[Key]grant
+	queue  []queued
+	floors floors
+	// returns holds when refused callers return, in ascending order.
+	returns []time.Time
+	// usual is the run time that is usual in the pool; zero until one is known.
+	usual time.Duration
+	// found numbers the grants without a router, asked the requests that have asked.
+	found, asked uint64
+}
+
+// usualWeight is the weight of a run time in the usual one of the pool.
+const usualWeight = 0.02
+
+// usualRun returns the usual run time.
+func (d *Dispatcher) usualRun() time.Duration {
+	if d.usual <= 0 {
+		return firstRunTime
+	}
+	return d.usual
+}
+
+// Update sets the limits and the upstreams that may get work. Slots at an upstream that leaves
+// stay taken until they are returned.
+func (d *Dispatcher) Update(now time.Time, l Limits, all []Upstream) {
+	d.limits = l
+	known := map[core.UpstreamID]*host{}
+	for _, h := range d.hosts {
+		known[h.ID] = h
+	}
+	d.hosts = d.hosts[:0]
+	for _, u := range all {
+		h := known[u.ID]
+		if h == nil {
+			h = &host{}
+			d.takeFound(now, h, u.Running)
+		}
+		h.Upstream = u
+		d.hosts = append(d.hosts, h)
+	}
+}
+
+// takeFound counts requests that an upstream had before this dispatcher granted any. They end
+// about one run time later.
+func (d *Dispatcher) takeFound(now time.Time, h *host, count int) {
+	for range min(max(count, 0), maxGrants-len(d.grants)) {
+		d.found++
+		d.take(Key{Number: d.found}, grant{host: h, at: now, lease: now.Add(d.usualRun())})
+	}
+}
+
+func (d *Dispatcher) take(k Key, g grant) {
+	if d.grants == nil {
+		d.grants = map[Key]grant{}
+	}
+	d.grants[k] = g
+	g.host.add(g.at)
+}
+
+func (d *Dispatcher) drop(k Key) (grant, bool) {
+	g, ok := d.grants[k]
+	if ok {
+		delete(d.grants, k)
+		g.host.remove(g.at)
+	}
+	return g, ok
+}
+
+// Ask decides on a request, and on others that have become due. The decision on the request
+// itself is the last one. A request that has a slot already gets that again.
+func (d *Dispatcher) Ask(now time.Time, r Request) []Decision {
+	all := d.Expire(now)
+	if g, ok := d.grants[r.Key]; ok {
+		return append(all, Decision{Key: r.Key, Kind: Granted, Upstream: g.host.ID})
+	}
+	d.removeQueued(r.Key)
+	if len(d.queue) >= maxQueued || len(d.grants) >= maxGrants {
+		return append(all, d.refuse(now, r))
+	}
+	d.floors.wait(r, d.queue)
+	d.asked++
+	q := queued{Request: r, at: now, serial: d.asked, latest: d.latestEnd(now, r)}
+	ahead := d.ahead(q)
+	d.queue = append(d.queue, q)
+	all = append(all, d.assign(now)...)
+	if d.queuedAt(r.Key) < 0 {
+		return moveLast(all, r.Key)
+	}
+	if d.expectedEnd(now, ahead).After(q.latest) {
+		d.removeQueued(r.Key)
+		return append(all, d.refuse(now, r))
+	}
+	return append(all, Decision{Key: r.Key, Kind: Queued, After: max(d.latestStart(q).Sub(now), time.Millisecond)})
+}
+
+// moveLast moves the decision on a request to the end.
+func moveLast(all []Decision, k Key) []Decision {
+	for i, decision := range all {
+		if decision.Key == k {
+			return append(append(all[:i:i], all[i+1:]...), decision)
+		}
+	}
+	return all
+}
+
+// Return ends a slot, or the wait of a request for one, and decides on those that wait. Ran is
+// the time from the sending of the request to the end of its answer.
+func (d *Dispatcher) Return(now time.Time, k Key, o Outcome, ran time.Duration) []Decision {
+	d.removeQueued(k)
+	if g, ok := d.drop(k); ok {
+		d.observe(now, g, o, ran)
+	}
+	return append(d.Expire(now), d.assign(now)...)
+}
+
+// observe records how a slot was used.
+func (d *Dispatcher) observe(now time.Time, g grant, o Outcome, ran time.Duration) {
+	h := g.host
+	switch o {
+	case Answered:
+		h.failures, h.pausedUntil = 0, time.Time{}
+		if ran = max(ran, 0); g.waits {
+			return
+		}
+		if d.usual <= 0 {
+			d.usual = ran
+		}
+		d.usual += time.Duration(usualWeight * float64(ran-d.usual))
+		h.answered(now, ran)
+	case Rejected:
+		h.pauseUntil(now.Add(d.pace(now, h)))
+	case Unreached:
+		if h.failures++; h.failures >= minFailures {
+			h.pauseUntil(now.Add(failurePause))
+		}
+	case Unused, Lost:
+	}
+}
+
+// Expire ends leases that are over, and refuses the requests that wait in vain.
+func (d *Dispatcher) Expire(now time.Time) []Decision {
+	for k, g := range d.grants {
+		if !now.Before(g.lease) {
+			d.drop(k)
+		}
+	}
+	all := d.assign(now)
+	for _, q := range append([]queued(nil), d.queue...) {
+		if !now.Before(d.latestStart(q)) {
+			d.removeQueued(q.Key)
+			all = append(all, d.refuse(now, q.Request))
+		}
+	}
+	return all
+}
+
+// Waiting returns the number of requests that wait for a slot.
+func (d *Dispatcher) Waiting() int { return len(d.queue) }
+
+// assign grants free slots to the requests that wait, in their order.
+func (d *Dispatcher) assign(now time.Time) []Decision {
+	var all []Decision
+	passed := 0
+	for passed < min(len(d.queue), maxPassed) && d.anyRoom() {
+		i := d.nextQueued(passed)
+		q := d.queue[i]
+		h := d.bestHost(now, q)
+		if h == nil {
+			// Only upstreams that it must not get may have room.
+			d.queue[passed], d.queue[i] = d.queue[i], d.queue[passed]
+			passed++
+			continue
+		}
+		d.queue = append(d.queue[:i], d.queue[i+1:]...)
+		d.floors.granted(q.Request)
+		d.take(q.Key, grant{host: h, at: now, lease: d.leaseEnd(now, q.Request), waits: len(h.starts) >= h.Slots})
+		h.countCold(now)
+		all = append(all, Decision{Key: q.Key, Kind: Granted, Upstream: h.ID})
+	}
+	return all
+}
+
+// leaseEnd returns until when a slot counts as taken if it isn't returned.
+func (d *Dispatcher) leaseEnd(now time.Time, r Request) time.Time {
+	end := now.Add(max(leaseRuns*d.usualRun(), minLease))
+	if !r.Deadline.IsZero() && r.Deadline.Before(end) {
+		// The answer may be on its way when the caller gives up.
+		return r.Deadline.Add(d.usualRun())
+	}
+	return end
+}
+
+// Status is the state of a pool's slots.
+type Status struct {
+	// Slots is the number of slots that may be granted, Taken that of those that are.
+	Slots, Taken, Waiting int
+}
+
+// Status returns the state of the pool.
+func (d *Dispatcher) Status() Status {
+	s := Status{Taken: len(d.grants), Waiting: len(d.queue)}
+	for _, h := range d.hosts {
+		s.Slots += d.slots(h)
+	}
+	return s
+}
