Let one router grant the slots of scarce applications

A router of a pool with fewer slots than routers asks the pool's dispatcher, the first reachable router by rendezvous, before each attempt, and returns the slot with the run time. It falls back to its own choice after 30 ms without an answer. The messages have new keys, which older builds ignore and leave unanswered.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -32,6 +32,9 @@
 	Excluded []core.UpstreamID
 	// Runs is how often upstreams may have run the request.
 	Runs int
+	// Stream is true if the answer is a stream: the slot may be taken until the deadline, and the
+	// time says nothing of the upstream's pace.
+	Stream bool
 }
 
 // Upstream is an upstream of the pool that may get work.
@@ -119,10 +122,10 @@
 type grant struct {
 	host *host
 	at   time.Time
-	// lease is until when the slot counts as taken. waits is true if the request was one beyond
-	// the slots, so that the time that it takes says little of the upstream's pace.
-	lease time.Time
-	waits bool
+	// lease is until when the slot counts as taken. unpaced is true if the time that the request
+	// takes says little of the upstream's pace: it is a stream, or one beyond the slots.
+	lease   time.Time
+	unpaced bool
 }
 
 // Dispatcher grants the slots of one pool. The zero value has no upstreams.
@@ -250,7 +253,7 @@
 	switch o {
 	case Answered:
 		h.failures, h.pausedUntil = 0, time.Time{}
-		if ran = max(ran, 0); g.waits {
+		if ran = max(ran, 0); g.unpaced {
 			return
 		}
 		if d.usual <= 0 {
@@ -264,7 +267,12 @@
 		if h.failures++; h.failures >= minFailures {
 			h.pauseUntil(now.Add(failurePause))
 		}
-	case Unused, Lost:
+	case Lost:
+		// One that was given up late shows a slow host as well as its answer would have.
+		if !g.unpaced && ran > d.usualRun() {
+			h.answered(now, ran)
+		}
+	case Unused:
 	}
 }
 
@@ -304,7 +312,7 @@
 		}
 		d.queue = append(d.queue[:i], d.queue[i+1:]...)
 		d.floors.granted(q.Request)
-		d.take(q.Key, grant{host: h, at: now, lease: d.leaseEnd(now, q.Request), waits: len(h.starts) >= h.Slots})
+		d.take(q.Key, grant{host: h, at: now, lease: d.leaseEnd(now, q.Request), unpaced: q.Stream || len(h.starts) >= h.Slots})
 		h.countCold(now)
 		all = append(all, Decision{Key: q.Key, Kind: Granted, Upstream: h.ID})
 	}
@@ -314,7 +322,7 @@
 // leaseEnd returns until when a slot counts as taken if it isn't returned.
 func (d *Dispatcher) leaseEnd(now time.Time, r Request) time.Time {
 	end := now.Add(max(leaseRuns*d.usualRun(), minLease))
-	if !r.Deadline.IsZero() && r.Deadline.Before(end) {
+	if !r.Deadline.IsZero() && (r.Stream || r.Deadline.Before(end)) {
 		// The answer may be on its way when the caller gives up.
 		return r.Deadline.Add(d.usualRun())
 	}
--- a/core/dispatch/host.go
+++ b/core/dispatch/host.go
@@ -93,18 +93,25 @@
 	return time.Duration(sum / (priorRuns + kept*h.count) * float64(time.Second))
 }
 
+// allShare is the share of the slots from which on it counts as all of them: a router that has just
+// died still counts among those that may exist.
+const allShare = 0.9
+
+// divided reports whether other dispatchers may grant a part of the slots.
+func (d *Dispatcher) divided() bool { return d.limits.Share > 0 && d.limits.Share < allShare }
+
 // slots returns the number of slots of an upstream that may be granted.
 func (d *Dispatcher) slots(h *host) int {
-	if d.limits.Share <= 0 || d.limits.Share >= 1 {
+	if !d.divided() {
 		return h.Slots
 	}
 	return max(int(d.limits.Share*float64(h.Slots)+0.5), 1)
 }
 
-// room returns the number of requests that an upstream may have at a time.
+// room returns the number of requests that an upstream may have at a time. What several dispatchers
+// grant together may be one more than the slots already.
 func (d *Dispatcher) room(h *host) int {
-	if d.limits.Share > 0 && d.limits.Share < 1 {
-		// What the other dispatchers grant together may be one more already.
+	if d.divided() {
 		return d.slots(h)
 	}
 	return h.Slots + beyondSlots
--- a/core/fleet/admit.go
+++ b/core/fleet/admit.go
@@ -69,6 +69,12 @@
 	CatalogVersion uint64
 	// Asks is how often the request has asked for quota.
 	Asks int
+	// Arrived is when the router got the request.
+	Arrived time.Time
+	// Slot is what the request has learned of the slot for its next attempt.
+	Slot SlotAnswer
+	// RunsBefore is how often upstreams may have run the request before the next attempt.
+	RunsBefore int
 }
 
 // Priority returns the priority of the account, or else of the route; zero is the
@@ -98,6 +104,7 @@
 	codeNoRelease     = "stream_release_gone"
 	codeCutOff        = "cut_off"
 	codeBrittle       = "upstreams_brittle"
+	codeNoSlot        = "no_slot"
 )
 
 // Admit authenticates a request, selects its route and pool, sets its deadline and
@@ -113,7 +120,7 @@
 	if !ok {
 		return Request{}, notRunRefusal(http.StatusNotFound, codeNoRoute, "no route has this host and path")
 	}
-	r := Request{ID: a.ID, Route: route, Content: a.Content, CatalogVersion: c.Version, Resumes: a.Resumes, Resuming: a.Resuming, Relayed: a.Relayed}
+	r := Request{ID: a.ID, Route: route, Content: a.Content, CatalogVersion: c.Version, Resumes: a.Resumes, Resuming: a.Resuming, Relayed: a.Relayed, Arrived: now}
 	if c.Keys != nil && !route.Public {
 		if r.Account, ok = c.Keys[a.APIKey]; !ok {
 			return r, notRunRefusal(http.StatusUnauthorized, codeBadKey, "the API key is not known")
--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -35,6 +35,10 @@
 	// before it sends a request there. The target isn't an attempt then: the request is
 	// to choose again once a response has come, or has not.
 	Ask *Envelope
+	// Slot is the slot that the attempt takes, if a dispatcher grants those of the pool. SlotAsk is
+	// not nil if the request has to ask for one first; the target isn't an attempt then.
+	Slot    Slot
+	SlotAsk *SlotAsk
 }
 
 // processName returns a name that differs for each process of an upstream.
@@ -61,6 +65,9 @@
 	if len(eligible) == 0 {
 		return Target{}, noUpstream("no upstream of the pool is in service")
 	}
+	if t, refusal, decided := f.chooseSlot(now, r, eligible, pool, tried, held); decided {
+		return t, refusal
+	}
 	routers, rank, settled := f.membership(now)
 	cached := table.Read(f.parts, table.Hold{}, func(m *prefix.Map) []cachedTokens { return cachedTokensOf(now, m, eligible, r.SharedParts) })
 	peerAge, neighbours := f.countAge(now)
--- a/core/fleet/detour.go
+++ b/core/fleet/detour.go
@@ -235,5 +235,5 @@
 // ConcernsPool reports whether a refusal with the code says something of the pool rather
 // than of the router that refuses.
 func ConcernsPool(code string) bool {
-	return slices.Contains([]string{codeLimited, codeTurnedAway, codeBrittle, codeCrashes, codeDeadlyPart, codeOriginUnknown}, code)
+	return slices.Contains([]string{codeLimited, codeTurnedAway, codeBrittle, codeNoSlot, codeCrashes, codeDeadlyPart, codeOriginUnknown}, code)
 }
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -70,6 +70,7 @@
 	lineage  *table.Cell[lineage.Records]
 	digests  *table.Cell[digests]
 	budgets  *table.Cell[map[core.Pool]*retry.SharedBudget]
+	slots    *table.Cell[slots]
 }
 
 // catalogs is the table of the newest catalog and of its transfers between routers.
@@ -119,6 +120,7 @@
 		lineage:  table.New(table.RankLineage, lineage.Records{}),
 		digests:  table.New(table.RankDigests, digests{}),
 		budgets:  table.New(table.RankBudgets, map[core.Pool]*retry.SharedBudget{}),
+		slots:    table.New(table.RankSlots, slots{last: uint64(now.UnixMicro())}),
 	}
 }
 
--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -28,6 +28,9 @@
 	StreamRecords   []StreamRecord
 	OriginRequest   *OriginRequest
 	OriginReply     *OriginReply
+	SlotRequest     *SlotRequest
+	SlotGrant       *SlotGrant
+	SlotReturns     []SlotReturn
 }
 
 // Kind returns the name of the message's kind, for metrics; empty if it has no content.
@@ -61,6 +64,12 @@
 		return "origin_request"
 	case m.OriginReply != nil:
 		return "origin_reply"
+	case m.SlotRequest != nil:
+		return "slot_request"
+	case m.SlotGrant != nil:
+		return "slot_grant"
+	case len(m.SlotReturns) > 0:
+		return "slot_returns"
 	}
 	return ""
 }
@@ -82,6 +91,10 @@
 	// Origin is what another router knows of the beginning of a stream; nil if none has
 	// replied.
 	Origin *OriginReply
+	// SlotAnswers are those to this router's requests for slots.
+	SlotAnswers []SlotAnswer
+	// SlotsWaiting is true if requests wait for a slot that this router grants.
+	SlotsWaiting bool
 	// Version is that of the catalog that came into force; zero if none did.
 	Version uint64
 	// Errors are those of catalogs and entries that could not be parsed.
@@ -134,7 +147,7 @@
 	case m.PartEvidence != nil:
 		return Effects{PartChanges: f.mergeEvidence(now, m.PartEvidence.Parts), Forward: f.passOn(now, from, m)}
 	}
-	return Effects{}
+	return f.receiveSlots(now, from.ID, m, delayMS)
 }
 
 // versionAndAge returns the version of the catalog in force, zero if there is none, and the time
--- a/core/fleet/message_verbs_test.go
+++ b/core/fleet/message_verbs_test.go
@@ -103,9 +103,7 @@
 	if effects.Reply != nil {
 		sim.deliver(to, from, *effects.Reply)
 	}
-	for _, e := range effects.Forward {
-		sim.deliver(to, string(e.To), e.Message)
-	}
+	sim.applySlots(to, effects)
 }
 
 // spread sends a message of a router to all others, if there is one.
--- a/core/fleet/outcome.go
+++ b/core/fleet/outcome.go
@@ -44,6 +44,7 @@
 			s.reachability.RecordFailure(now, t.ID)
 		}
 	})
+	f.returnSlot(t.Slot, slotOutcome(o), now.Sub(t.ChosenAt))
 	return ejected
 }
 
--- a/core/fleet/quota.go
+++ b/core/fleet/quota.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"camphorpulley.org/core"
-	"camphorpulley.org/core/chat"
 	"camphorpulley.org/core/prefix"
 	"camphorpulley.org/core/quota"
 	"camphorpulley.org/core/statement"
@@ -126,14 +125,7 @@
 
 // firstRouter returns the first router by rendezvous for an upstream.
 func firstRouter(id core.UpstreamID, routers []core.RouterID) core.RouterID {
-	key := chat.Key("quota", string(id), nil)
-	first, best := core.RouterID(""), uint64(0)
-	for _, r := range routers {
-		if score := chat.Score(key, string(r)); first == "" || score > best {
-			first, best = r, score
-		}
-	}
-	return first
+	return firstFor("quota", string(id), routers)
 }
 
 // limited reports whether a candidate's process keeps to a limit.
--- a/core/fleet/request_verbs_test.go
+++ b/core/fleet/request_verbs_test.go
@@ -25,6 +25,8 @@
 	detours fleet.Detours
 	done    bool
 	sentAt  time.Time
+	// waiting is true while the request waits for a slot.
+	waiting bool
 }
 
 // send NAME ROUTER ROUTE [parts=ID:TOKENS,...] [content=N] [count=N]: sends requests
@@ -60,7 +62,13 @@
 // choose makes the next attempt of a request. A router that has to ask for quota gets the
 // response at once, or none if the allotter can't be reached.
 func (sim *simulation) choose(s *sentRequest) {
-	for sim.chooseOnce(s); s.refusal == nil && s.target.Ask != nil; sim.chooseOnce(s) {
+	for sim.chooseOnce(s); s.refusal == nil && (s.target.Ask != nil || s.target.SlotAsk != nil); sim.chooseOnce(s) {
+		if s.target.SlotAsk != nil {
+			if sim.askSlot(s); s.waiting {
+				return
+			}
+			continue
+		}
 		s.request.Asks++
 		from, to := string(s.router.Settings().ID), string(s.target.Ask.To)
 		if sim.disconnected[[2]string{from, to}] || sim.frozen[to] {
@@ -70,7 +78,8 @@
 		}
 		sim.deliver(from, to, s.target.Ask.Message)
 	}
-	s.sentAt = sim.now
+	s.sentAt, s.request.Slot = sim.now, fleet.SlotAnswer{}
+	sim.returnSlots(s.router)
 }
 
 // quotaTimeout is how long a router waits for an allotter.
@@ -132,6 +141,7 @@
 		s.detours.Unreached++
 	}
 	s.done = true
+	sim.returnSlots(s.router)
 }
 
 // sent-to NAME UPSTREAM...: checks that a request was sent to one of these upstreams.
--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -46,7 +46,9 @@
 	// copies counts the snapshots that each router has sent and that aren't empty.
 	copies   map[string]int
 	requests map[string]*sentRequest
-	slack    float64
+	// asking holds by router and number the requests that have asked for a slot.
+	asking map[string]*sentRequest
+	slack  float64
 }
 
 type simulationKey struct{}
@@ -61,7 +63,7 @@
 			env.Values[simulationKey{}] = &simulation{
 				now: start, routers: map[string]*fleet.Fleet{}, entries: map[core.UpstreamID]roster.Entry{},
 				pendingReads: map[string]uint64{}, regions: map[core.DataCentre]string{},
-				disconnected: map[[2]string]bool{}, delayed: map[[2]string]bool{}, frozen: map[string]bool{}, copies: map[string]int{}, requests: map[string]*sentRequest{}, slack: 56, era: 1,
+				disconnected: map[[2]string]bool{}, delayed: map[[2]string]bool{}, frozen: map[string]bool{}, copies: map[string]int{}, requests: map[string]*sentRequest{}, asking: map[string]*sentRequest{}, slack: 56, era: 1,
 				catalog: catalog.Catalog{Pools: map[core.Pool]catalog.Pool{}},
 			}
 			return nil
@@ -140,6 +142,9 @@
 		"unreached":            cmdUnreached,
 		"relay":                cmdRelay,
 		"press":                cmdPress,
+		"dispatcher":           cmdDispatcher,
+		"waiting":              cmdWaiting,
+		"slots":                cmdSlots,
 	}
 	wrapped := map[string]func(*testscript.TestScript, bool, []string){}
 	for name, run := range all {
@@ -280,4 +285,10 @@
 	d, err := time.ParseDuration(a[0])
 	ts.Check(err)
 	sim.now = sim.now.Add(d)
+	for _, id := range sim.order {
+		if !sim.frozen[id] {
+			effects, _ := sim.routers[id].ExpireSlots(sim.now)
+			sim.applySlots(id, effects)
+		}
+	}
 }
--- /dev/null
+++ b/core/fleet/slot.go
@@ -0,0 +1,295 @@
+package fleet
+
+import (
+	"math"
+	"net/http"
+	"slices"
+	"time"
+
+	"camphorpulley.org/core"
+	"camphorpulley.org/core/catalog"
+	"camphorpulley.org/core/dispatch"
+	"camphorpulley.org/core/health"
+	"camphorpulley.org/core/roster"
+	"camphorpulley.org/core/table"
+)
+
+// The slots of a pool of applications that has fewer of them than there are routers are granted
+// by one router, the dispatcher. This file is the side of the routers that ask it, dispatch.go
+// that of the dispatcher.
+
+// Slot is a slot that a dispatcher has granted for an attempt. The zero value is an attempt
+// without one.
+type Slot struct {
+	Dispatcher core.RouterID
+	Pool       core.Pool
+	// Number is that of the SlotRequest; zero if there is no slot.
+	Number uint64
+}
+
+// SlotAsk is a question to a dispatcher that a request has to ask before its next attempt.
+type SlotAsk struct {
+	To      core.RouterID
+	Request SlotRequest
+}
+
+// SlotAnswer is what a request has learned of the slot for its next attempt. The zero value is a
+// request that hasn't asked.
+type SlotAnswer struct {
+	From core.RouterID
+	SlotGrant
+	// Silent is true if no answer has come.
+	Silent bool
+}
+
+// asked reports whether the request has asked.
+func (a SlotAnswer) asked() bool { return a.Silent || a.Number != 0 }
+
+// Queued reports whether another answer follows.
+func (a SlotAnswer) Queued() bool { return a.Upstream == "" && a.WaitMS > 0 }
+
+// Granted reports whether the answer grants a slot.
+func (a SlotAnswer) Granted() bool { return a.Upstream != "" }
+
+const (
+	// SlotTimeout is how long a request waits for the first answer of a dispatcher: several
+	// round trips between data centres of a region, and about a run time.
+	SlotTimeout = 30 * time.Millisecond
+	// SlotReturnDelay is the time within which slots that end are returned in one message. A
+	// slot that isn't known to be free stays unused.
+	SlotReturnDelay = 2 * time.Millisecond
+	// maxPendingReturns bounds the slots that wait to be returned; others end with their leases.
+	maxPendingReturns = 1024
+)
+
+// slots is the table of the slots that this router asks for, and of those that it grants.
+type slots struct {
+	pools map[core.Pool]*slotPool
+	// last is the number of the last SlotRequest. It begins with the start of the process, so
+	// that numbers aren't used again after a restart.
+	last uint64
+	// returns holds the slots that wait to be returned, by dispatcher.
+	returns map[core.RouterID][]SlotReturn
+}
+
+// slotPool is a pool whose slots are granted by a dispatcher.
+type slotPool struct {
+	// election is which router that is, by this router's view.
+	election election
+	// dispatcher grants the slots if this router is asked; askedAt is when it last was.
+	dispatcher dispatch.Dispatcher
+	askedAt    time.Time
+	// aloneUntil is until when this router doesn't ask, since the dispatcher doesn't grant the
+	// slots of the pool.
+	aloneUntil time.Time
+}
+
+func (t *slots) pool(p core.Pool) *slotPool {
+	s := t.pools[p]
+	if s == nil {
+		if t.pools == nil {
+			t.pools = map[core.Pool]*slotPool{}
+		}
+		s = &slotPool{}
+		t.pools[p] = s
+	}
+	return s
+}
+
+// scarce reports whether the slots of a pool are granted by a dispatcher: it is a pool of
+// applications that state their slots but not their load, all slots together are fewer than the
+// routers, and the routers are known. Upstreams that name limits, or end if they turn requests
+// away, have rules of their own.
+func (f *Fleet) scarce(now time.Time, p catalog.Pool, pool []roster.Upstream) bool {
+	if p.Engine != nil || len(pool) == 0 {
+		return false
+	}
+	total := 0
+	for _, u := range pool {
+		if u.Slots <= 0 {
+			return false
+		}
+		total += u.Slots
+	}
+	if routers, _, settled := f.membership(now); !settled || total >= routers {
+		return false
+	}
+	return table.Read(f.states, table.Hold{}, func(st *states) bool {
+		return !slices.ContainsFunc(pool, func(u roster.Upstream) bool {
+			s := st.byID[u.ID]
+			return s != nil && (s.load.Reported() || s.limited(now, u.StartedMS) || s.said.IsBrittle(now, u.StartedMS))
+		})
+	})
+}
+
+// chooseSlot selects the upstream for the next attempt of a request of a pool with a dispatcher:
+// the one whose slot the request was granted. If it hasn't asked, the target holds the question.
+// Decided is false if the router chooses by itself, as it does for a request that is held by an
+// upstream which may still answer: that one doesn't wait for a slot.
+func (f *Fleet) chooseSlot(now time.Time, r Request, eligible, pool []roster.Upstream, tried []core.UpstreamID, held bool) (t Target, refusal *core.Refusal, decided bool) {
+	switch {
+	case held:
+		return Target{}, nil, false
+	case r.Slot.Granted():
+		return f.useSlot(now, r, eligible, tried)
+	case r.Slot.asked() && !r.Slot.Silent && !r.Slot.Alone:
+		refusal = notRunRefusal(http.StatusServiceUnavailable, codeNoSlot, "the upstreams of the pool have no room in time")
+		refusal.RetryAfter = time.Duration(max(r.Slot.RetryMS, 1)) * time.Millisecond
+		return Target{}, refusal, true
+	case r.Slot.asked(), !f.scarce(now, r.Pool, pool):
+		return Target{}, nil, false
+	}
+	excluded, usable := f.unusable(now, r, eligible, pool, tried)
+	if !usable {
+		return Target{}, nil, false
+	}
+	elected := f.elect(now, r.Pool.Name)
+	ask := table.Read(f.slots, table.Hold{}, func(s *slots) *SlotAsk {
+		if now.Before(s.pool(r.Pool.Name).aloneUntil) {
+			return nil
+		}
+		s.last++
+		return &SlotAsk{To: elected.router, Request: slotRequest(now, r, s.last, f.settings.DataCentre, excluded)}
+	})
+	return Target{SlotAsk: ask}, nil, ask != nil
+}
+
+// slotRequest returns the message that asks for a slot.
+func slotRequest(now time.Time, r Request, number uint64, dc core.DataCentre, excluded []core.UpstreamID) SlotRequest {
+	q := SlotRequest{
+		Pool: r.Pool.Name, Number: number, Rank: r.Priority(), Account: r.Account.Name, DataCentre: dc, Excluded: excluded,
+		DeadlineMS: max(r.Deadline.Sub(now).Milliseconds(), 1), Runs: r.RunsBefore, Stream: r.Route.Kind == catalog.Stream,
+	}
+	if r.Route.LatencyObjective > 0 && !r.Arrived.IsZero() {
+		q.ObjectiveMS = max(r.Arrived.Add(r.Route.LatencyObjective).Sub(now).Milliseconds(), 1)
+	}
+	return q
+}
+
+// unusable returns the upstreams of a pool that a request must not get: it was tried there, its
+// stream can't go on there, or this router has lost contact to them and not to others. Usable is
+// false if none is left.
+func (f *Fleet) unusable(now time.Time, r Request, eligible, pool []roster.Upstream, tried []core.UpstreamID) (excluded []core.UpstreamID, usable bool) {
+	peerAge, _ := f.countAge(now)
+	var left []Candidate
+	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
+		all := f.candidates(now, st, r, eligible, make([]cachedTokens, len(eligible)), peerAge)
+		left = willing(now, f.settings.Drain, permitted(r, all))
+	})
+	if sound := slices.DeleteFunc(slices.Clone(left), func(c Candidate) bool { return c.Excluded }); len(sound) > 0 {
+		left = sound
+	}
+	excluded = slices.Clone(tried)
+	for _, u := range pool {
+		kept := slices.ContainsFunc(left, func(c Candidate) bool { return c.Upstream.ID == u.ID })
+		if !kept && !slices.Contains(excluded, u.ID) {
+			excluded = append(excluded, u.ID)
+		}
+	}
+	return excluded, len(left) > 0
+}
+
+// useSlot returns the target for a slot that was granted. The roster of this router is the judge
+// of what may get the request: a slot of another upstream is returned, and the router chooses by
+// itself.
+func (f *Fleet) useSlot(now time.Time, r Request, eligible []roster.Upstream, tried []core.UpstreamID) (Target, *core.Refusal, bool) {
+	slot := Slot{Dispatcher: r.Slot.From, Pool: r.Slot.Pool, Number: r.Slot.Number}
+	i := slices.IndexFunc(eligible, func(u roster.Upstream) bool { return u.ID == r.Slot.Upstream })
+	if i < 0 || slices.Contains(tried, r.Slot.Upstream) {
+		f.returnSlot(slot, dispatch.Unused, 0)
+		return Target{}, nil, false
+	}
+	peerAge, _ := f.countAge(now)
+	u := eligible[i]
+	t := Target{Upstream: u, Slot: slot, ChosenAt: now, CandidateCount: len(eligible)}
+	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
+		s := st.get(u.ID)
+		t.Load, t.Certain = s.load.Total(now, peerAge), s.doubt.Certain(now, u.StartedMS, u.Sequence)
+		s.load.Local++
+		if u.Cold(now) {
+			s.cold.Add(now)
+		}
+	})
+	return t, nil, true
+}
+
+// returnSlot returns a slot with the time that its request took.
+func (f *Fleet) returnSlot(s Slot, o dispatch.Outcome, ran time.Duration) {
+	if s.Number == 0 {
+		return
+	}
+	f.slots.Do(table.Hold{}, func(_ table.Hold, t *slots) {
+		if t.returns == nil {
+			t.returns = map[core.RouterID][]SlotReturn{}
+		}
+		if all := t.returns[s.Dispatcher]; len(all) < maxPendingReturns {
+			t.returns[s.Dispatcher] = append(all, SlotReturn{Pool: s.Pool, Number: s.Number, Outcome: int(o), RanUS: max(ran.Microseconds(), 0)})
+		}
+	})
+}
+
+// slotOutcome returns how an attempt has used its slot.
+func slotOutcome(o health.Outcome) dispatch.Outcome {
+	switch o {
+	case health.Good:
+		return dispatch.Answered
+	case health.Shed:
+		return dispatch.Rejected
+	case health.Unreachable, health.Misdirected:
+		return dispatch.Unreached
+	}
+	return dispatch.Lost
+}
+
+// ReturnGrant returns a slot that a request no longer needs, or that has come too late.
+func (f *Fleet) ReturnGrant(a SlotAnswer) {
+	f.returnSlot(Slot{Dispatcher: a.From, Pool: a.Pool, Number: a.Number}, dispatch.Unused, 0)
+}
+
+// WithdrawSlot ends the wait of a request for a slot.
+func (f *Fleet) WithdrawSlot(a SlotAsk) {
+	f.returnSlot(Slot{Dispatcher: a.To, Pool: a.Request.Pool, Number: a.Request.Number}, dispatch.Unused, 0)
+}
+
+// RecordSlotSilence records that a dispatcher hasn't answered. Another router is asked for the
+// next requests.
+func (f *Fleet) RecordSlotSilence(now time.Time, a SlotAsk) {
+	if a.To != f.settings.ID {
+		f.members.Do(table.Hold{}, func(_ table.Hold, t *members) {
+			if m, ok := t.byID[a.To]; ok {
+				m.silentUntil = now.Add(silentTime)
+				t.byID[a.To] = m
+			}
+		})
+	}
+	f.slots.Do(table.Hold{}, func(_ table.Hold, t *slots) {
+		for _, p := range t.pools {
+			if p.election.router == a.To {
+				p.election.until = time.Time{}
+			}
+		}
+	})
+	f.WithdrawSlot(a)
+}
+
+// applySlotGrant applies the answer to a SlotRequest. A dispatcher that doesn't grant the slots of
+// the pool isn't asked for a time.
+func (f *Fleet) applySlotGrant(now time.Time, from core.RouterID, g SlotGrant) Effects {
+	if g.Alone {
+		f.slots.Do(table.Hold{}, func(_ table.Hold, t *slots) {
+			if p := t.pools[g.Pool]; p != nil {
+				p.aloneUntil = now.Add(aloneTime)
+			}
+		})
+	}
+	g.WaitMS, g.RetryMS = min(max(g.WaitMS, 0), maxSlotWaitMS), min(max(g.RetryMS, 0), maxSlotWaitMS)
+	return Effects{SlotAnswers: []SlotAnswer{{From: from, SlotGrant: g}}}
+}
+
+const (
+	// aloneTime is for how long a router chooses by itself after the dispatcher had no slot that
+	// it may grant for others, or doesn't grant those of the pool.
+	aloneTime = 200 * time.Millisecond
+	// maxSlotWaitMS bounds what a message from another router may state.
+	maxSlotWaitMS = math.MaxInt32
+)
--- a/core/load/tracker.go
+++ b/core/load/tracker.go
@@ -65,6 +65,9 @@
 	t.reportedAt = at
 }
 
+// Reported reports whether the upstream has ever reported its load.
+func (t *Tracker) Reported() bool { return !t.reportedAt.IsZero() }
+
 // ApplyPeer records how many requests a router in the local data centre has at the
 // upstream.
 func (t *Tracker) ApplyPeer(now time.Time, from core.RouterID, running int) {
--- a/core/table/rank.go
+++ b/core/table/rank.go
@@ -24,6 +24,7 @@
 	RankLineage               // where streams began
 	RankDigests               // what a relay has gathered for its next digests
 	RankBudgets               // the retry budgets
+	RankSlots                 // the slots that a dispatcher grants
 	RankBurn                  // the counts for burn rates
 	RankPolicies              // the state of chat policies
 	RankSnapshots             // when a snapshot was last seen in the log
--- /dev/null
+++ b/router/cluster/gauges.go
@@ -0,0 +1,41 @@
+package cluster
+
+import (
+	"time"
+
+	"camphorpulley.org/base/logs"
+	"camphorpulley.org/base/worker"
+	"camphorpulley.org/router/metrics"
+)
+
+// gauges returns the metrics that are read from the router's state at each scrape.
+func (r *Router) gauges() []metrics.Gauge {
+	return []metrics.Gauge{
+		{Name: "catalog_version", Description: "version of the configuration in force", Read: func() int64 {
+			return int64(r.fleet.CatalogVersion())
+		}},
+		{Name: "routers_known", Description: "routers that may exist", Read: func() int64 {
+			return int64(len(r.fleet.Members(time.Now())) + 1)
+		}},
+		{Name: "refused_parts", Description: "parts of prompts under which requests are refused, because they crash upstreams", Read: func() int64 {
+			return int64(r.fleet.RefusedParts())
+		}},
+		{Name: "limited_upstreams", Description: "upstreams that name a limit of requests per second", Read: func() int64 {
+			return int64(r.fleet.LimitedUpstreams(time.Now()))
+		}},
+		{Name: "cut_off_pools", Description: "pools of which this router can't reach any upstream", Read: func() int64 {
+			return int64(r.fleet.CutOffPools(time.Now()))
+		}},
+		{Name: "slots_granted", Description: "slots of applications that this router has granted and that aren't returned", Read: func() int64 {
+			return int64(r.fleet.SlotStatus(time.Now()).Taken)
+		}},
+		{Name: "slots_awaited", Description: "requests that wait for a slot which this router grants", Read: func() int64 {
+			return int64(r.fleet.SlotStatus(time.Now()).Waiting)
+		}},
+		{Name: "message_delay_ms", Description: "longest recent delay of messages from other routers in milliseconds", Read: func() int64 {
+			return r.fleet.MessageDelay(time.Now()).Milliseconds()
+		}},
+		{Name: "job_panics", Description: "panics that ended a job or an attempt", Read: worker.Panics},
+		{Name: "log_lines_left_out", Description: "log lines over the budget of their kind", Read: logs.SuppressedLines},
+	}
+}
--- a/router/cluster/router.go
+++ b/router/cluster/router.go
@@ -45,6 +45,8 @@
 	cancelRequests context.CancelCauseFunc
 	// storeRestored is notified when the store has come back from an older copy.
 	storeRestored signal
+	// slots tell the jobs that return and grant slots what to do.
+	slots slotSignals
 	// lastReadiness is the fleet.Readiness at the load balancer's last check.
 	lastReadiness atomic.Value
 	// messagesLate is true while messages from other routers are late.
@@ -57,7 +59,7 @@
 func Run(p daemon.Process, s Settings, a Adapter) error {
 	now := time.Now()
 	p.Log = p.Log.With(zap.String("router", s.Router.ID))
-	r := &Router{settings: s, log: p.Log, adapter: a, fleet: fleet.New(now, s.fleetSettings(now, a)), pool: &httpclient.Pool{}, storeRestored: newSignal()}
+	r := &Router{settings: s, log: p.Log, adapter: a, fleet: fleet.New(now, s.fleetSettings(now, a)), pool: &httpclient.Pool{}, storeRestored: newSignal(), slots: slotSignals{newSignal(), newSignal()}}
 	r.lastReadiness.Store(fleet.Unconfigured)
 	instruments, err := metrics.New(r.gauges()...)
 	if err != nil {
@@ -71,6 +73,7 @@
 	r.detours = &gateway.Handler{Fleet: r.fleet, HeaderCodec: a.Incoming, Log: p.Log, Metrics: instruments, Forwarder: r.gateway.Forwarder, Relayed: true}
 	r.gateway.Forwarder.Notify = func(m fleet.Message) { r.send(r.fleet.Spread(time.Now(), m)) }
 	r.gateway.Forwarder.Send = func(e fleet.Envelope) { r.send([]fleet.Envelope{e}) }
+	r.gateway.Forwarder.ApplySlots, r.gateway.Forwarder.SlotsEnded = r.applySlots, r.slots.ended.notify
 	r.gateway.CloseAfterResponse = func() bool { return r.shuttingDown.Load() || r.lastReadiness.Load() == fleet.Isolated }
 	r.requests, r.cancelRequests = context.WithCancelCause(context.Background())
 	defer r.cancelRequests(nil)
@@ -79,32 +82,6 @@
 	return r.run(p, background, stop)
 }
 
-// gauges returns the metrics that are read from the router's state at each scrape.
-func (r *Router) gauges() []metrics.Gauge {
-	return []metrics.Gauge{
-		{Name: "catalog_version", Description: "version of the configuration in force", Read: func() int64 {
-			return int64(r.fleet.CatalogVersion())
-		}},
-		{Name: "routers_known", Description: "routers that may exist", Read: func() int64 {
-			return int64(len(r.fleet.Members(time.Now())) + 1)
-		}},
-		{Name: "refused_parts", Description: "parts of prompts under which requests are refused, because they crash upstreams", Read: func() int64 {
-			return int64(r.fleet.RefusedParts())
-		}},
-		{Name: "limited_upstreams", Description: "upstreams that name a limit of requests per second", Read: func() int64 {
-			return int64(r.fleet.LimitedUpstreams(time.Now()))
-		}},
-		{Name: "cut_off_pools", Description: "pools of which this router can't reach any upstream", Read: func() int64 {
-			return int64(r.fleet.CutOffPools(time.Now()))
-		}},
-		{Name: "message_delay_ms", Description: "longest recent delay of messages from other routers in milliseconds", Read: func() int64 {
-			return r.fleet.MessageDelay(time.Now()).Milliseconds()
-		}},
-		{Name: "job_panics", Description: "panics that ended a job or an attempt", Read: worker.Panics},
-		{Name: "log_lines_left_out", Description: "log lines over the budget of their kind", Read: logs.SuppressedLines},
-	}
-}
-
 const (
 	// headerTimeout bounds reading a request's header. It is far above any limit
 	// that operators set, so that no caller within their limits is cut off.
@@ -204,6 +181,7 @@
 		},
 	})
 	r.startFeedReaders(ctx)
+	r.startSlots(ctx)
 	r.scheduler.Repeat(ctx, func(ctx context.Context) {
 		messages, wait := r.fleet.Outgoing(time.Now())
 		r.send(messages)
@@ -274,7 +252,7 @@
 	if e.Reply != nil {
 		r.network.Send(from.ID, *e.Reply)
 	}
-	r.send(e.Forward)
+	r.applySlots(e)
 }
 
 // registrationStep returns the body of the registration loop: it writes the
--- a/router/gateway/script_test.go
+++ b/router/gateway/script_test.go
@@ -172,6 +172,9 @@
 // Kept implements relay.Metrics.
 func (noMetrics) Kept(core.Pool) {}
 
+// Slot implements relay.Metrics.
+func (noMetrics) Slot(core.Pool, string, bool, time.Duration) {}
+
 // LoadUnderestimate implements relay.Metrics.
 func (noMetrics) LoadUnderestimate(core.Pool, int) {}
 
--- a/router/metrics/metrics.go
+++ b/router/metrics/metrics.go
@@ -22,6 +22,8 @@
 	attempts      metric.Int64Counter
 	outcomes      metric.Int64Counter
 	kept          metric.Int64Counter
+	slots         metric.Int64Counter
+	slotWait      metric.Float64Histogram
 	dropped       metric.Int64Counter
 	crashes       metric.Int64Counter
 	messageBytes  metric.Int64Counter
@@ -39,6 +41,9 @@
 // underestimateBuckets are the boundaries of load_underestimate in requests.
 var underestimateBuckets = []float64{0, 1, 2, 4, 8, 16, 32, 64}
 
+// slotWaitBuckets are the boundaries of slot_wait in seconds.
+var slotWaitBuckets = []float64{0.001, 0.002, 0.005, 0.01, 0.03, 0.06, 0.15, 0.5, 2}
+
 // New registers the instruments and gauges with the Prometheus exporter.
 func New(gauges ...Gauge) (*Metrics, error) {
 	exporter, err := prometheus.New()
@@ -55,6 +60,7 @@
 		{&m.attempts, "attempts", "attempts at upstreams"},
 		{&m.outcomes, "attempt_outcomes", "attempts by pool and outcome"},
 		{&m.kept, "attempts_kept", "overdue attempts that went on, since no other upstream took the request"},
+		{&m.slots, "slot_requests", "questions for slots of scarce applications, by pool and outcome"},
 		{&m.dropped, "dropped_parts", "late, doubled or crossed parts of answers"},
 		{&m.crashes, "crashes", "requests that were running when an upstream crashed"},
 		{&m.messageBytes, "message_bytes", "bytes of messages to other routers by kind and reach"},
@@ -69,6 +75,11 @@
 	if err != nil {
 		return nil, wrap.Err(err, "first_byte")
 	}
+	m.slotWait, err = meter.Float64Histogram("slot_wait", metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(slotWaitBuckets...),
+		metric.WithDescription("time from a question for a slot until its outcome"))
+	if err != nil {
+		return nil, wrap.Err(err, "slot_wait")
+	}
 	m.underestimate, err = meter.Int64Histogram("load_underestimate", metric.WithUnit("{request}"),
 		metric.WithExplicitBucketBoundaries(underestimateBuckets...),
 		metric.WithDescription("requests at an upstream by its own report beyond those that the router believed to be there"))
@@ -135,6 +146,17 @@
 // Only package relay calls it.
 func (m *Metrics) Kept(pool core.Pool) { m.count(m.kept, pool) }
 
+// Slot counts a question for a slot by its outcome and by whether it was queued, and records the
+// time until that. Only package relay calls it.
+func (m *Metrics) Slot(pool core.Pool, outcome string, queued bool, waited time.Duration) {
+	if m.slots == nil {
+		return
+	}
+	m.slots.Add(context.Background(), 1,
+		metric.WithAttributes(poolAttribute(pool), attribute.String("outcome", outcome), attribute.Bool("queued", queued)))
+	m.slotWait.Record(context.Background(), waited.Seconds(), metric.WithAttributes(poolAttribute(pool)))
+}
+
 // DroppedEvent counts an event that was dropped rather than delivered: a duplicate,
 // or a late one of an earlier attempt.
 func (m *Metrics) DroppedEvent(pool core.Pool) { m.count(m.dropped, pool) }
--- a/router/relay/inboxes.go
+++ b/router/relay/inboxes.go
@@ -37,15 +37,17 @@
 	})
 }
 
-// deliver passes a message to those that wait for the key. It is dropped where there is no
-// room.
-func (b *inboxes[K, V]) deliver(key K, v V) {
+// deliver passes a message to those that wait for the key, and reports whether some did. It is
+// dropped where there is no room.
+func (b *inboxes[K, V]) deliver(key K, v V) (delivered bool) {
 	b.byKey.Do(table.Hold{}, func(_ table.Hold, all *map[K][]chan V) {
 		for _, c := range (*all)[key] {
 			select {
 			case c <- v:
+				delivered = true
 			default:
 			}
 		}
 	})
+	return delivered
 }
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -38,6 +38,12 @@
 	quotaWaiters waiters[core.UpstreamID]
 	// originReplies holds by stream the requests that wait for where it began.
 	originReplies inboxes[core.Digest, lineage.Report]
+	// ApplySlots delivers the answers and sends the messages that follow from a question for a
+	// slot, SlotsEnded tells that there are slots to be returned. They don't wait, and may be nil.
+	ApplySlots func(fleet.Effects)
+	SlotsEnded func()
+	// slotAnswers holds by number the requests that wait for slots.
+	slotAnswers inboxes[uint64, fleet.SlotAnswer]
 }
 
 // Metrics counts attempts.
@@ -50,6 +56,8 @@
 	// LoadUnderestimate records by how many requests the load that an upstream reports
 	// exceeds the one that the router believed when it chose the upstream.
 	LoadUnderestimate(pool core.Pool, requests int)
+	// Slot counts a question for a slot by its outcome, and records the time until that.
+	Slot(pool core.Pool, outcome string, queued bool, waited time.Duration)
 }
 
 // IncompleteResponseError reports a response that has been sent to the caller in
@@ -122,6 +130,7 @@
 	s := &callState{Call: c, forwarder: f, ctx: ctx, writer: w, exchange: c.NewExchange()}
 	s.sequence = answer.EventSequence{Last: c.LastEventID, HasLast: c.HasLastEventID}
 	defer s.releaseNext()
+	defer s.releaseSlot()
 	if c.ResumesStream() {
 		s.findOrigin(time.Now())
 	}
@@ -146,10 +155,11 @@
 				return s.fail(now, s.withCertainty(now, refusal))
 			}
 		}
-		if target.Ask != nil {
-			s.awaitQuota(target)
+		if target.Ask != nil || target.SlotAsk != nil {
+			s.awaitGrant(target)
 			continue
 		}
+		s.settleSlot(target)
 		sent, err := s.tryTarget(target)
 		if err == nil {
 			return nil
@@ -176,6 +186,7 @@
 // pool, the kind of request, and whether a connection has failed. At is the upstream that
 // the request is at, where it stays if chooseTarget refuses; empty if it is at none.
 func (s *callState) chooseTarget(now time.Time, at core.UpstreamID) (fleet.Target, *core.Refusal) {
+	s.RunsBefore = s.Runs
 	switch {
 	case s.Pool.Engine == nil:
 		return chooseBy(now, s, fleet.FreePlaces{}, at)
@@ -224,6 +235,9 @@
 	err := a.protectedRun()
 	now := time.Now()
 	ejected := f.Fleet.FinishAttempt(now, target, a.outcome, a.headers.Load)
+	if target.Slot.Number != 0 {
+		f.slotsEnded()
+	}
 	f.Metrics.Ended(s.Pool.Name, a.outcome.String())
 	if a.reported != nil && a.helper == "" {
 		f.Metrics.LoadUnderestimate(s.Pool.Name, a.reported.Total()-target.Load-1)
--- a/router/wire/fleet.go
+++ b/router/wire/fleet.go
@@ -6,7 +6,6 @@
 	"camphorpulley.org/base/record"
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/fleet"
-	"camphorpulley.org/core/poison"
 	"camphorpulley.org/core/prefix"
 )
 
@@ -30,21 +29,9 @@
 	StreamRecords   []fleetStreamRecord   `cbor:"13,keyasint,omitempty"`
 	OriginRequest   *fleetOriginRequest   `cbor:"14,keyasint,omitempty"`
 	OriginReply     *fleetOriginReply     `cbor:"15,keyasint,omitempty"`
-}
-
-type fleetEvidence struct {
-	Part       core.Digest   `cbor:"1,keyasint"`
-	Strikes    []fleetStrike `cbor:"2,keyasint,omitempty"`
-	Probes     int           `cbor:"3,keyasint,omitempty"`
-	ProbeAgeMS int64         `cbor:"4,keyasint,omitempty"`
-	UsedAgeMS  int64         `cbor:"5,keyasint,omitempty"`
-}
-
-type fleetStrike struct {
-	Process string      `cbor:"1,keyasint"`
-	Request core.Digest `cbor:"2,keyasint,omitempty"`
-	AgeMS   int64       `cbor:"3,keyasint,omitempty"`
-	Cleared bool        `cbor:"4,keyasint,omitempty"`
+	SlotRequest     *fleetSlotRequest     `cbor:"16,keyasint,omitempty"`
+	SlotGrant       *fleetSlotGrant       `cbor:"17,keyasint,omitempty"`
+	SlotReturns     []fleetSlotReturn     `cbor:"18,keyasint,omitempty"`
 }
 
 type fleetFullUpstream struct {
@@ -159,6 +146,7 @@
 	w := fleetMessage{SentMS: m.SentMS, Handshake: (*fleetMember)(m.Handshake), SnapshotRequest: (*fleetSnapshotRequest)(m.SnapshotRequest), FullUpstream: (*fleetFullUpstream)(m.FullUpstream)}
 	w.Statements = encodeStatements(m.Statements)
 	w.StreamRecords, w.OriginRequest, w.OriginReply = encodeStreamRecords(m.StreamRecords), (*fleetOriginRequest)(m.OriginRequest), encodeOriginReply(m.OriginReply)
+	w.SlotRequest, w.SlotGrant, w.SlotReturns = (*fleetSlotRequest)(m.SlotRequest), (*fleetSlotGrant)(m.SlotGrant), encodeSlotReturns(m.SlotReturns)
 	if q := m.QuotaRequest; q != nil {
 		w.QuotaRequest = &fleetQuotaRequest{Limit: fleetStatement(q.Limit), Count: q.Count, Preferred: q.Preferred}
 	}
@@ -227,6 +215,7 @@
 	m := fleet.Message{SentMS: w.SentMS, Handshake: (*fleet.Member)(w.Handshake), SnapshotRequest: (*fleet.SnapshotRequest)(w.SnapshotRequest), FullUpstream: (*fleet.FullUpstream)(w.FullUpstream)}
 	m.Statements = decodeStatements(w.Statements)
 	m.StreamRecords, m.OriginRequest, m.OriginReply = decodeStreamRecords(w.StreamRecords), (*fleet.OriginRequest)(w.OriginRequest), decodeOriginReply(w.OriginReply)
+	m.SlotRequest, m.SlotGrant, m.SlotReturns = (*fleet.SlotRequest)(w.SlotRequest), (*fleet.SlotGrant)(w.SlotGrant), decodeSlotReturns(w.SlotReturns)
 	if q := w.QuotaRequest; q != nil {
 		m.QuotaRequest = &fleet.QuotaRequest{Limit: fleet.StatementReport(q.Limit), Count: q.Count, Preferred: q.Preferred}
 	}
@@ -257,24 +246,6 @@
 	return m, nil
 }
 
-func encodeEvidence(all []poison.Evidence) []fleetEvidence {
-	return lo.Map(all, func(e poison.Evidence, _ int) fleetEvidence {
-		return fleetEvidence{
-			Part: e.Part, Probes: e.Probes, ProbeAgeMS: e.ProbeAgeMS, UsedAgeMS: e.UsedAgeMS,
-			Strikes: lo.Map(e.Strikes, func(s poison.Strike, _ int) fleetStrike { return fleetStrike(s) }),
-		}
-	})
-}
-
-func decodeEvidence(all []fleetEvidence) []poison.Evidence {
-	return lo.Map(all, func(e fleetEvidence, _ int) poison.Evidence {
-		return poison.Evidence{
-			Part: e.Part, Probes: e.Probes, ProbeAgeMS: e.ProbeAgeMS, UsedAgeMS: e.UsedAgeMS,
-			Strikes: lo.Map(e.Strikes, func(s fleetStrike, _ int) poison.Strike { return poison.Strike(s) }),
-		}
-	})
-}
-
 // encodeRecords leaves out the parsed entries: the receiver parses them from Source.
 func encodeRecords(all []fleet.Record) []fleetRecord {
 	return lo.Map(all, func(r fleet.Record, _ int) fleetRecord {
--- a/router/wire/fleet_fuzz_test.go
+++ b/router/wire/fleet_fuzz_test.go
@@ -32,6 +32,11 @@
 			ParseCatalog: func([]byte) (*catalog.Catalog, error) { return &catalog.Catalog{Version: 3}, nil },
 			ParseEntry:   func(id core.UpstreamID, _ []byte) (roster.Entry, error) { return roster.Entry{ID: id}, nil },
 		})
+		// The router grants the slots of a pool.
+		r.ApplyCatalog(start, &catalog.Catalog{Version: 1, Pools: map[core.Pool]catalog.Pool{"p": {Name: "p"}}})
+		r.ApplyFullRead(start, start, 0, 0, []roster.Entry{{ID: "u", Pool: "p", Slots: 1}})
+		r.AddMember(start, fleet.Member{ID: "r3", DataCentre: "a"})
+		r.MarkMembersListed()
 		from := fleet.Member{ID: "r2", DataCentre: "a"}
 		if !local {
 			from.DataCentre = "b"
@@ -40,6 +45,8 @@
 			now := start.Add(time.Duration(i) * time.Second)
 			r.Receive(now, from, m)
 			r.Outgoing(now)
+			r.ExpireSlots(now)
+			r.TakeSlotReturns(now)
 			r.Status(now)
 			r.Readiness(now)
 		}
--- a/router/wire/fleet_test.go
+++ b/router/wire/fleet_test.go
@@ -27,6 +27,15 @@
 	{Statements: []fleet.StatementReport{statementReport, {Upstream: "v"}}},
 	{QuotaRequest: &fleet.QuotaRequest{Limit: statementReport, Count: 2, Preferred: true}},
 	{QuotaGrant: &fleet.QuotaGrant{Limit: statementReport, Count: 2, RetryMS: 40, Preferred: true}},
+	{SlotRequest: &fleet.SlotRequest{
+		Pool: "p", Number: 1796364000000001, Rank: 2, Account: "a", DataCentre: "b", ObjectiveMS: 120, DeadlineMS: 9000,
+		Excluded: []core.UpstreamID{"u", "v"}, Runs: 1, Stream: true,
+	}},
+	{SlotGrant: &fleet.SlotGrant{Pool: "p", Number: 7, Upstream: "u"}},
+	{SlotGrant: &fleet.SlotGrant{Pool: "p", Number: 8, WaitMS: 90}},
+	{SlotGrant: &fleet.SlotGrant{Pool: "p", Number: 9, RetryMS: 40}},
+	{SlotGrant: &fleet.SlotGrant{Pool: "p", Number: 10, Alone: true}},
+	{SlotReturns: []fleet.SlotReturn{{Pool: "p", Number: 7, Outcome: 1, RanUS: 30500}, {Pool: "p", Number: 8}}},
 	{PartEvidence: &fleet.PartEvidence{Parts: partEvidence}},
 	{Segment: &fleet.FeedSegment{Era: 2, From: 5, Next: 9, AgeMS: 12, Records: []fleet.Record{
 		{Offset: 5, Upstream: "u", Source: []byte("{}")}, {Offset: 7, Upstream: "v"},
