Simulate scarce slots in lab/fleet

Hosts that are slow by turns, answers after the objective, callers that return, and dispatchers that die, are slow or are cut off.

--- a/core/fleet/slot.go
+++ b/core/fleet/slot.go
@@ -82,6 +82,8 @@
 	// aloneUntil is until when this router doesn't ask, since the dispatcher doesn't grant the
 	// slots of the pool.
 	aloneUntil time.Time
+	// silentAt is when a dispatcher last didn't answer.
+	silentAt time.Time
 }
 
 func (t *slots) pool(p core.Pool) *slotPool {
@@ -252,7 +254,8 @@
 }
 
 // RecordSlotSilence records that a dispatcher hasn't answered. Another router is asked for the
-// next requests.
+// next requests. If that one is silent too, this router may be the one that is cut off, or the
+// others are of an earlier build: it chooses by itself for silentTime.
 func (f *Fleet) RecordSlotSilence(now time.Time, a SlotAsk) {
 	if a.To != f.settings.ID {
 		f.members.Do(table.Hold{}, func(_ table.Hold, t *members) {
@@ -268,6 +271,11 @@
 				p.election.until = time.Time{}
 			}
 		}
+		p := t.pool(a.Request.Pool)
+		if !p.silentAt.IsZero() && now.Sub(p.silentAt) < silentTime {
+			p.aloneUntil = now.Add(silentTime)
+		}
+		p.silentAt = now
 	})
 	f.WithdrawSlot(a)
 }
--- a/lab/fleet/link.go
+++ b/lab/fleet/link.go
@@ -41,6 +41,7 @@
 		return
 	}
 	if sim.measuring() {
+		from.handled++
 		from.sent += len(data)
 		sim.figures.countMessage(m.Kind(), len(data), from.member.DataCentre == target.member.DataCentre)
 	}
@@ -49,10 +50,11 @@
 	arrives := from.out.transfer(sim.now, len(data), bits).Add(sim.delay(from.member.DataCentre, target.member.DataCentre))
 	sim.events.add(arrives, func(now time.Time) {
 		sim.events.add(target.in.transfer(now, len(data), bits).Add(target.lag), func(now time.Time) {
-			if target.stopped || target.epoch != epoch {
+			if target.stopped || target.epoch != epoch || from.cut != target.cut {
 				return
 			}
 			if sim.measuring() {
+				target.handled++
 				sim.figures.delay = max(sim.figures.delay, now.Sub(sentAt))
 			}
 			sim.receive(now, target, sender, data)
@@ -76,7 +78,5 @@
 	if effects.Reply != nil {
 		sim.post(target, sender.ID, *effects.Reply)
 	}
-	for _, e := range effects.Forward {
-		sim.post(target, e.To, e.Message)
-	}
+	sim.applySlots(now, target, effects)
 }
--- a/lab/fleet/report.go
+++ b/lab/fleet/report.go
@@ -10,8 +10,11 @@
 // figures are what a simulation counts after its warm-up.
 type figures struct {
 	attempts, declined, waited, refused, reads int
-	// silent counts the requests for quota that got no response.
-	silent                                    int
+	// silent counts the requests for quota or for slots that got no response.
+	silent int
+	// answered counts the requests that were answered, late those of them after the objective,
+	// sentBack the callers that were refused and returned.
+	answered, late, sentBack                  int
 	remoteBytes                               int
 	promptTokens, rereadTokens, fetchedTokens int
 	// bytes holds the bytes of messages by kind, delay the longest time that a message took,
@@ -68,6 +71,12 @@
 	// sent, Remote the mean between data centres.
 	Sent, Busiest, Remote float64
 	Fetched, Refused      float64
+	// Late is the share of answers that came after the objective, SentBack that of requests whose
+	// callers were refused and returned. Silent is the number of questions without an answer.
+	Late, SentBack float64
+	Silent         int
+	// Handled is the number of messages per second that the busiest router sent and received.
+	Handled float64
 	// Excess is the highest number of requests that a limited upstream got within four
 	// seconds, as a fraction of what is permitted; Used is what all of them got, as a
 	// fraction of their limits.
@@ -97,6 +106,7 @@
 	for _, router := range sim.routers {
 		sent = append(sent, float64(router.sent)/seconds)
 		r.Sent += float64(router.sent) / seconds / n
+		r.Handled = max(r.Handled, float64(router.handled)/seconds)
 	}
 	r.Busiest = slices.Max(sent)
 	r.Remote = float64(sim.figures.remoteBytes) / seconds / n
@@ -105,6 +115,7 @@
 	r.Reread = ratio(sim.figures.rereadTokens, sim.figures.promptTokens)
 	r.Fetched = ratio(sim.figures.fetchedTokens, sim.figures.promptTokens)
 	r.Refused = ratio(sim.figures.refused, sim.requests)
+	r.Late, r.SentBack, r.Silent = ratio(sim.figures.late, sim.figures.answered), ratio(sim.figures.sentBack, sim.figures.answered), sim.figures.silent
 	r.Excess, r.Used = sim.limitFigures()
 	r.Reads = float64(sim.figures.reads) / (seconds + sim.scenario.Run.Warmup.Seconds())
 	r.Delay, r.Applied = sim.figures.delay, sim.figures.applied
@@ -127,6 +138,7 @@
 	for _, name := range names {
 		fmt.Fprintf(&b, " crowded_%s=%.4f", name, r.Crowded[name])
 	}
+	fmt.Fprintf(&b, " late=%.4f sentback=%.4f silent=%d handled=%.0f", r.Late, r.SentBack, r.Silent, r.Handled)
 	if r.Excess > 0 {
 		fmt.Fprintf(&b, " excess=%.3f used=%.3f", r.Excess, r.Used)
 	}
@@ -147,6 +159,7 @@
 		got, limit float64
 	}{
 		{"crowded", crowded, l.Crowded}, {"declined", r.Declined, l.Declined}, {"waiting", r.Waiting, l.Waiting}, {"refused", r.Refused, l.Refused}, {"reread", r.Reread, l.Reread},
+		{"late", r.Late, l.Late}, {"handled", r.Handled, l.Handled},
 		{"sent", r.Sent, l.Sent}, {"busiest", r.Busiest, l.Busiest}, {"remote", r.Remote, l.Remote},
 		{"excess", r.Excess, l.Excess}, {"unused", 1 - r.Used, l.Unused},
 		{"delay", r.Delay.Seconds(), l.Delay.Seconds()}, {"applied", r.Applied.Seconds(), l.Applied.Seconds()},
--- a/lab/fleet/request.go
+++ b/lab/fleet/request.go
@@ -39,6 +39,9 @@
 	router *router
 	tried  []core.UpstreamID
 	target fleet.Target
+	// returned is true if the caller was refused once and has returned; first is when it came.
+	returned bool
+	first    time.Time
 }
 
 // arrive sends a request to a router of a data centre, or of the next one with a
@@ -59,7 +62,7 @@
 		sim.figures.refused++
 		return
 	}
-	sim.try(now, &request{Request: admitted, load: l, router: r})
+	sim.try(now, &request{Request: admitted, load: l, router: r, first: now})
 }
 
 // pickRouter returns a running router of a data centre, or of another one; nil if none
@@ -107,13 +110,19 @@
 		r.target, refusal = fleet.Choose(now, f, fleet.LocalFirst{}, r.Request, r.tried)
 	}
 	if refusal != nil || len(r.tried) >= maxTries {
-		sim.figures.refused++
+		sim.refuse(now, r, refusal)
 		return
 	}
 	if r.target.Ask != nil {
 		sim.askQuota(now, r)
 		return
 	}
+	if r.target.SlotAsk != nil {
+		sim.askSlot(now, r)
+		return
+	}
+	r.Slot = fleet.SlotAnswer{}
+	sim.returnSlots(now, r.router)
 	u := sim.upstreams[r.target.ID]
 	there := sim.delay(r.router.member.DataCentre, u.entry.DataCentre)
 	if sim.measuring() {
@@ -176,10 +185,10 @@
 			}
 		}
 	})
-	total := reading + u.runTime(sim.random, r.load.Time)
+	total := reading + u.runTime(sim.random, r.load, sim.slowed(now, u))
 	sim.events.add(now.Add(total), func(at time.Time) {
 		u.finish(at)
-		sim.respond(at.Add(back), r, func(at time.Time) { sim.finish(at, r, health.Good) })
+		sim.respond(at.Add(back), r, func(at time.Time) { sim.answered(at, r) })
 	})
 }
 
@@ -197,7 +206,53 @@
 func (sim *simulation) finish(now time.Time, r *request, o health.Outcome) {
 	if !r.router.stopped {
 		r.router.fleet.FinishAttempt(now, r.target, o, nil)
+		sim.returnSlots(now, r.router)
+	}
+}
+
+// answered ends a request that has its whole answer.
+func (sim *simulation) answered(now time.Time, r *request) {
+	sim.finish(now, r, health.Good)
+	if !sim.measuring() || r.router.stopped {
+		return
+	}
+	sim.figures.answered++
+	if r.load.Objective > 0 && now.Sub(r.first) > r.load.Objective {
+		sim.figures.late++
+	}
+}
+
+// patience is the part of the time that a caller has left which it waits at most before it returns.
+const patience = 1.0 / 3
+
+// refuse refuses a request. Its caller returns once, if it is told to return soon.
+func (sim *simulation) refuse(now time.Time, r *request, refusal *core.Refusal) {
+	left := r.Deadline.Sub(now)
+	wait := r.router.fleet.RetryAfter()
+	if refusal != nil && refusal.RetryAfter > 0 {
+		wait = refusal.RetryAfter
+	}
+	if r.returned || r.load.Objective <= 0 || wait > time.Duration(patience*float64(left)) {
+		sim.figures.refused++
+		return
+	}
+	if sim.measuring() {
+		sim.figures.sentBack++
 	}
+	sim.events.add(now.Add(wait), func(at time.Time) {
+		to := sim.pickRouter(r.router.dataCentre)
+		if to == nil {
+			sim.figures.refused++
+			return
+		}
+		sim.requests++
+		admitted, refused := to.fleet.Admit(at, fleet.CallerRequest{ID: strconv.Itoa(sim.requests), Host: r.load.Name, Path: "/", Content: r.Content})
+		if refused != nil {
+			sim.figures.refused++
+			return
+		}
+		sim.try(at, &request{Request: admitted, load: r.load, router: to, returned: true, first: r.first})
+	})
 }
 
 // anyHas reports whether an engine of a pool has all of the parts in its cache.
--- a/lab/fleet/scenario.go
+++ b/lab/fleet/scenario.go
@@ -12,6 +12,7 @@
 	Limits LimitsSection `ini:"limits"`
 	Losses []LossSection `ini:"loss" validate:"dive"`
 	Lags   []LagSection  `ini:"lag" validate:"dive"`
+	Cuts   []CutSection  `ini:"cut" validate:"dive"`
 	// Changes are those of the configuration.
 	Changes []ChangeSection `ini:"change" validate:"dive"`
 }
@@ -58,6 +59,10 @@
 	Limited   float64       `ini:"limited" validate:"min=0,max=1"`
 	Limit     float64       `ini:"limit" validate:"min=0"`
 	LimitFrom time.Duration `ini:"limitfrom" validate:"min=0"`
+	// Slowed is by how many times requests last longer at one upstream after the other, each for
+	// SlowedFor; zero means at none.
+	Slowed    float64       `ini:"slowed" validate:"min=0"`
+	SlowedFor time.Duration `ini:"slowedfor" validate:"min=0"`
 }
 
 // LoadSection describes requests of one kind.
@@ -74,6 +79,11 @@
 	Body int `ini:"body" validate:"min=0"`
 	// Time is the mean run time without other requests beside it.
 	Time time.Duration `ini:"time" validate:"gt=0"`
+	// Steady is true if run times differ by a fifth at most; otherwise they are exponential.
+	Steady bool `ini:"steady"`
+	// Objective is the time within which an answer should come; zero means the objective that
+	// routes have otherwise, after which no answer counts as late.
+	Objective time.Duration `ini:"objective" validate:"min=0"`
 	// Prompts is the number of prompts; each has Tokens tokens that requests share.
 	Prompts int `ini:"prompts" validate:"min=0"`
 	Tokens  int `ini:"tokens" validate:"min=0"`
@@ -94,6 +104,8 @@
 	// of all routers.
 	DataCentre int     `ini:"datacentre" validate:"min=0"`
 	Share      float64 `ini:"share" validate:"min=0,max=1"`
+	// Dispatcher is a pool whose dispatcher stops, in place of others.
+	Dispatcher string `ini:"dispatcher"`
 	// Group is how many of them stop at a time, each Gap; zero means all at once.
 	Group int           `ini:"group" validate:"min=0"`
 	Gap   time.Duration `ini:"gap" validate:"min=0"`
@@ -106,7 +118,20 @@
 	For  time.Duration `ini:"for" validate:"gt=0"`
 	// Time is how much later they handle a message, Share the share of the routers.
 	Time  time.Duration `ini:"time" validate:"gt=0"`
-	Share float64       `ini:"share" validate:"gt=0,max=1"`
+	Share float64       `ini:"share" validate:"min=0,max=1"`
+	// Dispatcher is a pool whose dispatcher is slow, in place of others.
+	Dispatcher string `ini:"dispatcher"`
+}
+
+// CutSection loses all messages to and from routers for a time.
+type CutSection struct {
+	Name string        `ini:"-name"`
+	At   time.Duration `ini:"at" validate:"min=0"`
+	For  time.Duration `ini:"for" validate:"gt=0"`
+	// Share is the share of the routers, which reach each other; Dispatcher is a pool whose
+	// dispatcher is cut off, in place of others.
+	Share      float64 `ini:"share" validate:"min=0,max=1"`
+	Dispatcher string  `ini:"dispatcher"`
 }
 
 // ChangeSection changes the configuration Count times, each Gap from At on.
@@ -132,6 +157,11 @@
 	Waiting  float64 `ini:"waiting" validate:"min=0,max=1"`
 	// Refused is the largest share of requests that routers may refuse.
 	Refused float64 `ini:"refused" validate:"min=0,max=1"`
+	// Late is the largest share of answers that may come later than the objective.
+	Late float64 `ini:"late" validate:"min=0,max=1"`
+	// Handled is the highest mean number of messages per second that one router may send and
+	// receive.
+	Handled float64 `ini:"handled" validate:"min=0"`
 	// Excess is the highest number of requests that a limited upstream may get in four
 	// seconds, as a fraction of what is permitted: one and a half times its limit, and five
 	// more. Unused is the largest share of the limits that may stay unused.
--- a/lab/fleet/simulation.go
+++ b/lab/fleet/simulation.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"strconv"
@@ -46,6 +47,14 @@
 	lag time.Duration
 	// storeless is true if it can't reach the store.
 	storeless bool
+	// cut is the side of a cut that it is on; messages between sides are lost.
+	cut bool
+	// handled is the number of messages that it has sent and received.
+	handled int
+	// asking holds by number what to do when a request for a slot is answered. returning and
+	// expiring are true while it is to return slots, and to end the waits for those that it grants.
+	asking              map[uint64]func(now time.Time, a fleet.SlotAnswer)
+	returning, expiring bool
 	// waiting holds by upstream what to do when quota is granted or denied.
 	waiting map[core.UpstreamID][]func(now time.Time)
 }
@@ -80,6 +89,9 @@
 	for _, l := range s.Losses {
 		sim.scheduleLoss(l)
 	}
+	for _, c := range s.Cuts {
+		sim.scheduleCut(c)
+	}
 	for _, l := range s.Lags {
 		sim.scheduleLag(l)
 	}
@@ -89,6 +101,9 @@
 	return sim
 }
 
+// defaultObjective is the objective of loads that state none.
+const defaultObjective = 400 * time.Millisecond
+
 func dataCentre(i int) core.DataCentre { return core.DataCentre("dc-" + strconv.Itoa(i)) }
 
 // newCatalog returns the catalog of the scenario, and creates the upstreams.
@@ -117,7 +132,7 @@
 	kinds := map[string]catalog.Kind{"once": catalog.AtMostOnce, "safe": catalog.Idempotent, "stream": catalog.Stream}
 	for _, l := range sim.scenario.Loads {
 		c.Routes = append(c.Routes, catalog.Route{
-			Name: l.Name, Host: l.Name, Prefix: "/", Kind: kinds[l.Kind], Timeout: 10 * time.Second, LatencyObjective: 400 * time.Millisecond,
+			Name: l.Name, Host: l.Name, Prefix: "/", Kind: kinds[l.Kind], Timeout: 10 * time.Second, LatencyObjective: cmp.Or(l.Objective, defaultObjective),
 			MaxRuns: 2, Deterministic: l.Resume, Public: true, Pools: []catalog.PoolWeight{{Pool: core.Pool(l.Pool), Weight: 1}},
 		})
 	}
@@ -129,6 +144,7 @@
 	r.epoch++
 	r.stopped = false
 	r.waiting = map[core.UpstreamID][]func(time.Time){}
+	r.asking, r.returning, r.expiring = map[uint64]func(time.Time, fleet.SlotAnswer){}, false, false
 	r.member.Incarnation = core.Incarnation(sim.now.UnixMilli())
 	r.fleet = fleet.New(sim.now, fleet.Settings{
 		ID: r.member.ID, Address: r.member.Address, DataCentre: r.member.DataCentre, Incarnation: r.member.Incarnation,
--- a/lab/fleet/upstream.go
+++ b/lab/fleet/upstream.go
@@ -70,9 +70,29 @@
 	return tokens
 }
 
-// runTime returns how long a request runs: an exponential time, longer with more
-// requests beside it.
-func (u *upstream) runTime(random *rand.Rand, mean time.Duration) time.Duration {
-	slowdown := 1 + u.pool.Slow*float64(u.running-1)
-	return time.Duration(slowdown * random.ExpFloat64() * float64(mean))
+// runTime returns how long a request runs: longer with more requests beside it, and by a factor
+// on a slow host.
+func (u *upstream) runTime(random *rand.Rand, l *LoadSection, factor float64) time.Duration {
+	slowdown := factor * (1 + u.pool.Slow*float64(u.running-1))
+	if l.Steady {
+		return time.Duration(slowdown * (1 + steadySpread*(2*random.Float64()-1)) * float64(l.Time))
+	}
+	return time.Duration(slowdown * random.ExpFloat64() * float64(l.Time))
+}
+
+// steadySpread is the part of their mean by which steady run times differ from it.
+const steadySpread = 0.2
+
+// slowed returns by how many times requests last longer at an upstream: the upstreams of a pool
+// are slow by turns.
+func (sim *simulation) slowed(now time.Time, u *upstream) float64 {
+	p := sim.pools[u.pool.Name]
+	if p.Slowed <= 0 || p.SlowedFor <= 0 {
+		return 1
+	}
+	turn := int(now.Sub(start)/p.SlowedFor) % len(p.upstreams)
+	if p.upstreams[turn] == u {
+		return p.Slowed
+	}
+	return 1
 }
