Let callers that a starting router refuses return soon

A router that hasn't read the configuration or the entries yet has both within a second; its callers return after 50 to 200 ms, spread, in place of 300 ms all at one moment. Other refusals are unchanged.

--- a/core/fleet/admit.go
+++ b/core/fleet/admit.go
@@ -114,7 +114,8 @@
 func (f *Fleet) Admit(now time.Time, a CallerRequest) (Request, *core.Refusal) {
 	c := f.Catalog()
 	if c == nil {
-		return Request{}, notRunRefusal(http.StatusServiceUnavailable, codeUnconfigured, "the router has no configuration yet")
+		refusal := notRunRefusal(http.StatusServiceUnavailable, codeUnconfigured, "the router has no configuration yet")
+		return Request{}, f.startingRefusal(now, refusal, chat.Key("", a.ID, nil))
 	}
 	route, ok := c.Match(a.Host, a.Path)
 	if !ok {
--- a/core/fleet/brittle.go
+++ b/core/fleet/brittle.go
@@ -85,6 +85,6 @@
 // room for. Callers come back spread over a second.
 func brittleRefusal(r Request) *core.Refusal {
 	refusal := notRunRefusal(http.StatusServiceUnavailable, codeBrittle, "the upstreams of the pool have no room, and may end if they turn requests away")
-	refusal.RetryAfter = (retryAfter + time.Duration(uint64(r.draw)%uint64(maxSpread))).Round(time.Millisecond)
+	refusal.RetryAfter = spreadReturn(r.draw, retryAfter, maxSpread)
 	return refusal
 }
--- a/core/fleet/choice_refusal.go
+++ b/core/fleet/choice_refusal.go
@@ -69,7 +69,6 @@
 		}
 	}
 	refusal := notRunRefusal(http.StatusServiceUnavailable, codeTurnedAway, "the upstreams of the pool have turned this router away")
-	spread := time.Duration(uint64(r.draw) % uint64(min(max(earliest, time.Millisecond), maxSpread)))
-	refusal.RetryAfter = (earliest + spread).Round(time.Millisecond)
+	refusal.RetryAfter = spreadReturn(r.draw, earliest, min(max(earliest, time.Millisecond), maxSpread))
 	return refusal
 }
--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -63,7 +63,7 @@
 		return Target{}, originUnknown()
 	}
 	if len(eligible) == 0 {
-		return Target{}, noUpstream("no upstream of the pool is in service")
+		return Target{}, f.noEntry(now, r)
 	}
 	if t, refusal, decided := f.chooseSlot(now, r, eligible, pool, tried, held); decided {
 		return t, refusal
--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -48,7 +48,9 @@
 	requests map[string]*sentRequest
 	// asking holds by router and number the requests that have asked for a slot.
 	asking map[string]*sentRequest
-	slack  float64
+	// silences counts the requests for slots without an answer.
+	silences int
+	slack    float64
 }
 
 type simulationKey struct{}
@@ -143,6 +145,8 @@
 		"relay":                cmdRelay,
 		"press":                cmdPress,
 		"dispatcher":           cmdDispatcher,
+		"silences":             cmdSilences,
+		"returns-differ":       cmdReturnsDiffer,
 		"waiting":              cmdWaiting,
 		"slots":                cmdSlots,
 	}
@@ -197,8 +201,8 @@
 	}
 }
 
-// router ID DC [unlisted]: starts or restarts a router, which reads the store and,
-// unless unlisted, the list of routers.
+// router ID DC [unlisted] [unread]: starts or restarts a router, which reads the store,
+// unless unread, and, unless unlisted, the list of routers.
 func cmdRouter(_ *testscript.TestScript, sim *simulation, a []string) {
 	f := fleet.New(sim.now, fleet.Settings{
 		ID: core.RouterID(a[0]), DataCentre: core.DataCentre(a[1]), Address: a[0], Detour: "detour-" + a[0], MaxLoadFactor: 2,
@@ -215,7 +219,9 @@
 		sim.order = append(sim.order, a[0])
 	}
 	sim.routers[a[0]] = f
-	f.ApplyFullRead(sim.now, sim.now, sim.era, uint64(len(sim.log)), lo.Values(sim.entries))
+	if _, unread := option(a, "unread"); !unread {
+		f.ApplyFullRead(sim.now, sim.now, sim.era, uint64(len(sim.log)), lo.Values(sim.entries))
+	}
 	if _, unlisted := option(a, "unlisted"); unlisted {
 		return
 	}
--- a/core/fleet/slot_verbs_test.go
+++ b/core/fleet/slot_verbs_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
@@ -23,6 +24,7 @@
 		return
 	case slot.Number == 0:
 		sim.now = sim.now.Add(fleet.SlotTimeout)
+		sim.silences++
 		s.router.RecordSlotSilence(sim.now, ask)
 		s.request.Slot = fleet.SlotAnswer{Silent: true}
 		sim.returnSlots(s.router)
@@ -87,3 +89,21 @@
 		ts.Fatalf("slots taken and requests waiting at %s: got %s, want %s", a[0], got, want)
 	}
 }
+
+// returns-differ NAME...: checks that the callers of refused requests don't return at one moment.
+func cmdReturnsDiffer(ts *testscript.TestScript, sim *simulation, a []string) {
+	seen := map[time.Duration]bool{}
+	for _, name := range a {
+		seen[sim.requests[name].refusal.RetryAfter] = true
+	}
+	if len(seen) < len(a) {
+		ts.Fatalf("returns of %v: got %d different times, want %d", a, len(seen), len(a))
+	}
+}
+
+// silences COUNT: checks how many requests for slots got no answer.
+func cmdSilences(ts *testscript.TestScript, sim *simulation, a []string) {
+	if got := strconv.Itoa(sim.silences); got != a[0] {
+		ts.Fatalf("requests without an answer: got %s, want %s", got, a[0])
+	}
+}
