Check a granted slot against what its upstream has said meanwhile

The soak has a flag for the slots of applications, and an upstream that rejects a request beyond its slots gets no other one for 10 s.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -263,6 +263,9 @@
 		h.answered(now, ran)
 	case Rejected:
 		h.pauseUntil(now.Add(d.pace(now, h)))
+		if len(h.starts) >= h.Slots {
+			h.strictUntil = now.Add(strictTime)
+		}
 	case Unreached:
 		if h.failures++; h.failures >= minFailures {
 			h.pauseUntil(now.Add(failurePause))
@@ -300,7 +303,7 @@
 func (d *Dispatcher) assign(now time.Time) []Decision {
 	var all []Decision
 	passed := 0
-	for passed < min(len(d.queue), maxPassed) && d.anyRoom() {
+	for passed < min(len(d.queue), maxPassed) && d.anyRoom(now) {
 		i := d.nextQueued(passed)
 		q := d.queue[i]
 		h := d.bestHost(now, q)
--- a/core/dispatch/host.go
+++ b/core/dispatch/host.go
@@ -20,6 +20,8 @@
 	// failures is the number of requests in a row that didn't reach it.
 	failures    int
 	pausedUntil time.Time
+	// strictUntil is until when it gets none beyond its slots, since it has rejected one.
+	strictUntil time.Time
 	cold        ratelimit.Window
 }
 
@@ -42,6 +44,9 @@
 	// gets none for failurePause. A single one may be the fault of its router's link.
 	minFailures  = 2
 	failurePause = 300 * time.Millisecond
+	// strictTime is for how long an upstream that has rejected a request beyond its slots gets no
+	// other one: it may have no queue.
+	strictTime = 10 * time.Second
 	// boundFraction and boundSlack are those of the bound on the load in core/fleet.
 	boundFraction = 0.8
 	boundSlack    = 2
@@ -110,16 +115,16 @@
 
 // room returns the number of requests that an upstream may have at a time. What several dispatchers
 // grant together may be one more than the slots already.
-func (d *Dispatcher) room(h *host) int {
-	if d.divided() {
+func (d *Dispatcher) room(now time.Time, h *host) int {
+	if d.divided() || now.Before(h.strictUntil) {
 		return d.slots(h)
 	}
 	return h.Slots + beyondSlots
 }
 
 // anyRoom reports whether some upstream has room.
-func (d *Dispatcher) anyRoom() bool {
-	return slices.ContainsFunc(d.hosts, func(h *host) bool { return len(h.starts) < d.room(h) })
+func (d *Dispatcher) anyRoom(now time.Time) bool {
+	return slices.ContainsFunc(d.hosts, func(h *host) bool { return len(h.starts) < d.room(now, h) })
 }
 
 // bound returns the highest load that an upstream may have beside those of the others.
@@ -179,7 +184,7 @@
 // takes reports whether an upstream may get a request now.
 func (d *Dispatcher) takes(now time.Time, h *host, q queued) bool {
 	switch {
-	case len(h.starts) >= d.room(h), now.Before(h.pausedUntil), slices.Contains(q.Excluded, h.ID):
+	case len(h.starts) >= d.room(now, h), now.Before(h.pausedUntil), slices.Contains(q.Excluded, h.ID):
 		return false
 	case h.failures >= minFailures && len(h.starts) > 0:
 		// One request tests whether it can be reached again.
--- a/core/fleet/slot.go
+++ b/core/fleet/slot.go
@@ -133,7 +133,7 @@
 	case held:
 		return Target{}, nil, false
 	case r.Slot.Granted():
-		return f.useSlot(now, r, eligible, tried)
+		return f.useSlot(now, r, eligible, pool, tried)
 	case r.Slot.asked() && !r.Slot.Silent && !r.Slot.Alone:
 		refusal = notRunRefusal(http.StatusServiceUnavailable, codeNoSlot, "the upstreams of the pool have no room in time")
 		refusal.RetryAfter = time.Duration(max(r.Slot.RetryMS, 1)) * time.Millisecond
@@ -191,13 +191,13 @@
 	return excluded, len(left) > 0
 }
 
-// useSlot returns the target for a slot that was granted. The roster of this router is the judge
-// of what may get the request: a slot of another upstream is returned, and the router chooses by
-// itself.
-func (f *Fleet) useSlot(now time.Time, r Request, eligible []roster.Upstream, tried []core.UpstreamID) (Target, *core.Refusal, bool) {
+// useSlot returns the target for a slot that was granted. The roster of this router, and what its
+// upstreams have said to it while the request waited, is the judge of what may get the request: a
+// slot of another upstream is returned, and the router chooses by itself.
+func (f *Fleet) useSlot(now time.Time, r Request, eligible, pool []roster.Upstream, tried []core.UpstreamID) (Target, *core.Refusal, bool) {
 	slot := Slot{Dispatcher: r.Slot.From, Pool: r.Slot.Pool, Number: r.Slot.Number}
 	i := slices.IndexFunc(eligible, func(u roster.Upstream) bool { return u.ID == r.Slot.Upstream })
-	if i < 0 || slices.Contains(tried, r.Slot.Upstream) {
+	if excluded, _ := f.unusable(now, r, eligible, pool, tried); i < 0 || slices.Contains(excluded, r.Slot.Upstream) {
 		f.returnSlot(slot, dispatch.Unused, 0)
 		return Target{}, nil, false
 	}
--- a/lab/fleet/slot.go
+++ b/lab/fleet/slot.go
@@ -12,8 +12,7 @@
 	ask, epoch := *r.target.SlotAsk, r.router.epoch
 	r.Slot = fleet.SlotAnswer{Silent: true}
 	answers := 0
-	var wait func(now time.Time, d time.Duration)
-	wait = func(now time.Time, d time.Duration) {
+	wait := func(now time.Time, d time.Duration) {
 		answers++
 		awaited := answers
 		sim.events.add(now.Add(d), func(at time.Time) {
--- a/lab/soak/main.go
+++ b/lab/soak/main.go
@@ -39,6 +39,7 @@
 				&cli.DurationFlag{Name: "for", Value: 12 * time.Second, Usage: "time for which faults are injected"},
 				&cli.IntFlag{Name: "routers", Value: 4, Usage: "number of routers"},
 				&cli.IntFlag{Name: "callers", Value: 24, Usage: "number of callers"},
+				&cli.IntFlag{Name: "slots", Usage: "number of slots of each application, which then doesn't state its load; with fewer slots than routers in a pool, one router grants them"},
 				&cli.StringFlag{Name: "program", Value: "bin/camphorpulley-platform", Usage: "path of the router's executable"},
 				&cli.StringFlag{Name: "previous", Usage: "path of an earlier build's executable; each router runs one of the two and is replaced by the other halfway"},
 				&cli.StringFlag{Name: "dir", Value: "run/soak", Usage: "folder for the routers' settings and logs"},
@@ -66,7 +67,7 @@
 	failed := 0
 	for _, seed := range seeds {
 		o := options{
-			seed: seed, faultTime: c.Duration("for"), routers: c.Int("routers"), callers: c.Int("callers"),
+			seed: seed, faultTime: c.Duration("for"), routers: c.Int("routers"), callers: c.Int("callers"), scarceSlots: c.Int("slots"),
 			plannedOnly: c.Bool("planned") || seed%plannedOnlyEvery == 0, unreadLogs: c.Bool("unread"), program: c.String("program"), previous: c.String("previous"),
 			dir: filepath.Join(c.String("dir"), strconv.FormatUint(seed, 10)), logLevel: c.String("level"),
 		}
--- a/lab/soak/runner/runner.go
+++ b/lab/soak/runner/runner.go
@@ -23,6 +23,8 @@
 	Release string
 	// Slots is the number of requests that the runner accepts at a time.
 	Slots int
+	// Quiet is true if answers don't state the load.
+	Quiet bool
 	// ColdTime is how long the runner is cold after its start, ColdRate its
 	// capacity in requests per second during that time.
 	ColdTime time.Duration
--- a/lab/soak/runner/serve.go
+++ b/lab/soak/runner/serve.go
@@ -127,7 +127,9 @@
 		}
 	}
 	w.Header().Set("Camphorpulley-Response-Signature", "sig."+id)
-	w.Header().Set("Camphorpulley-Runner-Load", fmt.Sprintf("%d,0,%d", r.running.Load(), r.Slots))
+	if !r.Quiet {
+		w.Header().Set("Camphorpulley-Runner-Load", fmt.Sprintf("%d,0,%d", r.running.Load(), r.Slots))
+	}
 	if !streams {
 		_, _ = io.WriteString(w, PlainBody(id))
 		return
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -28,6 +28,8 @@
 	faultTime time.Duration
 	routers   int
 	callers   int
+	// scarceSlots is the number of slots of each application; zero means appSlots.
+	scarceSlots int
 	// plannedOnly restricts the faults to planned work.
 	plannedOnly bool
 	// unreadLogs sends the routers' logs to pipes that nobody reads.
@@ -144,7 +146,11 @@
 func (s *soak) addRunner(pool, zone string, coldTime time.Duration) {
 	n := s.countRunner()
 	c := runner.Config{ID: runnerID(n), Pool: pool, Zone: zone, Slots: appSlots, ColdTime: coldTime, Release: releases[n%len(releases)]}
+	if s.scarceSlots > 0 {
+		c.Slots, c.Quiet = s.scarceSlots, true
+	}
 	if pool == "engines" {
+		c.Quiet = false
 		c.Slots, c.ColdRate = engineSlots, coldRate
 	}
 	s.takeIn(runner.Start(c, s.store, s.ledger))
