Refuse a request that waits for a slot at its deadline

It was sent to an upstream at the moment when its caller gave up, with an unknown outcome.

go test ./router/gateway -run TestScripts/slot-deadline failed before (504, outcome unknown) and passes; slot, slot-silent and slot-unknown pass, also with the race detector.

--- a/router/gateway/script_test.go
+++ b/router/gateway/script_test.go
@@ -64,7 +64,7 @@
 			"respond-endless": with(cmdRespondEndless), "sent-at-most": with(cmdSentAtMost), "took-at-most": with(cmdTookAtMost),
 			"each-cut": with(cmdEachCut), "request-while-closing": with(cmdRequestWhileClosing), "helper": with(cmdHelper), "cut-off": with(cmdCutOff), "stop-helper-in": with(cmdStopHelperIn), "relayed": with(cmdRelayed), "silent-router": with(cmdSilentRouter),
 			"told": with(cmdTold), "leave": with(cmdLeave), "pipeline": with(cmdPipeline), "stop-in": with(cmdStopIn), "told-stop": with(cmdToldStop),
-			"started": with(cmdStarted), "entry": with(cmdEntry), "answer-question": with(cmdAnswerQuestion), "asked": with(cmdAsked), "requests": with(cmdRequests), "received-at-most": with(cmdReceivedAtMost), "heap-at-most": with(cmdHeapAtMost),
+			"started": with(cmdStarted), "entry": with(cmdEntry), "answer-question": with(cmdAnswerQuestion), "asked": with(cmdAsked), "requests": with(cmdRequests), "slot-router": with(cmdSlotRouter), "slots-asked": with(cmdSlotsAsked), "slots-returned": with(cmdSlotsReturned), "received-at-most": with(cmdReceivedAtMost), "heap-at-most": with(cmdHeapAtMost),
 		},
 	})
 }
@@ -85,6 +85,8 @@
 	stoppedAt atomic.Value
 	upstreams map[string]*upstream
 	entries   []roster.Entry
+	// slots is the router that grants the slots of the pool.
+	slots slotRouter
 	// helpers are other routers, which reach the upstreams when the gateway doesn't.
 	helpers []*helper
 	// timeout is the time-out in milliseconds that callers send; empty sends none.
--- a/router/relay/slot.go
+++ b/router/relay/slot.go
@@ -64,9 +64,14 @@
 func (s *callState) giveUpSlot(ask fleet.SlotAsk, answers <-chan fleet.SlotAnswer) {
 	f := s.forwarder
 	now := time.Now()
-	if s.ctx.Err() != nil || !now.Before(s.Deadline) {
+	switch {
+	case s.ctx.Err() != nil:
 		f.Fleet.WithdrawSlot(ask)
-	} else {
+	case !now.Before(s.Deadline):
+		// It is refused: an attempt would begin when the caller has given up.
+		f.Fleet.WithdrawSlot(ask)
+		s.Slot = fleet.SlotAnswer{From: ask.To, SlotGrant: fleet.SlotGrant{Pool: ask.Request.Pool, Number: ask.Request.Number, RetryMS: f.Fleet.RetryAfter().Milliseconds()}}
+	default:
 		f.Fleet.RecordSlotSilence(now, ask)
 		f.Log.Info("slot_silence", zap.String("request", s.ID), zap.String("pool", string(s.Pool.Name)), zap.String("dispatcher", string(ask.To)))
 	}
