--- a/core/dispatch/host.go
+++ b/core/dispatch/host.go
@@ -45,8 +45,8 @@
 	minFailures  = 2
 	failurePause = 300 * time.Millisecond
 	// strictTime is for how long an upstream that has rejected a request beyond its slots gets no
-	// other one: it may have no queue.
-	strictTime = 10 * time.Second
+	// other one: it may have no queue, and each rejection may turn a router away for a time.
+	strictTime = time.Minute
 	// boundFraction and boundSlack are those of the bound on the load in core/fleet.
 	boundFraction = 0.8
 	boundSlack    = 2
