Ask again for a slot that can't be used

A dispatcher with old entries granted the slots of an upstream that had left again and again, and the router chose by itself. It now says which upstreams have left, and asks for another slot.

go test ./core/fleet -run TestScripts/scarce-roster failed before and passes; proof cases of slots pass.

--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -48,8 +48,8 @@
 	requests map[string]*sentRequest
 	// asking holds by router and number the requests that have asked for a slot.
 	asking map[string]*sentRequest
-	// silences counts the requests for slots without an answer.
-	silences int
+	// asks counts the requests for slots, silences those without an answer.
+	asks, silences int
 	slack    float64
 }
 
@@ -146,6 +146,7 @@
 		"press":                cmdPress,
 		"dispatcher":           cmdDispatcher,
 		"silences":             cmdSilences,
+		"asks":                 cmdAsks,
 		"returns-differ":       cmdReturnsDiffer,
 		"waiting":              cmdWaiting,
 		"slots":                cmdSlots,
--- a/core/fleet/slot.go
+++ b/core/fleet/slot.go
@@ -129,20 +129,22 @@
 // Decided is false if the router chooses by itself, as it does for a request that is held by an
 // upstream which may still answer: that one doesn't wait for a slot.
 func (f *Fleet) chooseSlot(now time.Time, r Request, eligible, pool []roster.Upstream, tried []core.UpstreamID, held bool) (t Target, refusal *core.Refusal, decided bool) {
-	switch {
-	case held:
+	if held || (r.Slot.asked() && (r.Slot.Silent || r.Slot.Alone)) || !f.scarce(now, r.Pool, pool) && !r.Slot.Granted() {
 		return Target{}, nil, false
-	case r.Slot.Granted():
-		return f.useSlot(now, r, eligible, pool, tried)
-	case r.Slot.asked() && !r.Slot.Silent && !r.Slot.Alone:
+	}
+	if r.Slot.asked() && !r.Slot.Granted() {
 		refusal = notRunRefusal(http.StatusServiceUnavailable, codeNoSlot, "the upstreams of the pool have no room in time")
 		refusal.RetryAfter = time.Duration(max(r.Slot.RetryMS, 1)) * time.Millisecond
 		return Target{}, refusal, true
-	case r.Slot.asked(), !f.scarce(now, r.Pool, pool):
-		return Target{}, nil, false
 	}
-	excluded, usable := f.unusable(now, r, eligible, pool, tried)
-	if !usable {
+	excluded, usable := f.unusable(now, r, eligible, tried)
+	if r.Slot.Granted() {
+		if t, decided = f.useSlot(now, r, eligible, excluded); decided {
+			return t, nil, true
+		}
+		excluded = append(excluded, r.Slot.Upstream)
+	}
+	if !usable || r.Asks >= maxAsks {
 		return Target{}, nil, false
 	}
 	elected := f.elect(now, r.Pool.Name)
@@ -168,10 +170,11 @@
 	return q
 }
 
-// unusable returns the upstreams of a pool that a request must not get: it was tried there, its
-// stream can't go on there, or this router has lost contact to them and not to others. Usable is
-// false if none is left.
-func (f *Fleet) unusable(now time.Time, r Request, eligible, pool []roster.Upstream, tried []core.UpstreamID) (excluded []core.UpstreamID, usable bool) {
+// unusable returns the upstreams of a pool that a request must not get: it was tried there, they are
+// not in service, its stream can't go on there, or this router has lost contact to them and not to
+// others. Usable is false if none is left. The list holds upstreams that have left, which a dispatcher
+// with older entries would grant.
+func (f *Fleet) unusable(now time.Time, r Request, eligible []roster.Upstream, tried []core.UpstreamID) (excluded []core.UpstreamID, usable bool) {
 	peerAge, _ := f.countAge(now)
 	var left []Candidate
 	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
@@ -182,24 +185,26 @@
 		left = sound
 	}
 	excluded = slices.Clone(tried)
-	for _, u := range pool {
-		kept := slices.ContainsFunc(left, func(c Candidate) bool { return c.Upstream.ID == u.ID })
-		if !kept && !slices.Contains(excluded, u.ID) {
-			excluded = append(excluded, u.ID)
+	f.roster.Do(table.Hold{}, func(_ table.Hold, u *upstreams) {
+		for _, up := range u.roster.All() {
+			kept := up.Pool != r.Pool.Name || slices.ContainsFunc(left, func(c Candidate) bool { return c.Upstream.ID == up.ID })
+			if !kept && !slices.Contains(excluded, up.ID) {
+				excluded = append(excluded, up.ID)
+			}
 		}
-	}
+	})
 	return excluded, len(left) > 0
 }
 
 // useSlot returns the target for a slot that was granted. The roster of this router, and what its
 // upstreams have said to it while the request waited, is the judge of what may get the request: a
-// slot of another upstream is returned, and the router chooses by itself.
-func (f *Fleet) useSlot(now time.Time, r Request, eligible, pool []roster.Upstream, tried []core.UpstreamID) (Target, *core.Refusal, bool) {
+// slot of another upstream is returned.
+func (f *Fleet) useSlot(now time.Time, r Request, eligible []roster.Upstream, excluded []core.UpstreamID) (Target, bool) {
 	slot := Slot{Dispatcher: r.Slot.From, Pool: r.Slot.Pool, Number: r.Slot.Number}
 	i := slices.IndexFunc(eligible, func(u roster.Upstream) bool { return u.ID == r.Slot.Upstream })
-	if excluded, _ := f.unusable(now, r, eligible, pool, tried); i < 0 || slices.Contains(excluded, r.Slot.Upstream) {
+	if i < 0 || slices.Contains(excluded, r.Slot.Upstream) {
 		f.returnSlot(slot, dispatch.Unused, 0)
-		return Target{}, nil, false
+		return Target{}, false
 	}
 	peerAge, _ := f.countAge(now)
 	u := eligible[i]
@@ -212,7 +217,7 @@
 			s.cold.Add(now)
 		}
 	})
-	return t, nil, true
+	return t, true
 }
 
 // returnSlot returns a slot with the time that its request took.
--- a/core/fleet/slot_verbs_test.go
+++ b/core/fleet/slot_verbs_test.go
@@ -16,6 +16,9 @@
 	ask, id := *s.target.SlotAsk, string(s.router.Settings().ID)
 	key := id + "/" + strconv.FormatUint(ask.Request.Number, 10)
 	sim.asking[key] = s
+	sim.returnSlots(s.router)
+	s.request.Asks++
+	sim.asks++
 	s.request.Slot = fleet.SlotAnswer{}
 	sim.applySlots(id, s.router.AskSlot(sim.now, ask))
 	switch slot := s.request.Slot; {
@@ -107,3 +110,10 @@
 		ts.Fatalf("requests without an answer: got %s, want %s", got, a[0])
 	}
 }
+
+// asks COUNT: checks how many requests for slots were sent.
+func cmdAsks(ts *testscript.TestScript, sim *simulation, a []string) {
+	if got := strconv.Itoa(sim.asks); got != a[0] {
+		ts.Fatalf("requests for slots: got %s, want %s", got, a[0])
+	}
+}
--- a/lab/fleet/slot.go
+++ b/lab/fleet/slot.go
@@ -10,6 +10,8 @@
 // come in time.
 func (sim *simulation) askSlot(now time.Time, r *request) {
 	ask, epoch := *r.target.SlotAsk, r.router.epoch
+	sim.returnSlots(now, r.router)
+	r.Asks++
 	r.Slot = fleet.SlotAnswer{Silent: true}
 	answers := 0
 	wait := func(now time.Time, d time.Duration) {
--- a/router/relay/slot.go
+++ b/router/relay/slot.go
@@ -22,6 +22,8 @@
 // until the deadline or until the caller disconnects.
 func (s *callState) awaitSlot(ask fleet.SlotAsk) {
 	f := s.forwarder
+	s.Asks++
+	s.settleSlot(fleet.Target{})
 	s.Slot = fleet.SlotAnswer{Silent: true}
 	if f.ApplySlots == nil {
 		return
