--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -50,7 +50,7 @@
 	asking map[string]*sentRequest
 	// asks counts the requests for slots, silences those without an answer.
 	asks, silences int
-	slack    float64
+	slack          float64
 }
 
 type simulationKey struct{}
