--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -48,6 +48,10 @@
 	Ask *Envelope
 	// Rollout is the attempt's part in a roll-out; nil if none is running.
 	Rollout *RolloutAttempt
+	// Slot is the slot that the attempt takes, if a dispatcher grants those of the pool. SlotAsk is
+	// not nil if the request has to ask for one first; the target isn't an attempt then.
+	Slot    Slot
+	SlotAsk *SlotAsk
 }
 
 // processName returns a name that differs for each process of an upstream.
@@ -72,10 +76,17 @@
 		return Target{}, originUnknown()
 	}
 	if len(eligible) == 0 {
-		return Target{}, noUpstream("no upstream of the pool is in service")
+		return Target{}, f.noEntry(now, r)
 	}
 	a := among{eligible: eligible, pool: pool, retry: len(tried) > 0, held: held}
 	a.choice = f.chooseRelease(now, r, a.retry || held, eligible)
+	if a.choice.open(eligible) {
+		if t, refusal, decided := f.chooseSlot(now, r, eligible, pool, tried, held); decided {
+			return t, refusal
+		}
+	} else {
+		f.returnUnusedSlot(r)
+	}
 	return chooseAmong(now, f, policy, r, a)
 }
 
--- a/core/fleet/outcome.go
+++ b/core/fleet/outcome.go
@@ -45,6 +45,7 @@
 		}
 	})
 	f.recordSample(now, t, o)
+	f.returnSlot(t.Slot, slotOutcome(o), now.Sub(t.ChosenAt))
 	return ejected
 }
 
--- a/core/fleet/rollout_choice.go
+++ b/core/fleet/rollout_choice.go
@@ -51,6 +51,12 @@
 	running bool
 }
 
+// open reports whether the request may go to any of the eligible upstreams, whatever its release.
+// A dispatcher, which knows no releases, grants slots only then.
+func (c releaseChoice) open(eligible []roster.Upstream) bool {
+	return !c.running && len(c.first) == 0 && len(c.rest) == len(eligible)
+}
+
 // poolReleases are the upstreams of a pool that accept work, by their part in a roll-out.
 type poolReleases struct {
 	// target are those of the new release, in the order of the roster, others the number of
--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -54,6 +54,10 @@
 	slack        float64
 	// links is what the links between data centres cost for routers that start later.
 	links locality.Link
+	// asking holds by router and number the requests that have asked for a slot.
+	asking map[string]*sentRequest
+	// asks counts the requests for slots, silences those without an answer.
+	asks, silences int
 }
 
 type simulationKey struct{}
@@ -68,7 +72,7 @@
 			env.Values[simulationKey{}] = &simulation{
 				now: start, routers: map[string]*fleet.Fleet{}, entries: map[core.UpstreamID]roster.Entry{},
 				pendingReads: map[string]uint64{}, regions: map[core.DataCentre]string{},
-				disconnected: map[[2]string]bool{}, delayed: map[[2]string]bool{}, frozen: map[string]bool{}, copies: map[string]int{}, requests: map[string]*sentRequest{}, slack: 56, era: 1,
+				disconnected: map[[2]string]bool{}, delayed: map[[2]string]bool{}, frozen: map[string]bool{}, copies: map[string]int{}, requests: map[string]*sentRequest{}, asking: map[string]*sentRequest{}, slack: 56, era: 1,
 				catalog: catalog.Catalog{Pools: map[core.Pool]catalog.Pool{}},
 			}
 			return nil
@@ -156,6 +160,12 @@
 		"unreached":            cmdUnreached,
 		"relay":                cmdRelay,
 		"press":                cmdPress,
+		"dispatcher":           cmdDispatcher,
+		"silences":             cmdSilences,
+		"asks":                 cmdAsks,
+		"returns-differ":       cmdReturnsDiffer,
+		"waiting":              cmdWaiting,
+		"slots":                cmdSlots,
 	}
 	maps.Copy(all, rolloutCommands)
 	wrapped := map[string]func(*testscript.TestScript, bool, []string){}
@@ -209,8 +219,8 @@
 	}
 }
 
-// router ID DC [unlisted]: starts or restarts a router, which reads the store and,
-// unless unlisted, the list of routers.
+// router ID DC [unlisted] [unread]: starts or restarts a router, which reads the store,
+// unless unread, and, unless unlisted, the list of routers.
 func cmdRouter(_ *testscript.TestScript, sim *simulation, a []string) {
 	f := fleet.New(sim.now, fleet.Settings{
 		ID: core.RouterID(a[0]), DataCentre: core.DataCentre(a[1]), Address: a[0], Detour: "detour-" + a[0], MaxLoadFactor: 2,
@@ -228,7 +238,9 @@
 	}
 	sim.routers[a[0]] = f
 	sim.readOrders(f)
-	f.ApplyFullRead(sim.now, sim.now, sim.era, uint64(len(sim.log)), lo.Values(sim.entries))
+	if _, unread := option(a, "unread"); !unread {
+		f.ApplyFullRead(sim.now, sim.now, sim.era, uint64(len(sim.log)), lo.Values(sim.entries))
+	}
 	if _, unlisted := option(a, "unlisted"); unlisted {
 		return
 	}
@@ -298,4 +310,10 @@
 	d, err := time.ParseDuration(a[0])
 	ts.Check(err)
 	sim.now = sim.now.Add(d)
+	for _, id := range sim.order {
+		if !sim.frozen[id] {
+			effects, _ := sim.routers[id].ExpireSlots(sim.now)
+			sim.applySlots(id, effects)
+		}
+	}
 }
--- a/lab/fleet/request.go
+++ b/lab/fleet/request.go
@@ -42,8 +42,10 @@
 	router *router
 	tried  []core.UpstreamID
 	target fleet.Target
-	// arrivedAt is when its router got it.
+	// arrivedAt is when the request, or the first one of its caller, came to a router; returned is
+	// true if the caller was refused once and has returned.
 	arrivedAt time.Time
+	returned  bool
 }
 
 // arrive sends a request to a router of a data centre, or of the next one with a
@@ -113,13 +115,19 @@
 		r.target, refusal = fleet.Choose(now, f, fleet.LocalFirst{}, r.Request, r.tried)
 	}
 	if refusal != nil || len(r.tried) >= maxTries {
-		sim.figures.refused++
+		sim.refuse(now, r, refusal)
 		return
 	}
 	if r.target.Ask != nil {
 		sim.askQuota(now, r)
 		return
 	}
+	if r.target.SlotAsk != nil {
+		sim.askSlot(now, r)
+		return
+	}
+	r.Slot = fleet.SlotAnswer{}
+	sim.returnSlots(now, r.router)
 	u := sim.upstreams[r.target.ID]
 	sim.countExposed(now, u)
 	there := sim.delay(r.router.member.DataCentre, u.entry.DataCentre)
@@ -197,20 +205,10 @@
 		}
 	})
 	slow, outcome := sim.spoil(now, u)
-	ends := u.endOf(begins, time.Duration(slow*float64(u.runTime(sim.random, r.load.Time))))
+	ends := u.endOf(begins, time.Duration(slow*float64(u.runTime(sim.random, r.load, sim.slowed(now, u)))))
 	sim.events.add(ends, func(at time.Time) {
 		u.finish(at)
-		sim.respond(at.Add(back), r, func(at time.Time) {
-			if r.Pool.Engine == nil {
-				sim.countAnswer(at, r)
-				r.target.Rollout.MarkFirstByte(at)
-			}
-			sim.finish(at, r, outcome)
-			if outcome == health.Failed {
-				r.tried = append(r.tried, u.entry.ID)
-				sim.try(at, r)
-			}
-		})
+		sim.respond(at.Add(back), r, func(at time.Time) { sim.answered(at, r, outcome) })
 	})
 }
 
@@ -228,12 +226,59 @@
 func (sim *simulation) finish(now time.Time, r *request, o health.Outcome) {
 	if !r.router.stopped {
 		r.router.fleet.FinishAttempt(now, r.target, o, nil)
+		sim.returnSlots(now, r.router)
 	}
 	if !r.router.stopped && o == health.Good {
 		sim.tellPaces(now, r.router, r.router.fleet.RecordRun(now, r.target, nil))
 	}
 }
 
+// answered ends an attempt that has its whole answer.
+func (sim *simulation) answered(now time.Time, r *request, o health.Outcome) {
+	if r.Pool.Engine == nil {
+		sim.countAnswer(now, r)
+		r.target.Rollout.MarkFirstByte(now)
+	}
+	sim.finish(now, r, o)
+	if o == health.Failed {
+		r.tried = append(r.tried, r.target.ID)
+		sim.try(now, r)
+	}
+}
+
+// patience is the part of the time that a caller has left which it waits at most before it returns.
+const patience = 1.0 / 3
+
+// refuse refuses a request. Its caller returns once, if it is told to return soon.
+func (sim *simulation) refuse(now time.Time, r *request, refusal *core.Refusal) {
+	left := r.Deadline.Sub(now)
+	wait := r.router.fleet.RetryAfter()
+	if refusal != nil && refusal.RetryAfter > 0 {
+		wait = refusal.RetryAfter
+	}
+	if r.returned || r.load.Objective <= 0 || wait > time.Duration(patience*float64(left)) {
+		sim.figures.refused++
+		return
+	}
+	if sim.measuring() {
+		sim.figures.sentBack++
+	}
+	sim.events.add(now.Add(wait), func(at time.Time) {
+		to := sim.pickRouter(r.router.dataCentre)
+		if to == nil {
+			sim.figures.refused++
+			return
+		}
+		sim.requests++
+		admitted, refused := to.fleet.Admit(at, fleet.CallerRequest{ID: strconv.Itoa(sim.requests), Host: r.load.Name, Path: "/", Content: r.Content})
+		if refused != nil {
+			sim.figures.refused++
+			return
+		}
+		sim.try(at, &request{Request: admitted, load: r.load, router: to, returned: true, arrivedAt: r.arrivedAt})
+	})
+}
+
 // anyHas reports whether an engine of a pool has all of the parts in its cache.
 func (sim *simulation) anyHas(pool string, parts []prefix.Part) bool {
 	for _, u := range sim.pools[pool].upstreams {
--- a/lab/fleet/scenario.go
+++ b/lab/fleet/scenario.go
@@ -12,6 +12,7 @@
 	Limits LimitsSection `ini:"limits"`
 	Losses []LossSection `ini:"loss" validate:"dive"`
 	Lags   []LagSection  `ini:"lag" validate:"dive"`
+	Cuts   []CutSection  `ini:"cut" validate:"dive"`
 	// Changes are those of the configuration.
 	Changes []ChangeSection `ini:"change" validate:"dive"`
 	Orders  []OrderSection  `ini:"order" validate:"max=1,dive"`
@@ -70,6 +71,10 @@
 	Spell    time.Duration `ini:"spell" validate:"required_with=Uneven"`
 	Slowness float64       `ini:"slowness" validate:"required_with=Uneven"`
 	States   bool          `ini:"states"`
+	// Slowed is by how many times requests last longer at one upstream after the other, each for
+	// SlowedFor; zero means at none.
+	Slowed    float64       `ini:"slowed" validate:"min=0"`
+	SlowedFor time.Duration `ini:"slowedfor" validate:"min=0"`
 }
 
 // defaultObjective is the objective of routes that set none.
@@ -104,6 +109,8 @@
 	// of that time; zero means defaultObjective.
 	First     time.Duration `ini:"first" validate:"min=0"`
 	Objective time.Duration `ini:"objective" validate:"min=0"`
+	// Steady is true if run times differ by a fifth at most; otherwise they are exponential.
+	Steady bool `ini:"steady"`
 	// Prompts is the number of prompts; each has Tokens tokens that requests share.
 	Prompts int `ini:"prompts" validate:"min=0"`
 	Tokens  int `ini:"tokens" validate:"min=0"`
@@ -124,6 +131,8 @@
 	// of all routers.
 	DataCentre int     `ini:"datacentre" validate:"min=0"`
 	Share      float64 `ini:"share" validate:"min=0,max=1"`
+	// Dispatcher is a pool whose dispatcher stops, in place of others.
+	Dispatcher string `ini:"dispatcher"`
 	// Group is how many of them stop at a time, each Gap; zero means all at once.
 	Group int           `ini:"group" validate:"min=0"`
 	Gap   time.Duration `ini:"gap" validate:"min=0"`
@@ -136,7 +145,20 @@
 	For  time.Duration `ini:"for" validate:"gt=0"`
 	// Time is how much later they handle a message, Share the share of the routers.
 	Time  time.Duration `ini:"time" validate:"gt=0"`
-	Share float64       `ini:"share" validate:"gt=0,max=1"`
+	Share float64       `ini:"share" validate:"min=0,max=1"`
+	// Dispatcher is a pool whose dispatcher is slow, in place of others.
+	Dispatcher string `ini:"dispatcher"`
+}
+
+// CutSection loses all messages to and from routers for a time.
+type CutSection struct {
+	Name string        `ini:"-name"`
+	At   time.Duration `ini:"at" validate:"min=0"`
+	For  time.Duration `ini:"for" validate:"gt=0"`
+	// Share is the share of the routers, which reach each other; Dispatcher is a pool whose
+	// dispatcher is cut off, in place of others.
+	Share      float64 `ini:"share" validate:"min=0,max=1"`
+	Dispatcher string  `ini:"dispatcher"`
 }
 
 // ChangeSection changes the configuration Count times, each Gap from At on.
@@ -167,6 +189,9 @@
 	Crossed float64 `ini:"crossed" validate:"min=0,max=1"`
 	// Refused is the largest share of requests that routers may refuse.
 	Refused float64 `ini:"refused" validate:"min=0,max=1"`
+	// Handled is the highest mean number of messages per second that one router may send and
+	// receive.
+	Handled float64 `ini:"handled" validate:"min=0"`
 	// Excess is the highest number of requests that a limited upstream may get in four
 	// seconds, as a fraction of what is permitted: one and a half times its limit, and five
 	// more. Unused is the largest share of the limits that may stay unused.
--- a/lab/fleet/simulation.go
+++ b/lab/fleet/simulation.go
@@ -49,6 +49,14 @@
 	lag time.Duration
 	// storeless is true if it can't reach the store.
 	storeless bool
+	// cut is the side of a cut that it is on; messages between sides are lost.
+	cut bool
+	// handled is the number of messages that it has sent and received.
+	handled int
+	// asking holds by number what to do when a request for a slot is answered. returning and
+	// expiring are true while it is to return slots, and to end the waits for those that it grants.
+	asking              map[uint64]func(now time.Time, a fleet.SlotAnswer)
+	returning, expiring bool
 	// waiting holds by upstream what to do when quota is granted or denied.
 	waiting map[core.UpstreamID][]func(now time.Time)
 }
@@ -84,6 +92,9 @@
 	for _, l := range s.Losses {
 		sim.scheduleLoss(l)
 	}
+	for _, c := range s.Cuts {
+		sim.scheduleCut(c)
+	}
 	for _, l := range s.Lags {
 		sim.scheduleLag(l)
 	}
@@ -134,6 +145,7 @@
 	r.epoch++
 	r.stopped = false
 	r.waiting = map[core.UpstreamID][]func(time.Time){}
+	r.asking, r.returning, r.expiring = map[uint64]func(time.Time, fleet.SlotAnswer){}, false, false
 	r.member.Incarnation = core.Incarnation(sim.now.UnixMilli())
 	r.fleet = fleet.New(sim.now, fleet.Settings{
 		ID: r.member.ID, Address: r.member.Address, DataCentre: r.member.DataCentre, Incarnation: r.member.Incarnation,
--- a/router/cluster/gauges.go
+++ b/router/cluster/gauges.go
@@ -29,6 +29,12 @@
 		{Name: "cut_off_pools", Description: "pools of which this router can't reach any upstream", Read: func() int64 {
 			return int64(r.fleet.CutOffPools(time.Now()))
 		}},
+		{Name: "slots_granted", Description: "slots of applications that this router has granted and that aren't returned", Read: func() int64 {
+			return int64(r.fleet.SlotStatus(time.Now()).Taken)
+		}},
+		{Name: "slots_awaited", Description: "requests that wait for a slot which this router grants", Read: func() int64 {
+			return int64(r.fleet.SlotStatus(time.Now()).Waiting)
+		}},
 		{Name: "message_delay_ms", Description: "longest recent delay of messages from other routers in milliseconds", Read: func() int64 {
 			return r.fleet.MessageDelay(time.Now()).Milliseconds()
 		}},
--- a/router/gateway/script_test.go
+++ b/router/gateway/script_test.go
@@ -65,8 +65,8 @@
 			"respond-endless": with(cmdRespondEndless), "sent-at-most": with(cmdSentAtMost), "took-at-most": with(cmdTookAtMost),
 			"each-cut": with(cmdEachCut), "request-while-closing": with(cmdRequestWhileClosing), "helper": with(cmdHelper), "cut-off": with(cmdCutOff), "stop-helper-in": with(cmdStopHelperIn), "relayed": with(cmdRelayed), "silent-router": with(cmdSilentRouter),
 			"told": with(cmdTold), "leave": with(cmdLeave), "pipeline": with(cmdPipeline), "stop-in": with(cmdStopIn), "told-stop": with(cmdToldStop),
-			"started": with(cmdStarted), "entry": with(cmdEntry), "answer-question": with(cmdAnswerQuestion), "asked": with(cmdAsked), "requests": with(cmdRequests), "received-at-most": with(cmdReceivedAtMost), "heap-at-most": with(cmdHeapAtMost),
 			"watch-told": with(cmdWatchTold), "told-pace": with(cmdToldPace), "told-nothing": with(cmdToldNothing),
+			"started": with(cmdStarted), "entry": with(cmdEntry), "answer-question": with(cmdAnswerQuestion), "asked": with(cmdAsked), "requests": with(cmdRequests), "slot-router": with(cmdSlotRouter), "slots-asked": with(cmdSlotsAsked), "slots-returned": with(cmdSlotsReturned), "received-at-most": with(cmdReceivedAtMost), "heap-at-most": with(cmdHeapAtMost),
 		},
 	})
 }
@@ -87,6 +87,8 @@
 	stoppedAt atomic.Value
 	upstreams map[string]*upstream
 	entries   []roster.Entry
+	// slots is the router that grants the slots of the pool.
+	slots slotRouter
 	// helpers are other routers, which reach the upstreams when the gateway doesn't.
 	helpers []*helper
 	// toldOthers holds the messages that the router sends to all others, from watch-told on.
@@ -176,6 +178,9 @@
 // Kept implements relay.Metrics.
 func (noMetrics) Kept(core.Pool) {}
 
+// Slot implements relay.Metrics.
+func (noMetrics) Slot(core.Pool, string, bool, time.Duration) {}
+
 // LoadUnderestimate implements relay.Metrics.
 func (noMetrics) LoadUnderestimate(core.Pool, int) {}
 
--- a/router/wire/fleet.go
+++ b/router/wire/fleet.go
@@ -32,21 +32,9 @@
 	RolloutState    *fleetRolloutState    `cbor:"16,keyasint,omitempty"`
 	RolloutSamples  *fleetRolloutSamples  `cbor:"17,keyasint,omitempty"`
 	HostPaces       []fleetHostPace       `cbor:"23,keyasint,omitempty"`
-}
-
-type fleetEvidence struct {
-	Part       core.Digest   `cbor:"1,keyasint"`
-	Strikes    []fleetStrike `cbor:"2,keyasint,omitempty"`
-	Probes     int           `cbor:"3,keyasint,omitempty"`
-	ProbeAgeMS int64         `cbor:"4,keyasint,omitempty"`
-	UsedAgeMS  int64         `cbor:"5,keyasint,omitempty"`
-}
-
-type fleetStrike struct {
-	Process string      `cbor:"1,keyasint"`
-	Request core.Digest `cbor:"2,keyasint,omitempty"`
-	AgeMS   int64       `cbor:"3,keyasint,omitempty"`
-	Cleared bool        `cbor:"4,keyasint,omitempty"`
+	SlotRequest     *fleetSlotRequest     `cbor:"18,keyasint,omitempty"`
+	SlotGrant       *fleetSlotGrant       `cbor:"19,keyasint,omitempty"`
+	SlotReturns     []fleetSlotReturn     `cbor:"20,keyasint,omitempty"`
 }
 
 type fleetFullUpstream struct {
@@ -166,6 +154,7 @@
 	w.Statements, w.HostPaces = encodeStatements(m.Statements), encodeHostPaces(m.HostPaces)
 	w.StreamRecords, w.OriginRequest, w.OriginReply = encodeStreamRecords(m.StreamRecords), (*fleetOriginRequest)(m.OriginRequest), encodeOriginReply(m.OriginReply)
 	w.RolloutState, w.RolloutSamples = encodeRolloutState(m.RolloutState), encodeRolloutSamples(m.RolloutSamples)
+	w.SlotRequest, w.SlotGrant, w.SlotReturns = (*fleetSlotRequest)(m.SlotRequest), (*fleetSlotGrant)(m.SlotGrant), encodeSlotReturns(m.SlotReturns)
 	if q := m.QuotaRequest; q != nil {
 		w.QuotaRequest = &fleetQuotaRequest{Limit: fleetStatement(q.Limit), Count: q.Count, Preferred: q.Preferred}
 	}
@@ -237,6 +226,7 @@
 	m.Statements, m.HostPaces = decodeStatements(w.Statements), decodeHostPaces(w.HostPaces)
 	m.StreamRecords, m.OriginRequest, m.OriginReply = decodeStreamRecords(w.StreamRecords), (*fleet.OriginRequest)(w.OriginRequest), decodeOriginReply(w.OriginReply)
 	m.RolloutState, m.RolloutSamples = decodeRolloutState(w.RolloutState), decodeRolloutSamples(w.RolloutSamples)
+	m.SlotRequest, m.SlotGrant, m.SlotReturns = (*fleet.SlotRequest)(w.SlotRequest), (*fleet.SlotGrant)(w.SlotGrant), decodeSlotReturns(w.SlotReturns)
 	if q := w.QuotaRequest; q != nil {
 		m.QuotaRequest = &fleet.QuotaRequest{Limit: fleet.StatementReport(q.Limit), Count: q.Count, Preferred: q.Preferred}
 	}
--- a/router/wire/fleet_lists.go
+++ b/router/wire/fleet_lists.go
@@ -4,28 +4,9 @@
 	"github.com/samber/lo"
 
 	"camphorpulley.org/core/fleet"
-	"camphorpulley.org/core/poison"
 	"camphorpulley.org/core/prefix"
 )
 
-func encodeEvidence(all []poison.Evidence) []fleetEvidence {
-	return lo.Map(all, func(e poison.Evidence, _ int) fleetEvidence {
-		return fleetEvidence{
-			Part: e.Part, Probes: e.Probes, ProbeAgeMS: e.ProbeAgeMS, UsedAgeMS: e.UsedAgeMS,
-			Strikes: lo.Map(e.Strikes, func(s poison.Strike, _ int) fleetStrike { return fleetStrike(s) }),
-		}
-	})
-}
-
-func decodeEvidence(all []fleetEvidence) []poison.Evidence {
-	return lo.Map(all, func(e fleetEvidence, _ int) poison.Evidence {
-		return poison.Evidence{
-			Part: e.Part, Probes: e.Probes, ProbeAgeMS: e.ProbeAgeMS, UsedAgeMS: e.UsedAgeMS,
-			Strikes: lo.Map(e.Strikes, func(s fleetStrike, _ int) poison.Strike { return poison.Strike(s) }),
-		}
-	})
-}
-
 // encodeRecords leaves out the parsed entries: the receiver parses them from Source.
 func encodeRecords(all []fleet.Record) []fleetRecord {
 	return lo.Map(all, func(r fleet.Record, _ int) fleetRecord {
