--- a/core/fleet/rollout_choice.go
+++ b/core/fleet/rollout_choice.go
@@ -181,6 +181,10 @@
 	case p.state.Stage == rollout.Trying && first:
 		chosen := rollout.TrialUpstreams(p.state.Order, releases.target, releases.others, f.settings.Rollout.Share)
 		candidates = slices.DeleteFunc(candidates, func(u roster.Upstream) bool { return !slices.Contains(chosen, u.ID) })
+		turn := rollout.Turn(chosen, now.Sub(p.begunAt), releases.others, f.settings.Rollout.Share)
+		if inTurn := slices.DeleteFunc(slices.Clone(candidates), func(u roster.Upstream) bool { return !slices.Contains(turn, u.ID) }); len(inTurn) > 0 {
+			candidates = inTurn
+		}
 		if len(candidates) > 0 {
 			if p.exposure.Take(f.settings.Rollout, r.Route.Name) {
 				c.first, c.charged = candidates, true
--- a/core/rollout/fleet_test.go
+++ b/core/rollout/fleet_test.go
@@ -235,6 +235,8 @@
 		if isNew && id == TrialUpstreams(s.state.Order, s.all[1], s.old, s.limits.Share)[0] {
 			portion = 0.8
 		}
+	case "wide-times":
+		seconds = 0.08 * float64(1+route%3) * s.random.ExpFloat64()
 	case "burst":
 		if i/perSecond%6 < 2 {
 			seconds *= 1 + s.random.Float64()*3
--- a/core/rollout/significance.go
+++ b/core/rollout/significance.go
@@ -94,14 +94,24 @@
 }
 
 // byClusters returns the probability of as many struck clusters. It tells a release that is bad
-// everywhere from a hour in which single upstreams are: there, few clusters are struck.
+// everywhere from an hour in which single upstreams are: there, few clusters are struck.
 func byClusters(clusters map[cluster]residual, h habits) float64 {
-	large, struck := 0, 0
+	large, struck, expected := 0, 0, 0.0
 	for _, r := range clusters {
 		if r.n >= minCluster {
 			large++
 			struck += number(r.struck(r.bad))
+			expected += min(h.struck+r.struckByChance(), 1)
 		}
 	}
-	return binomialTail(struck, large, min(h.struck, 1))
+	return binomialTail(struck, large, expected/max(float64(large), 1))
+}
+
+// struckByChance returns the probability that independent answers strike the cluster. The old
+// release's clusters are larger, and are struck less by chance.
+func (r residual) struckByChance() float64 {
+	n := float64(r.n)
+	p := min(max((float64(r.bad)-r.excess)/n, 0), 1)
+	least := max(int((p+struckExcess)*n)+1, minStruck)
+	return binomialTail(least, r.n, p)
 }
--- a/core/rollout/summary.go
+++ b/core/rollout/summary.go
@@ -6,9 +6,11 @@
 	// slowFactor is how many times the median of the old release's answers an answer takes to
 	// be bad.
 	slowFactor = 2.5
-	// minMedian is the least number of answers that a median is taken of, and medianSlots how
-	// many slots back they may come from.
+	// minMedian is the least number of answers that a median is taken of. It is taken of those of
+	// medianSlots and of earlier ones until there are goodMedian: the median of a few answers is
+	// so inexact that a good release looks slow.
 	minMedian   = 5
+	goodMedian  = 50
 	medianSlots = 3
 	// windowSlots is how many slots back the share of bad answers of a route is taken from.
 	windowSlots = 8
@@ -89,7 +91,7 @@
 		}
 		all := true
 		for k, v := range values {
-			closed[k] = len(v) >= minMedian
+			closed[k] = len(v) >= goodMedian
 			all = all && closed[k]
 		}
 		if all && i-j >= windowSlots && len(values) > 0 {
--- a/core/rollout/verdict.go
+++ b/core/rollout/verdict.go
@@ -77,6 +77,7 @@
 	v.NewAnswers, v.NewBad = int(newSeen), int(math.Round(newBad))
 	v.OldAnswers, v.OldBad = int(oldSeen), int(math.Round(oldBad))
 	figures := fmt.Sprintf("%d of %d answers of the new release are bad, %d of %d of the old one", v.NewBad, v.NewAnswers, v.OldBad, v.OldAnswers)
+	where := ""
 	h, upstreams := t.habits(), t.newUpstreams(now)
 	for _, c := range t.comparisons(now) {
 		among := float64(max(c.among, 1))
@@ -85,15 +86,17 @@
 			v.Reason = figures + "; " + c.name
 			return v
 		}
-		v.Doubt = v.Doubt || c.excess(upstreams, h, aloneLevel/among, doubtSpreadLevel/among)
+		alone := c.excess(upstreams, h, aloneLevel/among, doubtSpreadLevel/among)
 		c.answers = besideOld(c.answers)
-		v.Doubt = v.Doubt || c.excess(upstreams, h, doubtLevel/among, doubtSpreadLevel/min(among, 4))
+		if alone || c.excess(upstreams, h, doubtLevel/among, doubtSpreadLevel/min(among, 4)) {
+			v.Doubt, where = true, c.name
+		}
 	}
 	switch {
 	case v.NewAnswers < minAnswers || v.OldAnswers < minAnswers:
 		v.Reason = figures + "; few answers"
 	case v.Doubt:
-		v.Reason = figures + "; in doubt"
+		v.Reason = figures + "; in doubt " + where
 	case t.ceased(now):
 		v.Reason = figures + "; the new release has ceased to answer"
 	default:
