Roll out a release in every second seed of the soak

Cause: the soak had no orders, so that exposure, roll-back and completion were tested without faults only. Change: a run with an even seed orders a pool to be moved to a good or a bad release; the ledger checks the exposure and the time of the roll-back, and the status is checked for its state and its time.

--- a/lab/soak/ledger/ledger.go
+++ b/lab/soak/ledger/ledger.go
@@ -71,6 +71,7 @@
 	// ID is the id of the request. Line, Body and Tenant are those that the runner
 	// received.
 	ID, Runner, Pool, Zone string
+	Release                string
 	Line, Body             string
 	Tenant                 string
 	// Key is the API key that the runner received. Routers must not pass it on.
@@ -117,6 +118,7 @@
 	limits     map[string]*limit
 	leaving    map[pair]time.Time
 	turnedAway map[pair]*turnedAway
+	rollout    *Rollout
 	violations []Violation
 	outcomes   map[string]int
 	events     map[string]int
@@ -173,6 +175,7 @@
 	l.checkRefusal(r.At, q)
 	l.checkPlacement(r, q)
 	l.checkColdRate(r)
+	l.checkExposure(r, q)
 }
 
 // checkRefusal checks that an unrepeatable request which was refused as not run
--- a/lab/soak/main.go
+++ b/lab/soak/main.go
@@ -68,7 +68,8 @@
 		o := options{
 			seed: seed, faultTime: c.Duration("for"), routers: c.Int("routers"), callers: c.Int("callers"),
 			plannedOnly: c.Bool("planned") || seed%plannedOnlyEvery == 0, unreadLogs: c.Bool("unread"), program: c.String("program"), previous: c.String("previous"),
-			dir: filepath.Join(c.String("dir"), strconv.FormatUint(seed, 10)), logLevel: c.String("level"),
+			rollouts: seed%rolloutEvery == 0 && c.String("previous") == "",
+			dir:      filepath.Join(c.String("dir"), strconv.FormatUint(seed, 10)), logLevel: c.String("level"),
 		}
 		s := &soak{options: o, log: logs.New(o.logLevel), ledger: &ledger.Ledger{}, store: &store.Store{}}
 		outcomes, violations, err := s.run(ctx)
--- a/lab/soak/runner/runner.go
+++ b/lab/soak/runner/runner.go
@@ -21,6 +21,9 @@
 	// Release is the software release that the runner states in its entry, and in each event
 	// of a stream.
 	Release string
+	// Bad is how the runner's release handles requests, from BadAt on; Healthy for a good one.
+	Bad   Mode
+	BadAt time.Time
 	// Slots is the number of requests that the runner accepts at a time.
 	Slots int
 	// ColdTime is how long the runner is cold after its start, ColdRate its
@@ -182,6 +185,17 @@
 // SetMode sets how the runner handles requests from now on.
 func (r *Runner) SetMode(m Mode) { r.mode.Store(int32(m)) }
 
+// currentMode returns how the runner handles a request, and whether its release is the reason.
+func (r *Runner) currentMode() (m Mode, release bool) {
+	if r.Bad != Healthy && time.Now().After(r.BadAt) {
+		return r.Bad, true
+	}
+	return Mode(r.mode.Load()), false
+}
+
+// Running returns the number of requests at the runner.
+func (r *Runner) Running() int64 { return r.running.Load() }
+
 // SetLimit sets the limit in requests per second that the runner names in its responses;
 // zero for none.
 func (r *Runner) SetLimit(perSecond float64) {
--- a/lab/soak/runner/serve.go
+++ b/lab/soak/runner/serve.go
@@ -98,7 +98,7 @@
 	withdrawnAt := r.withdrawnAt
 	r.mu.Unlock()
 	r.ledger.RecordRun(ledger.Run{
-		ID: id, Runner: r.ID, Pool: r.Pool, Zone: r.Zone, Conn: q.RemoteAddr, Line: q.Method + " " + q.RequestURI, Body: body,
+		ID: id, Runner: r.ID, Pool: r.Pool, Zone: r.Zone, Release: r.Release, Conn: q.RemoteAddr, Line: q.Method + " " + q.RequestURI, Body: body,
 		Tenant: q.Header.Get("Camphorpulley-Tenant"), Key: q.Header.Get("Camphorpulley-Key"), At: now, WithdrawnAt: withdrawnAt, ColdRate: rate,
 	})
 }
@@ -109,7 +109,10 @@
 func (r *Runner) respond(w http.ResponseWriter, q *http.Request, id string) {
 	simulateWork()
 	streams, stalls := q.Header.Get("Camphorpulley-Prompt-Prefix") != "", false
-	if m := Mode(r.mode.Load()); m != Healthy && rand.Float64() < degradedShare {
+	if m, release := r.currentMode(); m != Healthy && rand.Float64() < degradedShare {
+		if release {
+			defer func() { r.ledger.RecordBadAnswer(time.Now(), r.Pool, r.Release) }()
+		}
 		switch m {
 		case Failing:
 			w.Header().Set("Camphorpulley-Response-Signature", "failed."+id)
--- a/lab/soak/runners.go
+++ b/lab/soak/runners.go
@@ -75,3 +75,70 @@
 		sleep(ctx, time.Duration(random.Int64N(int64(maxSlowGap))))
 	}
 }
+
+// coldRate is the capacity of a cold engine in requests per second.
+const coldRate = 8
+
+// addRunner starts a runner in a pool and a zone. An engine is cold for coldTime
+// after its start.
+func (s *soak) addRunner(pool, zone string, coldTime time.Duration) {
+	n := s.countRunner()
+	c := runner.Config{ID: runnerID(n), Pool: pool, Zone: zone, Slots: appSlots, ColdTime: coldTime, Release: releases[n%len(releases)]}
+	s.mu.Lock()
+	if release := s.poolRelease[pool]; release != "" {
+		c.Release = release
+	}
+	s.mu.Unlock()
+	if pool == "engines" {
+		c.Slots, c.ColdRate = engineSlots, coldRate
+	}
+	s.takeIn(runner.Start(c, s.store, s.ledger))
+}
+
+// countRunner returns the number of the next runner, counted from one.
+func (s *soak) countRunner() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runnersStarted++
+	return s.runnersStarted
+}
+
+func runnerID(n int) string { return fmt.Sprintf("i-%d", n) }
+
+// takeIn adds a runner that was started to those in service.
+func (s *soak) takeIn(r *runner.Runner, err error) {
+	if err != nil {
+		s.ledger.RecordViolation(time.Now(), "harness", "start runner: %v", err)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runners = append(s.runners, r)
+}
+
+// takeRunner chooses a runner at random and removes it from those in service. It
+// returns nil if fewer than two runners of its pool would remain, or if it runs a release on trial.
+func (s *soak) takeRunner(random *rand.Rand) *runner.Runner {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := map[string]int{}
+	for _, r := range s.runners {
+		if r.Release != s.trialRelease {
+			count[r.Pool]++
+		}
+	}
+	i := random.IntN(len(s.runners))
+	r := s.runners[i]
+	if count[r.Pool] <= 2 || r.Release == s.trialRelease {
+		return nil
+	}
+	s.runners = append(s.runners[:i], s.runners[i+1:]...)
+	return r
+}
+
+// pickRunner returns a random runner in service.
+func (s *soak) pickRunner(random *rand.Rand) *runner.Runner {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runners[random.IntN(len(s.runners))]
+}
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -28,7 +28,7 @@
 	faultTime time.Duration
 	routers   int
 	callers   int
-	// rollouts configures roll-outs of new releases.
+	// rollouts configures roll-outs of new releases. A run has one.
 	rollouts bool
 	// plannedOnly restricts the faults to planned work.
 	plannedOnly bool
@@ -60,6 +60,10 @@
 	runners        []*runner.Runner
 	runnersStarted int
 	configVersion  int
+	// poolRelease holds the releases of pools that were moved to one, trialRelease that of the
+	// roll-out that is running; empty if there is none.
+	poolRelease  map[string]string
+	trialRelease string
 	// getRoutePool is the pool of the route /get/, apps-a or apps-b.
 	getRoutePool string
 	// evacuating is true while a zone is evacuated.
@@ -138,66 +142,6 @@
 	return nil
 }
 
-// coldRate is the capacity of a cold engine in requests per second.
-const coldRate = 8
-
-// addRunner starts a runner in a pool and a zone. An engine is cold for coldTime
-// after its start.
-func (s *soak) addRunner(pool, zone string, coldTime time.Duration) {
-	n := s.countRunner()
-	c := runner.Config{ID: runnerID(n), Pool: pool, Zone: zone, Slots: appSlots, ColdTime: coldTime, Release: releases[n%len(releases)]}
-	if pool == "engines" {
-		c.Slots, c.ColdRate = engineSlots, coldRate
-	}
-	s.takeIn(runner.Start(c, s.store, s.ledger))
-}
-
-// countRunner returns the number of the next runner, counted from one.
-func (s *soak) countRunner() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.runnersStarted++
-	return s.runnersStarted
-}
-
-func runnerID(n int) string { return fmt.Sprintf("i-%d", n) }
-
-// takeIn adds a runner that was started to those in service.
-func (s *soak) takeIn(r *runner.Runner, err error) {
-	if err != nil {
-		s.ledger.RecordViolation(time.Now(), "harness", "start runner: %v", err)
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.runners = append(s.runners, r)
-}
-
-// takeRunner chooses a runner at random and removes it from those in service. It
-// returns nil if fewer than two runners of its pool would remain.
-func (s *soak) takeRunner(random *rand.Rand) *runner.Runner {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	count := map[string]int{}
-	for _, r := range s.runners {
-		count[r.Pool]++
-	}
-	i := random.IntN(len(s.runners))
-	r := s.runners[i]
-	if count[r.Pool] <= 2 {
-		return nil
-	}
-	s.runners = append(s.runners[:i], s.runners[i+1:]...)
-	return r
-}
-
-// pickRunner returns a random runner in service.
-func (s *soak) pickRunner(random *rand.Rand) *runner.Runner {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.runners[random.IntN(len(s.runners))]
-}
-
 // writeConfig writes a new version of the configuration to the store, with the
 // current pool of the route /get/.
 func (s *soak) writeConfig() {
@@ -284,7 +228,13 @@
 	if s.previous != "" {
 		s.wg.Go(func() { s.replaceRouters(ctx, rand.New(rand.NewPCG(s.seed, 5<<32))) })
 	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.rollOut(ctx, rand.New(rand.NewPCG(s.seed, 8<<32)))
+	}()
 	s.injectFaults(ctx, rand.New(rand.NewPCG(s.seed, 1<<32)))
+	<-ended
 	sleep(ctx, settleTime)
 	s.checkRecovery(ctx)
 	s.ledger.CheckUnended(time.Now())
--- a/lab/soak/store/store.go
+++ b/lab/soak/store/store.go
@@ -209,6 +209,18 @@
 	return nil
 }
 
+// Values returns the values of all records of a key, the oldest one first.
+func (s *Store) Values(topic, key string) [][]byte {
+	all, _ := s.readFrom(topic, 0)
+	var values [][]byte
+	for _, r := range all {
+		if r.key == key {
+			values = append(values, r.value)
+		}
+	}
+	return values
+}
+
 // append stores the records of the body: each a 4-byte length, a 1-byte key length,
 // the key and the value. It responds with the topic's end offset.
 func (s *Store) append(w http.ResponseWriter, r *http.Request) {
