--- a/core/rollout/rates_test.go
+++ b/core/rollout/rates_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -86,12 +87,7 @@
 			}
 			wrong, over, late, unended, most := 0, 0, 0, 0, 0.0
 			for seed := range seeds {
-				s := &rollOut{routers: z.routers, old: z.old, rate: z.rate, duration: 20 * time.Second, stream: 10 * time.Second, version: trouble{factor: 4}}
-				for _, word := range strings.Fields(given) {
-					if err := s.set(word); err != nil {
-						t.Fatal(err)
-					}
-				}
+				s := newRollOut(t, z, given)
 				end := s.run(uint64(seed) + 1)
 				bound := s.limits.Share*float64(s.requests) + s.limits.Slack
 				if end.Stage.String() != want || (want == RolledBack.String() && float64(s.exposed) > bound) {
@@ -128,6 +124,35 @@
 	}
 }
 
+// newRollOut returns a roll-out of a fleet with the words of a script.
+func newRollOut(t *testing.T, z size, words string) *rollOut {
+	t.Helper()
+	s := &rollOut{routers: z.routers, old: z.old, rate: z.rate, duration: 20 * time.Second, stream: 10 * time.Second, version: trouble{factor: 4}}
+	for _, word := range strings.Fields(words) {
+		if err := s.set(word); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return s
+}
+
+// TestSeeds runs the seeds of testdata/seeds.txt, in which single rules decide. It guards against
+// verdicts that rest on a bad hour, or that miss a bad release in one.
+func TestSeeds(t *testing.T) {
+	eachLine(t, "testdata/seeds.txt", func(given, want string) {
+		var routers int
+		var seed uint64
+		if _, err := fmt.Sscanf(given, "%d %d", &routers, &seed); err != nil {
+			t.Fatal(err)
+		}
+		i := slices.IndexFunc(sizes, func(z size) bool { return z.routers == routers })
+		s := newRollOut(t, sizes[i], strings.Join(strings.Fields(given)[2:], " "))
+		if end := s.run(seed); end.Stage.String() != want {
+			t.Errorf("%s: got %s (%s), want %s", given, end.Stage, end.Reason, want)
+		}
+	})
+}
+
 // maxWrongPart is one in how many runs may end wrongly or exceed the bound on the exposure: some
 // releases turn out bad only once most requests have moved.
 const maxWrongPart = 50
--- a/lab/soak/runners.go
+++ b/lab/soak/runners.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
