--- a/core/rollout/fleet_test.go
+++ b/core/rollout/fleet_test.go
@@ -14,6 +14,7 @@
 // trouble is what a release or the old upstreams suffer from. Portions are of the answers.
 type trouble struct {
 	fail, slow, factor float64
+	hang               float64 // these fail after hangTime
 	from               time.Duration
 	route              int     // only on this route, counted from one; zero means on all
 	load               float64 // only at upstreams with more than this multiple of the mean rate
@@ -65,6 +66,8 @@
 	tick           = 50 * time.Millisecond
 	perSecond      = int(time.Second / tick)
 	simulatedRoute = 6
+	// hangTime is the time limit of a request.
+	hangTime = 4 * time.Second
 )
 
 var simulationStart = time.Date(2026, 12, 6, 6, 0, 0, 0, time.UTC)
@@ -249,6 +252,9 @@
 		if s.random.Float64() < v.fail {
 			failed, bad = true, true
 		}
+		if v.hang > 0 && s.random.Float64() < v.hang {
+			return true, hangTime, true
+		}
 		if s.random.Float64() < v.slow {
 			seconds, bad = seconds*v.factor, true
 		}
--- a/core/rollout/rates_test.go
+++ b/core/rollout/rates_test.go
@@ -24,6 +24,8 @@
 	switch key {
 	case "fail":
 		s.version.fail = number
+	case "hang":
+		s.version.hang = number
 	case "slow":
 		s.version.slow = number
 	case "factor":
