--- a/core/rollout/verdict.go
+++ b/core/rollout/verdict.go
@@ -21,7 +21,7 @@
 	// doubtLevel and doubtSpreadLevel are those from which a trial doesn't suffice to move the
 	// requests: then the cost of waiting or rolling back is less than that of a bad release.
 	// While the old release has no answers to compare with, more is needed: aloneLevel.
-	doubtLevel       = 1e-2
+	doubtLevel       = 2e-2
 	aloneLevel       = 1e-3
 	doubtSpreadLevel = 0.2
 	// worstFraction is the part of the upstreams that is left out as the worst.
