--- a/core/rollout/significance.go
+++ b/core/rollout/significance.go
@@ -59,6 +59,12 @@
 	return h
 }
 
+// residual returns what the answer adds to that of its cluster.
+func (j judged) residual() residual {
+	bad := number(j.bad)
+	return residual{n: 1, bad: bad, excess: float64(bad) - j.expected}
+}
+
 // exceeds reports whether more of the answers are bad than expected, by a margin and at a level
 // of significance.
 func (c comparison) exceeds(answers []judged, h habits, level float64) bool {
@@ -66,16 +72,17 @@
 		return false
 	}
 	var sum residual
-	clusters := map[cluster]residual{}
 	for _, j := range answers {
-		r := residual{n: 1, bad: number(j.bad), excess: float64(number(j.bad)) - j.expected}
-		k := cluster{j.upstream, j.block}
-		clusters[k], sum = clusters[k].plus(r), sum.plus(r)
+		sum = sum.plus(j.residual())
 	}
-	n := float64(sum.n)
-	if sum.bad < minBad || sum.excess < minExcess*n {
+	if sum.bad < minBad || sum.excess < minExcess*float64(sum.n) {
 		return false
 	}
+	clusters := map[cluster]residual{}
+	for _, j := range answers {
+		k := cluster{j.upstream, j.block}
+		clusters[k] = clusters[k].plus(j.residual())
+	}
 	// What is struck on all routes says nothing about one that is worse than the others.
 	return c.byAnswers(sum, clusters, h) < level || (c.among == 0 && byClusters(clusters, h) < level)
 }
--- a/core/rollout/trial.go
+++ b/core/rollout/trial.go
@@ -93,6 +93,9 @@
 	routers   names[core.RouterID]
 	received  map[core.RouterID][]span
 	random    *rand.Rand
+	// last is the verdict made at judgedAt.
+	last     Verdict
+	judgedAt time.Time
 }
 
 // names numbers names from one; those beyond maxNames are zero.
--- a/core/rollout/verdict.go
+++ b/core/rollout/verdict.go
@@ -31,6 +31,8 @@
 	// minAnswers is the least number of answers that a trial rests on. Of a release of which
 	// three answers in ten are bad, 6 in 100 trials show no bad one among eight.
 	minAnswers = 8
+	// verdictInterval is the least time between two verdicts. Samples come every 0.5 s.
+	verdictInterval = 200 * time.Millisecond
 	// minJudged is the least number of answers by which a release is called bad.
 	minJudged = 4
 	// minBad is the least number of bad answers: one alone leaves no doubt.
@@ -64,7 +66,17 @@
 
 // Verdict compares the new release with the old one, over all routes and on each, and over all
 // of the time and lately.
+//
+// It is made anew after verdictInterval: on the smallest machines, one takes some tens of
+// milliseconds in a large fleet.
 func (t *Trial) Verdict(now time.Time) Verdict {
+	if since := now.Sub(t.judgedAt); since < 0 || since >= verdictInterval {
+		t.last, t.judgedAt = t.judge(now), now
+	}
+	return t.last
+}
+
+func (t *Trial) judge(now time.Time) Verdict {
 	var v Verdict
 	var newSeen, newBad, oldSeen, oldBad float64
 	for i, s := range t.slots {
@@ -122,7 +134,7 @@
 	all, late, beside := comparison{name: "overall"}, comparison{name: "lately"}, comparison{name: "beside the old release"}
 	routes, lateRoutes := map[uint16]*comparison{}, map[uint16]*comparison{}
 	for _, s := range t.slots {
-		into, byRoute := []*comparison{&all, &beside}, []map[uint16]*comparison{routes}
+		into, byRoute := []*comparison{&all}, []map[uint16]*comparison{routes}
 		if s.index >= recent {
 			into, byRoute = append(into, &late), append(byRoute, lateRoutes)
 		}
@@ -140,7 +152,7 @@
 			}
 		}
 	}
-	beside.answers = besideOld(beside.answers)
+	beside.answers, beside.old = besideOld(all.answers), all.old
 	result := []comparison{all, late, beside}
 	for i, of := range []map[uint16]*comparison{routes, lateRoutes} {
 		for _, route := range slices.Sorted(maps.Keys(of)) {
@@ -155,7 +167,11 @@
 
 // besideOld returns the answers from while the old release answered, too.
 func besideOld(answers []judged) []judged {
-	return slices.DeleteFunc(slices.Clone(answers), func(j judged) bool { return j.blind })
+	blind := func(j judged) bool { return j.blind }
+	if !slices.ContainsFunc(answers, blind) {
+		return answers
+	}
+	return slices.DeleteFunc(slices.Clone(answers), blind)
 }
 
 func get(of map[uint16]*comparison, route uint16) *comparison {
