--- a/core/rollout/significance.go
+++ b/core/rollout/significance.go
@@ -59,6 +59,12 @@
 	return h
 }
 
+// residual returns what the answer adds to that of its cluster.
+func (j judged) residual() residual {
+	bad := number(j.bad)
+	return residual{n: 1, bad: bad, excess: float64(bad) - j.expected}
+}
+
 // exceeds reports whether more of the answers are bad than expected, by a margin and at a level
 // of significance.
 func (c comparison) exceeds(answers []judged, h habits, level float64) bool {
@@ -66,16 +72,17 @@
 		return false
 	}
 	var sum residual
-	clusters := map[cluster]residual{}
 	for _, j := range answers {
-		r := residual{n: 1, bad: number(j.bad), excess: float64(number(j.bad)) - j.expected}
-		k := cluster{j.upstream, j.block}
-		clusters[k], sum = clusters[k].plus(r), sum.plus(r)
+		sum = sum.plus(j.residual())
 	}
-	n := float64(sum.n)
-	if sum.bad < minBad || sum.excess < minExcess*n {
+	if sum.bad < minBad || sum.excess < minExcess*float64(sum.n) {
 		return false
 	}
+	clusters := map[cluster]residual{}
+	for _, j := range answers {
+		k := cluster{j.upstream, j.block}
+		clusters[k] = clusters[k].plus(j.residual())
+	}
 	// What is struck on all routes says nothing about one that is worse than the others.
 	return c.byAnswers(sum, clusters, h) < level || (c.among == 0 && byClusters(clusters, h) < level)
 }
@@ -94,14 +101,24 @@
 }
 
 // byClusters returns the probability of as many struck clusters. It tells a release that is bad
-// everywhere from a hour in which single upstreams are: there, few clusters are struck.
+// everywhere from an hour in which single upstreams are: there, few clusters are struck.
 func byClusters(clusters map[cluster]residual, h habits) float64 {
-	large, struck := 0, 0
+	large, struck, expected := 0, 0, 0.0
 	for _, r := range clusters {
 		if r.n >= minCluster {
 			large++
 			struck += number(r.struck(r.bad))
+			expected += min(h.struck+r.struckByChance(), 1)
 		}
 	}
-	return binomialTail(struck, large, min(h.struck, 1))
+	return binomialTail(struck, large, expected/max(float64(large), 1))
+}
+
+// struckByChance returns the probability that independent answers strike the cluster. The old
+// release's clusters are larger, and are struck less by chance.
+func (r residual) struckByChance() float64 {
+	n := float64(r.n)
+	p := min(max((float64(r.bad)-r.excess)/n, 0), 1)
+	least := max(int((p+struckExcess)*n)+1, minStruck)
+	return binomialTail(least, r.n, p)
 }
