--- a/core/rollout/decide.go
+++ b/core/rollout/decide.go
@@ -48,9 +48,9 @@
 
 // schedule is when, after the order, the stages of a roll-out end.
 type schedule struct {
-	// trial is when the trial ends if there is enough evidence, and evidence when it ends at
-	// the latest.
-	trial, evidence time.Duration
+	// trial is when the trial ends if there is enough evidence, evidence when it ends while
+	// there is a doubt, and last when it ends at the latest.
+	trial, evidence, last time.Duration
 	// step is the time between two steps.
 	step time.Duration
 	// complete is when the roll-out is completed at the latest.
@@ -61,7 +61,8 @@
 	part := func(f float64) time.Duration { return time.Duration(f * float64(duration)) }
 	move := min(maxMoveTime, part(moveFraction))
 	s := schedule{step: move / time.Duration(moveSteps), complete: duration - min(maxMargin, part(marginFraction))}
-	s.evidence = s.complete - move - min(minSettleTime, part(moveFraction))
+	s.last = s.complete - move
+	s.evidence = s.last - min(minSettleTime, part(moveFraction))
 	s.trial = min(max(s.complete-move-max(drain, minSettleTime), part(minTrialFraction)), s.evidence)
 	return s
 }
@@ -135,7 +136,9 @@
 	switch {
 	case age >= t.trial && enough:
 		return s.change(Moving, moveShares[0], v.Reason)
-	case age >= t.evidence:
+	// A conductor that has just taken over has few answers until the routers have sent theirs
+	// again. What is left for the old upstreams to end their requests is spent on that.
+	case age >= t.last, age >= t.evidence && v.Doubt:
 		return s.change(RolledBack, 0, cmp.Or(noUpstream(p), "too little evidence: "+v.Reason))
 	}
 	return s
