--- a/lab/soak/ledger/script_test.go
+++ b/lab/soak/ledger/script_test.go
@@ -37,6 +37,7 @@
 			"advance": command(cmdAdvance), "withdraw": command(cmdWithdraw), "evacuate": command(cmdEvacuate),
 			"begin-fault": command(cmdBeginFault), "end-fault": command(cmdEndFault), "violations": command(cmdViolations), "limit": command(cmdLimit), "arrive": command(cmdArrive), "told": command(cmdTold), "leave": command(cmdLeave), "turn-away": command(cmdTurnAway), "restart": command(cmdRestart),
 			"run-end": command(cmdRunEnd), "unended": command(cmdUnended), "copy": command(cmdCopy), "refused": command(cmdRefused), "events": command(cmdEvents),
+			"order": command(cmdOrder), "serve": command(cmdServe),
 		},
 	})
 }
