Test routers as processes against clients that make them hold memory

Clients that stop bodies short of their end, do not read answers, or open connections without a request make both programs hold as much as they like. The settings memory and descriptors are parsed, but not applied yet; an empty number in the settings parses as zero.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 GOPLS_VERSION := v0.23.0
 SPIN_VERSION := 6.5.2
 
-.PHONY: build test lint format vet model demo measure bench soak tools clean
+.PHONY: build test lint format vet model demo measure bench soak hostile tools clean
 
 build:
 	go build -o bin/camphorpulley ./router
@@ -55,6 +55,10 @@
 soak: build
 	bin/lab-soak run --seed $(or $(SEED),1) --count $(or $(COUNT),10)
 
+# One at a time, apart from the other tests: each loads the machine.
+hostile: build
+	HOSTILE=1 go test -count=1 ./lab/soak/hostile
+
 bench:
 	go test -run '^$$' -bench . -benchmem $(MODULES:%=./%/...)
 
--- a/router/cluster/settings.go
+++ b/router/cluster/settings.go
@@ -17,6 +17,7 @@
 	Router      RouterSection `ini:"router"`
 	Store       StoreSection  `ini:"store"`
 	Bounds      BoundsSection `ini:"bounds"`
+	Limits      LimitsSection `ini:"limits"`
 	Log         LogSection    `ini:"log"`
 	DataCentres []DataCentre  `ini:"datacentre" validate:"dive"`
 }
@@ -78,6 +79,16 @@
 	return time.Duration(b.RecoveryMS) * time.Millisecond
 }
 
+// LimitsSection holds the limits of the machine that the router runs on.
+type LimitsSection struct {
+	// MemoryMB is the memory of the machine in megabytes of 2^20 bytes; zero stands for that of
+	// the control group, or else of the machine.
+	MemoryMB float64 `ini:"memory" validate:"min=0"`
+	// Descriptors is the number of files and connections that may be open; zero stands for the
+	// limit of the process.
+	Descriptors int `ini:"descriptors" validate:"min=0"`
+}
+
 // LogSection holds the settings of the log.
 type LogSection struct {
 	Level string `ini:"level" validate:"omitempty,oneof=debug info warn error"`
