Bound what the router of the platform holds for callers and upstreams

Each body was read whole into a buffer that doubles, without a bound over all requests. Bodies and responses are now held in blocks that are counted in one budget before they are read; when it is short, the holding with the least progress is dropped and its request refused as not run. Callers' connections are bounded by descriptors and memory, and the one without a request for the longest time is closed first. A caller that takes nothing of a response for 30 s is left.

--- a/core/table/cell_test.go
+++ b/core/table/cell_test.go
@@ -9,8 +9,8 @@
 // TestLockOrder nests each pair of ranks and checks that only the increasing ones
 // are permitted.
 func TestLockOrder(t *testing.T) {
-	for outer := RankConfig; outer <= RankLinks; outer++ {
-		for inner := RankConfig; inner <= RankLinks; inner++ {
+	for outer := RankConfig; outer <= RankMemory; outer++ {
+		for inner := RankConfig; inner <= RankMemory; inner++ {
 			got := nest(outer, inner)
 			if want := inner > outer; got != want {
 				t.Errorf("rank %d inside %d: got permitted %t, want %t", inner, outer, got, want)
--- a/core/table/rank.go
+++ b/core/table/rank.go
@@ -31,6 +31,7 @@
 	RankWaiters               // the reply channels of permit requests
 	RankClients               // the HTTP clients of upstreams
 	RankLinks                 // the connections to other routers
+	RankMemory                // the memory held for callers, and their connections
 )
 
 // Hold states the highest rank of the locks that the caller holds. It is passed
--- a/router/cluster/router.go
+++ b/router/cluster/router.go
@@ -12,11 +12,14 @@
 	"go.uber.org/zap"
 
 	"camphorpulley.org/base/daemon"
+	"camphorpulley.org/base/listener"
 	"camphorpulley.org/base/logs"
 	"camphorpulley.org/base/worker"
 	"camphorpulley.org/base/wrap"
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/fleet"
+	"camphorpulley.org/core/memory"
+	"camphorpulley.org/router/budget"
 	"camphorpulley.org/router/gateway"
 	"camphorpulley.org/router/httpclient"
 	"camphorpulley.org/router/metrics"
@@ -34,11 +37,16 @@
 	pool     *httpclient.Pool
 	gateway  *gateway.Handler
 	// detours handles the requests of other routers that can't reach the upstreams.
-	detours      *gateway.Handler
-	network      *peer.Network[fleet.Member, fleet.Message]
-	metrics      *metrics.Metrics
-	scheduler    worker.Scheduler
-	shuttingDown atomic.Bool
+	detours   *gateway.Handler
+	network   *peer.Network[fleet.Member, fleet.Message]
+	metrics   *metrics.Metrics
+	scheduler worker.Scheduler
+	// limits are those of the machine. memory bounds what is held for callers and upstreams,
+	// and callerConns and detourConns the connections.
+	limits                   memory.Limits
+	memory                   *budget.Pool
+	callerConns, detourConns *listener.Bound
+	shuttingDown             atomic.Bool
 	// requests is the context of all requests. cancelRequests ends those that are still
 	// running at the end of the grace period.
 	requests       context.Context
@@ -56,8 +64,11 @@
 // the listeners fails.
 func Run(p daemon.Process, s Settings, a Adapter) error {
 	now := time.Now()
+	limits := budget.Apply(memory.Machine{Bytes: int64(s.Limits.MemoryMB * (1 << 20)), Descriptors: s.Limits.Descriptors}, p.Log)
 	p.Log = p.Log.With(zap.String("router", s.Router.ID))
 	r := &Router{settings: s, log: p.Log, adapter: a, fleet: fleet.New(now, s.fleetSettings(now, a)), pool: &httpclient.Pool{}, storeRestored: newSignal()}
+	r.limits, r.memory = limits, budget.New(limits, p.Log)
+	r.callerConns, r.detourConns = listener.NewBound(limits.Callers), listener.NewBound(limits.Detours)
 	r.lastReadiness.Store(fleet.Unconfigured)
 	instruments, err := metrics.New(r.gauges()...)
 	if err != nil {
@@ -65,10 +76,12 @@
 	}
 	r.metrics = instruments
 	r.gateway = &gateway.Handler{
-		Fleet: r.fleet, HeaderCodec: a.Incoming, Log: p.Log, Metrics: instruments,
-		Forwarder: &relay.Forwarder{Fleet: r.fleet, HeaderCodec: a.Outgoing, Log: p.Log, Conns: r.pool, Metrics: instruments, Identity: a.Identity},
+		Fleet: r.fleet, HeaderCodec: a.Incoming, Log: p.Log, Metrics: instruments, Memory: r.memory,
+		Forwarder: &relay.Forwarder{
+			Fleet: r.fleet, HeaderCodec: a.Outgoing, Log: p.Log, Conns: r.pool, Metrics: instruments, Identity: a.Identity, Memory: r.memory,
+		},
 	}
-	r.detours = &gateway.Handler{Fleet: r.fleet, HeaderCodec: a.Incoming, Log: p.Log, Metrics: instruments, Forwarder: r.gateway.Forwarder, Relayed: true}
+	r.detours = &gateway.Handler{Fleet: r.fleet, HeaderCodec: a.Incoming, Log: p.Log, Metrics: instruments, Memory: r.memory, Forwarder: r.gateway.Forwarder, Relayed: true}
 	r.gateway.Forwarder.Notify = func(m fleet.Message) { r.send(r.fleet.Spread(time.Now(), m)) }
 	r.gateway.Forwarder.Send = func(e fleet.Envelope) { r.send([]fleet.Envelope{e}) }
 	r.gateway.CloseAfterResponse = func() bool { return r.shuttingDown.Load() || r.lastReadiness.Load() == fleet.Isolated }
@@ -79,32 +92,6 @@
 	return r.run(p, background, stop)
 }
 
-// gauges returns the metrics that are read from the router's state at each scrape.
-func (r *Router) gauges() []metrics.Gauge {
-	return []metrics.Gauge{
-		{Name: "catalog_version", Description: "version of the configuration in force", Read: func() int64 {
-			return int64(r.fleet.CatalogVersion())
-		}},
-		{Name: "routers_known", Description: "routers that may exist", Read: func() int64 {
-			return int64(len(r.fleet.Members(time.Now())) + 1)
-		}},
-		{Name: "refused_parts", Description: "parts of prompts under which requests are refused, because they crash upstreams", Read: func() int64 {
-			return int64(r.fleet.RefusedParts())
-		}},
-		{Name: "limited_upstreams", Description: "upstreams that name a limit of requests per second", Read: func() int64 {
-			return int64(r.fleet.LimitedUpstreams(time.Now()))
-		}},
-		{Name: "cut_off_pools", Description: "pools of which this router can't reach any upstream", Read: func() int64 {
-			return int64(r.fleet.CutOffPools(time.Now()))
-		}},
-		{Name: "message_delay_ms", Description: "longest recent delay of messages from other routers in milliseconds", Read: func() int64 {
-			return r.fleet.MessageDelay(time.Now()).Milliseconds()
-		}},
-		{Name: "job_panics", Description: "panics that ended a job or an attempt", Read: worker.Panics},
-		{Name: "log_lines_left_out", Description: "log lines over the budget of their kind", Read: logs.SuppressedLines},
-	}
-}
-
 const (
 	// headerTimeout bounds reading a request's header. It is far above any limit
 	// that operators set, so that no caller within their limits is cut off.
@@ -135,9 +122,9 @@
 	go func() { failed <- r.network.Serve(r.settings.Router.Peer) }()
 	go func() { failed <- listenAndServe(r.settings.Router.Ready, http.HandlerFunc(r.serveReadiness)) }()
 	go func() { failed <- listenAndServe(r.settings.Router.Metrics, metricsMux) }()
-	go func() { failed <- serveCallers(callers) }()
+	go func() { failed <- serveCallers(callers, r.callerConns, r.limits.SocketBuffer) }()
 	if detours.Addr != "" {
-		go func() { failed <- serveCallers(detours) }()
+		go func() { failed <- serveCallers(detours, r.detourConns, r.limits.SocketBuffer) }()
 	}
 	r.log.Info("router_started", zap.String("listen", r.settings.Router.Listen),
 		zap.Uint64("incarnation", uint64(r.fleet.Settings().Incarnation)))
--- a/router/gateway/caller_conn.go
+++ b/router/gateway/caller_conn.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"camphorpulley.org/base/dial"
+	"camphorpulley.org/base/listener"
 )
 
 // callerCheckInterval is the time between two checks whether a caller has left that has sent
@@ -17,27 +18,45 @@
 // when its caller leaves after it has sent bytes behind the request. While a request is
 // handled, net/http reads a single byte to notice the end of the connection; once there is
 // one, it reads no further.
-func WatchCallers(s *http.Server, ln net.Listener) net.Listener {
+//
+// Bound bounds the connections; nil doesn't.
+func WatchCallers(s *http.Server, ln net.Listener, bound *listener.Bound) net.Listener {
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		if caller, ok := c.(*callerConn); ok && state == http.StateIdle {
+			caller.entry.SetIdle()
+		}
+	}
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		if caller, ok := c.(*callerConn); ok {
 			caller.ctx, caller.end = context.WithCancel(ctx)
-			return caller.ctx
+			return context.WithValue(caller.ctx, entryKey{}, caller.entry)
 		}
 		return ctx
 	}
-	return callerListener{Listener: ln}
+	return callerListener{Listener: ln, bound: bound}
+}
+
+// entryKey is the key of a connection's *listener.Entry in the context of its requests.
+type entryKey struct{}
+
+// setBusy records that the connection of a request has one: its head is complete.
+func setBusy(ctx context.Context) {
+	if e, ok := ctx.Value(entryKey{}).(*listener.Entry); ok {
+		e.SetBusy()
+	}
 }
 
 // callerListener accepts the connections of callers.
 type callerListener struct {
 	net.Listener
+	bound *listener.Bound
 }
 
 // Accept implements net.Listener.
 func (l callerListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if tcp, ok := c.(*net.TCPConn); ok && err == nil {
-		return &callerConn{TCPConn: tcp, end: func() {}}, nil
+		return &callerConn{TCPConn: tcp, end: func() {}, entry: l.bound.Add(tcp)}, nil
 	}
 	return c, err
 }
@@ -45,6 +64,8 @@
 // callerConn is the connection of a caller.
 type callerConn struct {
 	*net.TCPConn
+	// entry counts the connection; nil if it isn't bounded.
+	entry *listener.Entry
 	// ctx is the context of all requests on the connection, and end ends it.
 	ctx context.Context
 	end context.CancelFunc
@@ -87,5 +108,6 @@
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	c.end()
+	c.entry.Remove()
 	return c.TCPConn.Close()
 }
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -8,9 +8,7 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -22,6 +20,8 @@
 	"camphorpulley.org/base/logs"
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/fleet"
+	"camphorpulley.org/router/blocks"
+	"camphorpulley.org/router/budget"
 	"camphorpulley.org/router/relay"
 )
 
@@ -80,6 +80,11 @@
 	// its current response, so that the load balancer opens the next one to
 	// another router. A nil func keeps connections open.
 	CloseAfterResponse func() bool
+	// Memory bounds the requests that are held; nil if nothing does.
+	Memory *budget.Pool
+	// WriteTimeout is how long a caller may take nothing of a response; zero stands for
+	// defaultWriteTimeout.
+	WriteTimeout time.Duration
 	// Relayed is true if the requests come from other routers, which can't reach the
 	// upstreams.
 	Relayed bool
@@ -92,14 +97,11 @@
 	ActiveRequests atomic.Int64
 }
 
-// defaultMaxBodyBytes bounds a request body if no catalog is loaded or the catalog
-// sets no limit.
-const defaultMaxBodyBytes = 4 << 20
-
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.ActiveRequests.Add(1)
 	defer h.ActiveRequests.Add(-1)
+	setBusy(r.Context())
 	arrived := time.Now()
 	if h.CloseAfterResponse != nil && h.CloseAfterResponse() {
 		w.Header().Set("Connection", "close")
@@ -110,7 +112,9 @@
 		return
 	}
 	headers.Host, headers.Path = hostname(r.Host), pathOf(r.RequestURI)
-	body, refusal := h.readBody(w, r)
+	client := h.client(r, headers.APIKey)
+	body, holding, refusal := h.readBody(w, r, client)
+	defer holding.Release()
 	if refusal == nil {
 		// A slow body may arrive long after the header.
 		refusal = h.refuseClosing()
@@ -129,7 +133,7 @@
 	}
 	call := &relay.Call{
 		Request: request, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header,
-		Body: body, HasBody: r.ContentLength != 0, LastEventID: headers.LastEventID, HasLastEventID: headers.HasLastEventID,
+		Body: body, HasBody: r.ContentLength != 0, Client: client, LastEventID: headers.LastEventID, HasLastEventID: headers.HasLastEventID,
 	}
 	ctx := r.Context()
 	if h.Relayed {
@@ -138,8 +142,9 @@
 		ctx, cancel = h.whileHeard(ctx, call, core.RouterID(r.Header.Get(relay.SenderField)))
 		defer cancel()
 	}
-	out := &responseWriter{w: w, arrived: arrived, call: call}
+	out := &responseWriter{w: w, arrived: arrived, call: call, timeout: h.writeTimeout()}
 	err := h.Forwarder.Forward(ctx, call, out)
+	out.end()
 	h.finish(ctx, w, call, out, err)
 }
 
@@ -181,29 +186,6 @@
 	}
 }
 
-// readBody reads the body of a request, or returns the refusal if it is too large
-// or unreadable.
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *core.Refusal) {
-	limit := int64(defaultMaxBodyBytes)
-	if c := h.Fleet.Catalog(); c != nil && c.Limits.MaxBodyBytes > 0 {
-		limit = int64(c.Limits.MaxBodyBytes)
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return nil, &core.Refusal{
-			Status: http.StatusRequestEntityTooLarge, Certainty: core.NotRun,
-			Code: "body_too_large", Message: "the body is larger than the limit of " + strconv.FormatInt(limit, 10) + " bytes",
-		}
-	case err != nil:
-		return nil, &core.Refusal{
-			Status: http.StatusBadRequest, Certainty: core.NotRun, Code: "body_unreadable", Message: "the body could not be read",
-		}
-	}
-	return body, nil
-}
-
 // refuse logs and counts a refusal and writes it to the caller as JSON.
 func (h *Handler) refuse(w http.ResponseWriter, id string, pool core.Pool, refusal *core.Refusal) {
 	retryAfter := time.Duration(0)
@@ -248,11 +230,13 @@
 
 // contentDigest identifies a request by its method, URI, API key and body, so
 // that it is recognised when it is sent again.
-func contentDigest(r *http.Request, headers RequestHeaders, body []byte) core.Digest {
+func contentDigest(r *http.Request, headers RequestHeaders, body blocks.Body) core.Digest {
 	hash := xxhash.New()
 	for _, text := range []string{r.Method, r.RequestURI, headers.APIKey} {
 		_, _ = hash.WriteString(text + "\x00")
 	}
-	_, _ = hash.Write(body)
+	for _, block := range body {
+		_, _ = hash.Write(block)
+	}
 	return core.Digest(hash.Sum64())
 }
--- a/router/gateway/response_writer.go
+++ b/router/gateway/response_writer.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"camphorpulley.org/base/wrap"
@@ -22,6 +23,12 @@
 	status        int
 	headerWritten bool
 	streaming     bool
+	// timeout is how long the caller may take nothing, writeUntil when the write that is under
+	// way fails; zero if there was no long one.
+	timeout    time.Duration
+	writeUntil time.Time
+	// cut is true once writes must fail.
+	cut atomic.Bool
 }
 
 // serverFields lists the header fields of the upstream that are left out: net/http sets its
@@ -51,11 +58,69 @@
 
 // Write implements relay.ResponseWriter. It flushes streamed responses.
 func (rw *responseWriter) Write(p []byte) error {
-	if _, err := rw.w.Write(p); err != nil {
-		return wrap.Err(err, "write")
+	for len(p) > 0 {
+		n := len(p)
+		if rw.streaming || n > bufferedBytes {
+			n = min(n, pieceBytes)
+			rw.extend(time.Now())
+		}
+		if _, err := rw.w.Write(p[:n]); err != nil {
+			return wrap.Err(err, "write")
+		}
+		p = p[n:]
 	}
 	if !rw.streaming {
 		return nil
 	}
 	return wrap.Err(http.NewResponseController(rw.w).Flush(), "flush")
 }
+
+const (
+	// defaultWriteTimeout is how long a caller may take nothing of a response. It is far above
+	// the time for which a caller that reads at all lets its connection wait.
+	defaultWriteTimeout = 30 * time.Second
+	// bufferedBytes is the size up to which net/http buffers what is written: the write doesn't
+	// wait for the caller.
+	bufferedBytes = 2048
+	// pieceBytes is how much is written at a time, so that a slow caller shows that it reads.
+	pieceBytes = 16 << 10
+)
+
+// writeTimeout returns how long a caller may take nothing of a response.
+func (h *Handler) writeTimeout() time.Duration {
+	if h.WriteTimeout > 0 {
+		return h.WriteTimeout
+	}
+	return defaultWriteTimeout
+}
+
+// extend gives the caller the write time-out again. It does nothing if most of it is left, since
+// events may follow one another at short intervals.
+func (rw *responseWriter) extend(now time.Time) {
+	if rw.writeUntil.Sub(now) > rw.timeout*3/4 {
+		return
+	}
+	rw.writeUntil = now.Add(rw.timeout)
+	controller := http.NewResponseController(rw.w)
+	_ = controller.SetWriteDeadline(rw.writeUntil)
+	if rw.cut.Load() {
+		_ = controller.SetWriteDeadline(time.Unix(1, 0))
+	}
+}
+
+// Cut implements relay.ResponseWriter.
+func (rw *responseWriter) Cut() {
+	rw.cut.Store(true)
+	_ = http.NewResponseController(rw.w).SetWriteDeadline(time.Unix(1, 0))
+}
+
+// end lifts the write time-out, which would hold for the next response on the connection.
+func (rw *responseWriter) end() {
+	if rw.writeUntil.IsZero() || rw.cut.Load() {
+		return
+	}
+	controller := http.NewResponseController(rw.w)
+	if controller.Flush() == nil {
+		_ = controller.SetWriteDeadline(time.Time{})
+	}
+}
--- a/router/gateway/script_test.go
+++ b/router/gateway/script_test.go
@@ -117,7 +117,7 @@
 // startServer starts a server for callers, with the context of all requests.
 func startServer(ctx context.Context, h http.Handler) *httptest.Server {
 	s := httptest.NewUnstartedServer(h)
-	s.Listener = gateway.WatchCallers(s.Config, s.Listener)
+	s.Listener = gateway.WatchCallers(s.Config, s.Listener, nil)
 	s.Config.BaseContext = func(net.Listener) context.Context { return ctx }
 	s.Start()
 	return s
--- a/router/httpclient/abort_test.go
+++ b/router/httpclient/abort_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"camphorpulley.org/router/blocks"
 )
 
 // TestAbandonedRequestIsReset guards against requests that arrive after they were given up,
@@ -44,7 +46,7 @@
 			// The body is larger than the buffers of both sockets.
 			body := make([]byte, 32<<20)
 			accept := func(int, http.Header) error { return nil }
-			if _, err := c.Do(ctx, Request{Method: http.MethodPost, URI: "/", Host: "h", Body: body, HasBody: true, Deadline: deadline}, Wait{Until: deadline}, accept); err == nil {
+			if _, err := c.Do(ctx, Request{Method: http.MethodPost, URI: "/", Host: "h", Body: blocks.Of(body), HasBody: true, Deadline: deadline}, Wait{Until: deadline}, accept); err == nil {
 				t.Fatal("request without a response: got no error, want one")
 			}
 			if err := upstream.SetDeadline(time.Now().Add(5 * time.Second)); err != nil {
--- a/router/httpclient/roundtrip.go
+++ b/router/httpclient/roundtrip.go
@@ -14,13 +14,14 @@
 	"github.com/go-faster/errors"
 
 	"camphorpulley.org/base/wrap"
+	"camphorpulley.org/router/blocks"
 )
 
 // Request is a request to an upstream.
 type Request struct {
 	Method, URI, Host string
 	Header            http.Header
-	Body              []byte
+	Body              blocks.Body
 	// HasBody reports whether the caller sent a body, even an empty one.
 	HasBody bool
 	// Deadline is when the request is given up whatever has arrived.
@@ -93,15 +94,18 @@
 func (resp *Response) send(r Request) error {
 	var head bytes.Buffer
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
-	if r.HasBody || len(r.Body) > 0 {
-		head.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	length := r.Body.Len()
+	if r.HasBody || length > 0 {
+		head.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n")
 	}
 	if err := r.Header.Write(&head); err != nil {
 		return err
 	}
 	head.WriteString("\r\n")
-	if len(r.Body) <= maxInlineBytes {
-		head.Write(r.Body)
+	if length <= maxInlineBytes {
+		for _, block := range r.Body {
+			head.Write(block)
+		}
 		err := resp.conn.wait.write(head.Bytes())
 		resp.writeResult <- err
 		return err
@@ -112,8 +116,10 @@
 	}
 	go func() {
 		_, err := resp.conn.Write(head.Bytes())
-		if err == nil {
-			_, err = resp.conn.Write(r.Body)
+		for _, block := range r.Body {
+			if err == nil {
+				_, err = resp.conn.Write(block)
+			}
 		}
 		resp.writeResult <- err
 	}()
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -16,6 +16,8 @@
 	"camphorpulley.org/core/fleet"
 	"camphorpulley.org/core/health"
 	"camphorpulley.org/core/load"
+	"camphorpulley.org/router/blocks"
+	"camphorpulley.org/router/budget"
 	"camphorpulley.org/router/httpclient"
 )
 
@@ -175,7 +177,8 @@
 		return health.Unknown
 	}
 	var large *BodyTooLargeError
-	if errors.As(err, &large) && large.Shared {
+	var short *budget.ShortError
+	if errors.As(err, &large) && large.Shared || errors.As(err, &short) {
 		return health.Unknown
 	}
 	return a.contactOutcome(err)
@@ -222,14 +225,18 @@
 
 // forwardBuffered reads the whole response before it passes it on to the caller.
 func (a *attempt) forwardBuffered(resp *httpclient.Response) error {
-	var body []byte
-	err := resp.SetWait(httpclient.Wait{Until: a.Deadline})
+	var body blocks.Body
+	holding := a.forwarder.Memory.Begin(a.Client, nil)
+	reader := bodyReader{body: resp, buffered: &a.forwarder.buffered, holding: holding}
+	defer reader.release()
+	err := holding.Pin()
+	if err == nil {
+		err = resp.SetWait(httpclient.Wait{Until: a.Deadline})
+	}
 	if err == nil {
-		reader := bodyReader{body: resp, buffered: &a.forwarder.buffered}
-		defer reader.release()
 		body, err = reader.readAll(resp.ContentLength)
 	}
-	if err == nil && resp.ContentLength >= 0 && int64(len(body)) != resp.ContentLength && a.Method != http.MethodHead {
+	if err == nil && resp.ContentLength >= 0 && int64(body.Len()) != resp.ContentLength && a.Method != http.MethodHead {
 		err = io.ErrUnexpectedEOF
 	}
 	if err != nil {
@@ -266,11 +273,8 @@
 		return errUpstreamFailed
 	}
 	a.exchange.SetPhase(a.id, answer.Completed)
-	a.writer.WriteHeader(resp.StatusCode, resp.Header, len(body))
-	if err := a.writer.Write(body); err != nil {
-		return &CallerWriteError{Cause: err}
-	}
-	return nil
+	a.writer.WriteHeader(resp.StatusCode, resp.Header, body.Len())
+	return a.writeBody(body, holding)
 }
 
 // impliesNotRun reports whether callers take a status to mean that their request
--- a/router/relay/body.go
+++ b/router/relay/body.go
@@ -5,7 +5,8 @@
 	"io"
 	"sync/atomic"
 
-	"github.com/go-faster/errors"
+	"camphorpulley.org/router/blocks"
+	"camphorpulley.org/router/budget"
 )
 
 const (
@@ -15,8 +16,6 @@
 	// first uncountedBytes of each, so that long ones don't fail all short ones.
 	maxBufferedBytes = 32 << 20
 	uncountedBytes   = 64 << 10
-	// initialBodyBytes is the room at first for a body without a stated length.
-	initialBodyBytes = 4 << 10
 )
 
 // BodyTooLargeError reports a body that exceeds Limit, a number of bytes. Shared is true
@@ -34,61 +33,66 @@
 	return fmt.Sprintf("the body of the answer exceeds %d bytes", e.Limit)
 }
 
-// bodyReader reads a whole body into memory, within maxBodyBytes for itself and
-// maxBufferedBytes for all bodies together.
+// bodyReader reads a whole body into memory, within maxBodyBytes for itself,
+// maxBufferedBytes for all bodies together, and the budget of the router.
 type bodyReader struct {
 	body io.Reader
 	// buffered is the number of counted bytes of all bodies, counted that of this one.
 	buffered *atomic.Int64
 	counted  int64
+	holding  *budget.Holding
 }
 
 // readAll reads the body. Length is the stated one, negative if there is none.
-func (r *bodyReader) readAll(length int64) ([]byte, error) {
+func (r *bodyReader) readAll(length int64) (blocks.Body, error) {
 	if length > maxBodyBytes {
 		return nil, &BodyTooLargeError{Limit: maxBodyBytes}
 	}
-	var body []byte
-	for {
-		if len(body) == cap(body) {
-			grown, err := r.grow(body, int(length))
-			if err != nil {
-				return nil, err
-			}
-			body = grown
-		}
-		n, err := r.body.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		switch {
-		case errors.Is(err, io.EOF):
-			return body, nil
-		case err != nil:
-			return nil, err
-		}
+	body, err := blocks.Reader{Source: r.body, Length: length, Acquire: r.acquire}.ReadAll()
+	if err == nil && body.Len() > maxBodyBytes {
+		err = &BodyTooLargeError{Limit: maxBodyBytes}
+	}
+	if err != nil {
+		body.Recycle()
+		return nil, err
 	}
+	return body, nil
 }
 
-// grow returns a copy of body with twice the room, and counts it. The room is at most
-// one byte more than may come, so that the end is seen.
-func (r *bodyReader) grow(body []byte, length int) ([]byte, error) {
-	if len(body) > maxBodyBytes {
-		return nil, &BodyTooLargeError{Limit: maxBodyBytes}
-	}
-	size, most := max(2*len(body), initialBodyBytes), maxBodyBytes+1
-	if length >= 0 {
-		size, most = max(size, uncountedBytes), max(length, len(body))+1
+// acquire counts n more bytes of a body of which some bytes were read.
+func (r *bodyReader) acquire(n, bytes int) error {
+	if bytes > maxBodyBytes {
+		return &BodyTooLargeError{Limit: maxBodyBytes}
 	}
-	size = min(size, most)
-	if more := int64(size) - uncountedBytes - r.counted; more > 0 {
+	if more := int64(bytes+n) - uncountedBytes - r.counted; more > 0 {
 		r.counted += more
 		if r.buffered.Add(more) > maxBufferedBytes {
-			return nil, &BodyTooLargeError{Limit: maxBufferedBytes, Shared: true}
+			return &BodyTooLargeError{Limit: maxBufferedBytes, Shared: true}
 		}
 	}
-	grown := make([]byte, len(body), size)
-	copy(grown, body)
-	return grown, nil
+	return r.holding.Acquire(n, int64(bytes))
 }
 
 // release ends the count of the body.
-func (r *bodyReader) release() { r.buffered.Add(-r.counted) }
+func (r *bodyReader) release() {
+	r.buffered.Add(-r.counted)
+	r.holding.Release()
+}
+
+// writeBody writes a body to the caller. A long one may be cut off while the caller reads
+// slower than others whose responses are held.
+func (a *attempt) writeBody(body blocks.Body, h *budget.Holding) error {
+	if len(body) > 1 {
+		h.Unpin(a.writer.Cut)
+	}
+	written := 0
+	for _, block := range body {
+		if err := a.writer.Write(block); err != nil {
+			return &CallerWriteError{Cause: err}
+		}
+		if written += len(block); len(body) > 1 {
+			h.Advance(int64(written))
+		}
+	}
+	return nil
+}
--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -12,6 +12,7 @@
 	"camphorpulley.org/core/fleet"
 	"camphorpulley.org/core/load"
 	"camphorpulley.org/core/statement"
+	"camphorpulley.org/router/blocks"
 )
 
 // Call is an admitted request of a caller.
@@ -19,9 +20,11 @@
 	fleet.Request
 	Method, URI, Host string
 	Header            http.Header
-	Body              []byte
+	Body              blocks.Body
 	// HasBody reports whether the caller sent a body, even an empty one.
 	HasBody bool
+	// Client is whom memory is held for: the account, or else the caller's address.
+	Client string
 	// LastEventID is the number of the last event that the caller has received.
 	// It is valid if HasLastEventID is true.
 	LastEventID    int
@@ -84,4 +87,6 @@
 	WriteHeader(status int, h http.Header, length int)
 	// Write sends a part of the body. Parts of a stream are sent without delay.
 	Write(p []byte) error
+	// Cut makes this and all further writes fail. Any goroutine may call it.
+	Cut()
 }
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -16,6 +16,8 @@
 	"camphorpulley.org/core/fleet"
 	"camphorpulley.org/core/health"
 	"camphorpulley.org/core/lineage"
+	"camphorpulley.org/router/blocks"
+	"camphorpulley.org/router/budget"
 	"camphorpulley.org/router/httpclient"
 )
 
@@ -32,6 +34,8 @@
 	Notify func(fleet.Message)
 	// Send sends a message to one router. It doesn't wait, and may be nil.
 	Send func(fleet.Envelope)
+	// Memory bounds the responses that are held; nil if nothing does.
+	Memory *budget.Pool
 	// buffered is the size of the bodies that are held, in bytes.
 	buffered atomic.Int64
 	// quotaWaiters holds by upstream the requests that wait for quota.
@@ -111,7 +115,7 @@
 type failedResponse struct {
 	status int
 	header http.Header
-	body   []byte
+	body   blocks.Body
 }
 
 // Forward sends a call to upstreams, one after another, until one has answered it
@@ -207,8 +211,13 @@
 		return &IncompleteResponseError{Cause: refusal}
 	}
 	if f := s.failure; f != nil && refusal.Certainty != core.NotRun {
-		s.writer.WriteHeader(f.status, f.header, len(f.body))
-		return s.writer.Write(f.body)
+		s.writer.WriteHeader(f.status, f.header, f.body.Len())
+		for _, block := range f.body {
+			if err := s.writer.Write(block); err != nil {
+				return err
+			}
+		}
+		return nil
 	}
 	return refusal
 }
