--- a/router/gateway/request_bench_test.go
+++ b/router/gateway/request_bench_test.go
@@ -10,7 +10,11 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
+	"camphorpulley.org/core/memory"
 	"camphorpulley.org/core/roster"
+	"camphorpulley.org/router/budget"
 )
 
 // BenchmarkRequest measures one request through a gateway to an upstream, one after another, by
@@ -19,6 +23,8 @@
 func BenchmarkRequest(b *testing.B) {
 	f := newFixture()
 	defer f.close()
+	f.gateway.Memory = budget.New(memory.Limits{Held: 64 << 20, Reserve: 16 << 20}, zap.NewNop())
+	f.gateway.Forwarder.Memory = f.gateway.Memory
 	u := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		w.Header().Set("X-Id", r.Header.Get("X-Id"))
@@ -43,10 +49,10 @@
 				if err != nil {
 					b.Fatal(err)
 				}
-				_, _ = io.Copy(io.Discard, resp.Body)
+				text, _ := io.ReadAll(resp.Body)
 				_ = resp.Body.Close()
 				if resp.StatusCode != http.StatusOK {
-					b.Fatalf("status: got %d, want 200", resp.StatusCode)
+					b.Fatalf("status: got %d, want 200; answer %s", resp.StatusCode, text)
 				}
 			}
 			_ = syscall.Getrusage(syscall.RUSAGE_SELF, &end)
