Bound what the program camphorpulley holds for callers

The HTTP library read each body whole and without a bound over all requests, and decoded compressed bodies without a bound. Bodies are now read from the stream within the budget, decoded bodies have at most the permitted size, and callers' connections are bounded. make test runs the scripts of hostile clients after the Go tests.

--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 
 test: build
 	go test -count=1 $(MODULES:%=./%/...)
+	HOSTILE=1 go test -count=1 ./lab/soak/hostile
 	bash lab/explain/check.sh
 	bash lab/e2e.sh
 	bin/lab-soak run --seeds lab/soak/seeds.txt --for 6s
--- a/router/app/inject.go
+++ b/router/app/inject.go
@@ -10,17 +10,20 @@
 	"github.com/samber/do/v2"
 	"go.uber.org/zap"
 
+	"camphorpulley.org/base/listener"
 	"camphorpulley.org/base/logservice"
 	"camphorpulley.org/base/sheet"
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/burn"
 	"camphorpulley.org/core/chat"
 	"camphorpulley.org/core/config"
+	"camphorpulley.org/core/memory"
 	"camphorpulley.org/core/node"
 	"camphorpulley.org/core/permit"
 	"camphorpulley.org/core/route"
 	"camphorpulley.org/core/table"
 	"camphorpulley.org/router/backend"
+	"camphorpulley.org/router/budget"
 	"camphorpulley.org/router/exchange"
 	"camphorpulley.org/router/frontend"
 	"camphorpulley.org/router/metrics"
@@ -29,10 +32,12 @@
 )
 
 // newInjector registers the constructors of the router's parts.
-func newInjector(now time.Time, f setup.Settings, log *zap.Logger) do.Injector {
+func newInjector(now time.Time, f setup.Settings, l memory.Limits, log *zap.Logger) do.Injector {
 	i := do.New()
 	do.ProvideValue(i, f)
 	do.ProvideValue(i, log)
+	do.ProvideValue(i, budget.New(l, log))
+	do.ProvideValue(i, listener.NewBound(l.Callers))
 	do.ProvideValue(i, node.New(now, nodeSettings(now, f)))
 	do.ProvideValue(i, table.New(table.RankBurn, burn.Table{}))
 	do.Provide(i, provideLogClient)
@@ -71,7 +76,11 @@
 func provideMetrics(i do.Injector) (*metrics.Metrics, error) {
 	n := do.MustInvoke[*node.Node](i)
 	service := do.MustInvoke[*orders.Service](i)
+	held, conns := do.MustInvoke[*budget.Pool](i), do.MustInvoke[*listener.Bound](i)
 	return metrics.New(
+		metrics.Gauge{Name: "memory_held_bytes", Description: "bytes held for callers", Read: held.Held},
+		metrics.Gauge{Name: "memory_refused", Description: "bodies that were refused or dropped because memory was short", Read: held.Refused},
+		metrics.Gauge{Name: "caller_connections", Description: "connections of callers", Read: func() int64 { return int64(conns.Len()) }},
 		metrics.Gauge{Name: "revision", Description: "revision in force", Read: func() int64 {
 			_, number := n.Sheet()
 			return int64(number)
@@ -118,6 +127,8 @@
 		Forwarder: do.MustInvoke[*exchange.Forwarder](i),
 		Log:       do.MustInvoke[*zap.Logger](i),
 		Burn:      do.MustInvoke[*table.Cell[burn.Table]](i),
+		Memory:    do.MustInvoke[*budget.Pool](i),
+		Conns:     do.MustInvoke[*listener.Bound](i),
 	}, nil
 }
 
--- a/router/app/run.go
+++ b/router/app/run.go
@@ -17,9 +17,11 @@
 	"camphorpulley.org/base/record"
 	"camphorpulley.org/base/worker"
 	"camphorpulley.org/core"
+	"camphorpulley.org/core/memory"
 	"camphorpulley.org/core/node"
 	"camphorpulley.org/core/table"
 	"camphorpulley.org/router/backend"
+	"camphorpulley.org/router/budget"
 	"camphorpulley.org/router/exchange"
 	"camphorpulley.org/router/frontend"
 	"camphorpulley.org/router/metrics"
@@ -32,6 +34,7 @@
 // Router is one router process.
 type Router struct {
 	settings       setup.Settings
+	limits         memory.Limits
 	log            *zap.Logger
 	node           *node.Node
 	logClient      *logservice.Client
@@ -53,12 +56,14 @@
 // stop, and then shuts it down.
 func Run(p daemon.Process, f setup.Settings) error {
 	f = f.WithDefaults()
-	i := newInjector(time.Now(), f, p.Log)
+	limits := budget.Apply(memory.Machine{Bytes: int64(f.Limits.MemoryMB * (1 << 20)), Descriptors: f.Limits.Descriptors}, p.Log)
+	i := newInjector(time.Now(), f, limits, p.Log)
 	if _, err := do.Invoke[*metrics.Metrics](i); err != nil {
 		return err
 	}
 	r := &Router{
 		settings:       f,
+		limits:         limits,
 		log:            p.Log,
 		node:           do.MustInvoke[*node.Node](i),
 		logClient:      do.MustInvoke[*logservice.Client](i),
@@ -79,7 +84,7 @@
 	failed := make(chan error, 3)
 	go func() { failed <- r.network.Serve(r.settings.Router.Peer) }()
 	go func() { failed <- operators.Listen(r.settings.Router.Operator) }()
-	go func() { failed <- callers.Listen(r.settings.Router.Listen) }()
+	go func() { failed <- r.front.Listen(callers, r.settings.Router.Listen, r.limits.SocketBuffer) }()
 	r.log.Info("router_started", zap.String("router", r.settings.Router.ID), zap.String("listen", r.settings.Router.Listen),
 		zap.Uint64("incarnation", uint64(r.node.Settings().Incarnation)))
 	select {
--- a/router/frontend/body.go
+++ b/router/frontend/body.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 
+	"camphorpulley.org/router/budget"
 	"camphorpulley.org/router/exchange"
 )
 
@@ -16,6 +17,8 @@
 	call   *exchange.Call
 	cancel context.CancelFunc
 	body   io.ReadCloser
+	// holding is the memory of the request's body, which may be sent again.
+	holding *budget.Holding
 	// err is the last error of Read; io.EOF at the end of the body.
 	err error
 }
@@ -33,6 +36,7 @@
 func (b *trackedBody) Close() error {
 	err := b.body.Close()
 	b.cancel()
+	b.holding.Release()
 	switch {
 	case errors.Is(b.err, io.EOF):
 		b.server.recordEnd(b.call, nil)
--- a/router/frontend/parse.go
+++ b/router/frontend/parse.go
@@ -93,7 +93,7 @@
 		Account: a, Pool: p,
 		Method:    c.Method(),
 		URI:       string(c.Request().RequestURI()),
-		Body:      c.Body(),
+		Body:      c.Request().Body(),
 		StartedAt: now,
 	}
 	call.IDGiven = call.ID != "" && len(call.ID) <= maxKeyLength
@@ -120,7 +120,7 @@
 
 // parseChat parses a chat completions request. The model selects the pool.
 func parseChat(c *fiber.Ctx, now time.Time, a account.Account, sheet config.Sheet) (*exchange.Call, *core.Refusal) {
-	body := c.Body()
+	body := c.Request().Body()
 	if !gjson.ValidBytes(body) {
 		return nil, invalidRequest(400, "bad_json", "the body is not valid JSON")
 	}
@@ -148,11 +148,6 @@
 	call.AffinityKey = chat.Key(a.Name, key, []byte(messages.Raw))
 	call.ContentDigest = core.Digest(xxhash.Sum64String(messages.Raw))
 	call.Stream = request.Get("stream").Bool()
-	if call.Stream {
-		// The call may outlive the handler, after which the HTTP library reuses
-		// the buffer; a resumed stream sends the body again.
-		call.Body = append([]byte{}, call.Body...)
-	}
 	temperature := request.Get("temperature")
 	call.Deterministic = request.Get("seed").Exists() || (temperature.Exists() && temperature.Float() == 0)
 	return call, nil
--- a/router/frontend/server.go
+++ b/router/frontend/server.go
@@ -16,6 +16,7 @@
 	"github.com/gofiber/fiber/v2"
 	"go.uber.org/zap"
 
+	"camphorpulley.org/base/listener"
 	"camphorpulley.org/base/logs"
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/account"
@@ -24,6 +25,7 @@
 	"camphorpulley.org/core/node"
 	"camphorpulley.org/core/pool"
 	"camphorpulley.org/core/table"
+	"camphorpulley.org/router/budget"
 	"camphorpulley.org/router/exchange"
 )
 
@@ -36,6 +38,10 @@
 	Burn      *table.Cell[burn.Table]
 	// Ready returns nil if the router can serve, else the reason why not.
 	Ready func() error
+	// Memory bounds the requests that are held, and Conns the connections of callers; nil if
+	// nothing does.
+	Memory *budget.Pool
+	Conns  *listener.Bound
 	// ShuttingDown is true once the router has begun to shut down.
 	ShuttingDown atomic.Bool
 }
@@ -47,10 +53,13 @@
 		DisableStartupMessage: true,
 		BodyLimit:             maxBody,
 		ErrorHandler:          errorHandler,
-		StreamRequestBody:     false,
-		ReadBufferSize:        16 << 10,
-		IdleTimeout:           time.Minute,
+		// Bodies are read by readBody, within the budget.
+		StreamRequestBody:            true,
+		DisablePreParseMultipartForm: true,
+		ReadBufferSize:               16 << 10,
+		IdleTimeout:                  time.Minute,
 	})
+	app.Use(s.readBody(maxBody))
 	app.Get("/healthz", func(c *fiber.Ctx) error { return c.SendString("ok\n") })
 	app.Get("/readyz", s.handleReady)
 	app.Get("/v1/models", s.handleModels)
@@ -184,7 +193,7 @@
 	}
 	switch {
 	case resp.IsEventStream():
-		s.streamEvents(ctx, cancel, c, call, resp)
+		s.streamEvents(ctx, cancel, c, call, resp, takeHolding(c))
 		return nil
 	case resp.Complete:
 		cancel()
@@ -194,15 +203,16 @@
 		}
 		return c.Send(resp.Body)
 	default:
-		c.Context().SetBodyStream(&trackedBody{server: s, call: call, cancel: cancel, body: resp.Reader()}, resp.Length)
+		c.Context().SetBodyStream(&trackedBody{server: s, call: call, cancel: cancel, body: resp.Reader(), holding: takeHolding(c)}, resp.Length)
 		return nil
 	}
 }
 
 // streamEvents writes the events of a response to the caller as they arrive.
-func (s *Server) streamEvents(ctx context.Context, cancel context.CancelFunc, c *fiber.Ctx, call *exchange.Call, resp *exchange.Response) {
+func (s *Server) streamEvents(ctx context.Context, cancel context.CancelFunc, c *fiber.Ctx, call *exchange.Call, resp *exchange.Response, holding *budget.Holding) {
 	c.Context().SetBodyStreamWriter(func(w *bufio.Writer) {
 		defer cancel()
+		defer holding.Release()
 		err := resp.WriteEvents(ctx, w)
 		var truncated *exchange.TruncatedError
 		if errors.As(err, &truncated) {
