Read streams of slow callers ahead, and test slow callers by scripts

A stream was read from its upstream no faster than its caller read, so that a slow caller kept the request at the upstream.

--- a/base/dial/conn.go
+++ b/base/dial/conn.go
@@ -166,6 +166,20 @@
 	return info, wrap.Err(err, "query connection state")
 }
 
+// Unsent returns how many bytes that were written to a connection the peer hasn't acknowledged
+// yet; zero if that isn't known.
+func Unsent(c syscall.Conn) int {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	if err := raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }); err != nil {
+		return 0
+	}
+	return n
+}
+
 // SyscallConn implements syscall.Conn.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) { return c.tcp.SyscallConn() }
 
--- a/core/memory/budget.go
+++ b/core/memory/budget.go
@@ -15,7 +15,7 @@
 	SmallBytes = 64 << 10
 	// minRateTime is the least time over which a rate is taken: bytes that arrive within one
 	// packet's time say nothing of the rate.
-	minRateTime = 100 * time.Millisecond
+	minRateTime = 10 * time.Millisecond
 )
 
 // HoldingID identifies a holding.
--- a/router/gateway/caller_conn.go
+++ b/router/gateway/caller_conn.go
@@ -29,23 +29,34 @@
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		if caller, ok := c.(*callerConn); ok {
 			caller.ctx, caller.end = context.WithCancel(ctx)
-			return context.WithValue(caller.ctx, entryKey{}, caller.entry)
+			return context.WithValue(caller.ctx, callerKey{}, caller)
 		}
 		return ctx
 	}
 	return callerListener{Listener: ln, bound: bound}
 }
 
-// entryKey is the key of a connection's *listener.Entry in the context of its requests.
-type entryKey struct{}
+// callerKey is the key of a *callerConn in the context of its requests.
+type callerKey struct{}
 
-// setBusy records that the connection of a request has one: its head is complete.
-func setBusy(ctx context.Context) {
-	if e, ok := ctx.Value(entryKey{}).(*listener.Entry); ok {
-		e.SetBusy()
+// callerOf returns the connection of a request, from its context; nil if it isn't known.
+func callerOf(ctx context.Context) *callerConn {
+	c, _ := ctx.Value(callerKey{}).(*callerConn)
+	return c
+}
+
+// setBusy records that the connection has a request, whose head is complete.
+func (c *callerConn) setBusy() {
+	if c != nil {
+		c.entry.SetBusy()
 	}
 }
 
+// unsent returns how many bytes that were written haven't reached the caller yet.
+func (c *callerConn) unsent() int {
+	return dial.Unsent(c.TCPConn)
+}
+
 // callerListener accepts the connections of callers.
 type callerListener struct {
 	net.Listener
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -101,7 +101,8 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.ActiveRequests.Add(1)
 	defer h.ActiveRequests.Add(-1)
-	setBusy(r.Context())
+	caller := callerOf(r.Context())
+	caller.setBusy()
 	arrived := time.Now()
 	if h.CloseAfterResponse != nil && h.CloseAfterResponse() {
 		w.Header().Set("Connection", "close")
@@ -142,7 +143,7 @@
 		ctx, cancel = h.whileHeard(ctx, call, core.RouterID(r.Header.Get(relay.SenderField)))
 		defer cancel()
 	}
-	out := &responseWriter{w: w, arrived: arrived, call: call, timeout: h.writeTimeout()}
+	out := &responseWriter{w: w, arrived: arrived, call: call, timeout: h.writeTimeout(), caller: caller}
 	err := h.Forwarder.Forward(ctx, call, out)
 	out.end()
 	h.finish(ctx, w, call, out, err)
--- a/router/gateway/response_writer.go
+++ b/router/gateway/response_writer.go
@@ -27,6 +27,10 @@
 	// way fails; zero if there was no long one.
 	timeout    time.Duration
 	writeUntil time.Time
+	// caller is the caller's connection; nil if it isn't known. streamed is the number of bytes
+	// of a stream that were written.
+	caller   *callerConn
+	streamed int
 	// cut is true once writes must fail.
 	cut atomic.Bool
 }
@@ -58,6 +62,7 @@
 
 // Write implements relay.ResponseWriter. It flushes streamed responses.
 func (rw *responseWriter) Write(p []byte) error {
+	length := len(p)
 	for len(p) > 0 {
 		n := len(p)
 		if rw.streaming || n > bufferedBytes {
@@ -72,9 +77,19 @@
 	if !rw.streaming {
 		return nil
 	}
+	rw.streamed += length
 	return wrap.Err(http.NewResponseController(rw.w).Flush(), "flush")
 }
 
+// backlogBytes is how much may be on its way to the caller of a stream that keeps up. It is less
+// than the kernel's buffers take, so that a write doesn't wait below it.
+const backlogBytes = 16 << 10
+
+// Backlogged implements relay.ResponseWriter.
+func (rw *responseWriter) Backlogged() bool {
+	return rw.caller != nil && rw.streamed > backlogBytes && rw.caller.unsent() > backlogBytes
+}
+
 const (
 	// defaultWriteTimeout is how long a caller may take nothing of a response. It is far above
 	// the time for which a caller that reads at all lets its connection wait.
--- a/router/gateway/script_test.go
+++ b/router/gateway/script_test.go
@@ -38,6 +38,9 @@
 // has gone on elsewhere, or that its caller has left.
 func TestLeft(t *testing.T) { runScripts(t, "testdata/left") }
 
+// TestSlow runs the scripts in testdata/slow: callers that read or send slowly, or not at all.
+func TestSlow(t *testing.T) { runScripts(t, "testdata/slow") }
+
 // TestKnownRed runs the scripts in testdata/red, which fail for the faults in KNOWN-RED.txt.
 func TestKnownRed(t *testing.T) {
 	if os.Getenv("KNOWN_RED") == "" {
@@ -65,6 +68,8 @@
 			"each-cut": with(cmdEachCut), "request-while-closing": with(cmdRequestWhileClosing), "helper": with(cmdHelper), "cut-off": with(cmdCutOff), "stop-helper-in": with(cmdStopHelperIn), "relayed": with(cmdRelayed), "silent-router": with(cmdSilentRouter),
 			"told": with(cmdTold), "leave": with(cmdLeave), "pipeline": with(cmdPipeline), "stop-in": with(cmdStopIn), "told-stop": with(cmdToldStop),
 			"started": with(cmdStarted), "entry": with(cmdEntry), "answer-question": with(cmdAnswerQuestion), "asked": with(cmdAsked), "requests": with(cmdRequests), "received-at-most": with(cmdReceivedAtMost), "heap-at-most": with(cmdHeapAtMost),
+			"small-buffers": with(cmdSmallBuffers), "write-timeout": with(cmdWriteTimeout), "memory": with(cmdMemory), "respond-size": with(cmdRespondSize),
+			"open": with(cmdOpen), "sent": with(cmdSent), "read": with(cmdRead), "cut": with(cmdCut),
 		},
 	})
 }
@@ -97,6 +102,8 @@
 	err    error
 	// took is how long the last request took.
 	took time.Duration
+	// open holds the callers that keep a connection open, by their request ids.
+	open map[string]*net.TCPConn
 	// heap is the highest size of the heap in bytes during the verb requests.
 	heap atomic.Uint64
 }
@@ -157,6 +164,9 @@
 
 func (f *fixture) close() {
 	f.stop(nil)
+	for _, c := range f.open {
+		_ = c.Close()
+	}
 	f.server.CloseClientConnections()
 	f.server.Close()
 	for _, u := range f.upstreams {
--- a/router/gateway/upstream_verbs_test.go
+++ b/router/gateway/upstream_verbs_test.go
@@ -28,6 +28,8 @@
 	// timeLeft is the X-Left field of the last request in milliseconds.
 	timeLeft          int
 	closedConnections int
+	// sent is the number of responses that were written whole.
+	sent int
 	// receivedAt and closedAt are when requests arrived and connections were closed.
 	receivedAt, closedAt []time.Time
 	// endlessBytes is the number of bytes sent by endless responses.
@@ -59,6 +61,8 @@
 	// closes the connection.
 	piece []byte
 	pause time.Duration
+	// smallBuffer bounds the kernel's buffer of what is sent.
+	smallBuffer bool
 }
 
 func (u *upstream) serve() {
@@ -125,9 +129,15 @@
 			respondLate(c, r, data)
 			return
 		}
+		if tcp, ok := c.(*net.TCPConn); ok && next.smallBuffer {
+			_ = tcp.SetWriteBuffer(smallBufferBytes)
+		}
 		if _, err := c.Write(data); err != nil {
 			return
 		}
+		u.mu.Lock()
+		u.sent++
+		u.mu.Unlock()
 		switch next.after {
 		case "keep", "early":
 			if early {
--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -87,6 +87,9 @@
 	WriteHeader(status int, h http.Header, length int)
 	// Write sends a part of the body. Parts of a stream are sent without delay.
 	Write(p []byte) error
+	// Backlogged reports whether much of what was written hasn't reached the caller yet, so that
+	// the next Write may wait.
+	Backlogged() bool
 	// Cut makes this and all further writes fail. Any goroutine may call it.
 	Cut()
 }
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -96,6 +96,8 @@
 	// contentType is the one that it states. It stays false for buffered responses.
 	streamStarted bool
 	contentType   string
+	// ahead holds the events of a stream that its caller reads slowly; nil if it keeps up.
+	ahead *readAhead
 	// probe reports whether the call tests a part of its prompt that may be deadly.
 	probe bool
 	// connectFailed reports whether a connection to an upstream couldn't be
@@ -129,6 +131,12 @@
 	if c.ResumesStream() {
 		s.findOrigin(time.Now())
 	}
+	return s.finishAhead(s.run())
+}
+
+// run makes attempts until one has answered the call or no further one is permitted.
+func (s *callState) run() error {
+	f, c, ctx := s.forwarder, s.Call, s.ctx
 	for {
 		now := time.Now()
 		if ctx.Err() != nil {
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -169,8 +169,8 @@
 	if !a.streamStarted {
 		a.sendHeader(resp)
 	}
-	if err := a.writer.Write(e.raw); err != nil {
-		return &CallerWriteError{Cause: err}
+	if err := a.write(e.raw); err != nil {
+		return err
 	}
 	if e.empty {
 		return nil
