Close connections whose body has stopped short when there are too many

A connection counted as busy from its head on, so that small bodies that stop short kept all new callers out once the bound was reached. It is busy now once the request is complete.

HOSTILE=1 go test ./lab/soak/hostile -run 'TestHostile/.*(stalled|idle)': stalled and program-stalled failed before (no answer), all four pass now. go test ./router/gateway ./router/cluster: pass.

--- a/router/frontend/listen.go
+++ b/router/frontend/listen.go
@@ -18,7 +18,7 @@
 	}
 	app.Server().ConnState = func(c net.Conn, state fasthttp.ConnState) {
 		if counted, ok := c.(*countedConn); ok && state == fasthttp.StateIdle {
-			counted.entry.SetIdle()
+			counted.setIdle()
 		}
 	}
 	return app.Listener(countingListener{Listener: ln, bound: s.Conns})
@@ -45,6 +45,20 @@
 	entry *listener.Entry
 }
 
+// setIdle records that the connection has no complete request, as of now.
+func (c *countedConn) setIdle() {
+	if c != nil {
+		c.entry.SetIdle()
+	}
+}
+
+// setBusy records that the connection has a request, which is complete.
+func (c *countedConn) setBusy() {
+	if c != nil {
+		c.entry.SetBusy()
+	}
+}
+
 // Close implements net.Conn and ends the count.
 func (c *countedConn) Close() error {
 	c.entry.Remove()
--- a/router/frontend/request_body.go
+++ b/router/frontend/request_body.go
@@ -26,14 +26,16 @@
 // refuses a request whose body is larger than maxBody bytes.
 func (s *Server) readBody(maxBody int) fiber.Handler {
 	return func(c *fiber.Ctx) error {
-		if counted, ok := c.Context().Conn().(*countedConn); ok {
-			counted.entry.SetBusy()
-		}
+		counted, _ := c.Context().Conn().(*countedConn)
 		stream := c.Context().RequestBodyStream()
 		if stream == nil || c.Request().Header.ContentLength() == 0 {
+			counted.setBusy()
 			return c.Next()
 		}
+		// A connection whose body stops short may be closed as one without a request.
+		counted.setIdle()
 		holding, refusal := s.holdBody(c, stream, maxBody)
+		counted.setBusy()
 		if refusal != nil {
 			c.Context().SetConnectionClose()
 			return refuse(c, refusal)
--- a/router/gateway/caller_conn.go
+++ b/router/gateway/caller_conn.go
@@ -45,7 +45,14 @@
 	return c
 }
 
-// setBusy records that the connection has a request, whose head is complete.
+// setIdle records that the connection has no complete request, as of now.
+func (c *callerConn) setIdle() {
+	if c != nil {
+		c.entry.SetIdle()
+	}
+}
+
+// setBusy records that the connection has a request, which is complete.
 func (c *callerConn) setBusy() {
 	if c != nil {
 		c.entry.SetBusy()
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -102,7 +102,6 @@
 	h.ActiveRequests.Add(1)
 	defer h.ActiveRequests.Add(-1)
 	caller := callerOf(r.Context())
-	caller.setBusy()
 	arrived := time.Now()
 	if h.CloseAfterResponse != nil && h.CloseAfterResponse() {
 		w.Header().Set("Connection", "close")
@@ -114,8 +113,13 @@
 	}
 	headers.Host, headers.Path = hostname(r.Host), pathOf(r.RequestURI)
 	client := h.client(r, headers.APIKey)
+	if r.ContentLength != 0 {
+		// A connection whose body stops short may be closed as one without a request.
+		caller.setIdle()
+	}
 	body, holding, refusal := h.readBody(w, r, client)
 	defer holding.Release()
+	caller.setBusy()
 	if refusal == nil {
 		// A slow body may arrive long after the header.
 		refusal = h.refuseClosing()
