--- a/router/cluster/listen.go
+++ b/router/cluster/listen.go
@@ -8,14 +8,21 @@
 	"camphorpulley.org/router/gateway"
 )
 
-// listenAndServe serves h on a TCP address until the process ends.
+// maxOperatorConns bounds the connections for readiness, and those for metrics: few clients ask
+// for either.
+const maxOperatorConns = 64
+
+// listenAndServe serves h on a TCP address until the process ends, for the load balancer or for
+// operators. Requests have no bodies.
 func listenAndServe(address string, h http.Handler) error {
-	s := &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: headerTimeout}
+	s := &http.Server{
+		Addr: address, Handler: gateway.MarkBusy(h), ReadTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
 	ln, err := listener.ListenBuffered(s.Addr, 0)
 	if err != nil {
 		return wrap.Err(err, s.Addr)
 	}
-	return s.Serve(ln)
+	return s.Serve(gateway.WatchCallers(s, ln, listener.NewBound(maxOperatorConns)))
 }
 
 // serveCallers serves on the server's address until the listener fails or the server is shut
--- a/router/peer/peer.go
+++ b/router/peer/peer.go
@@ -123,6 +123,8 @@
 	upgrader := websocket.FastHTTPUpgrader{ReadBufferSize: connBufferBytes, WriteBufferSize: connBufferBytes}
 	server := &fasthttp.Server{
 		NoDefaultServerHeader: true,
+		// A handshake has no body.
+		MaxRequestBodySize: maxHandshakeBytes,
 		Handler: func(ctx *fasthttp.RequestCtx) {
 			if string(ctx.Path()) != websocketPath {
 				ctx.SetStatusCode(fasthttp.StatusNotFound)
