Don't pass on responses whose status is none of HTTP

net/http reads 000, 099 and +20 as numbers below 200, which were skipped as interim responses: the body of one that held a head was passed on as the answer. fasthttp takes status 000 for 200. Such responses now break the attempt, in both programs.

Seen failing before: odd-status of router/gateway (200 in place of 502 for 000) and of router/exchange (200 answered).

--- a/router/backend/conn.go
+++ b/router/backend/conn.go
@@ -18,6 +18,7 @@
 	idleTimeout time.Duration
 	responding  bool
 	reusable    atomic.Bool
+	status      statusCheck
 	// carried is true if the connection has carried another request before the present
 	// one, and loadReported if a load report was read on it first.
 	carried, loadReported bool
@@ -64,6 +65,7 @@
 	}
 	c.carried = c.carried || c.responding
 	c.responding = false
+	c.status = statusCheck{}
 	c.reusable.Store(false)
 	return c.Conn.Write(p)
 }
@@ -78,6 +80,9 @@
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.responding = true
+		if statusErr := c.status.check(p[:n]); statusErr != nil {
+			return 0, statusErr
+		}
 	}
 	return n, err
 }
--- a/router/exchange/script_test.go
+++ b/router/exchange/script_test.go
@@ -160,7 +160,7 @@
 // respond NAME STEP...: sets the response to the next request of the upstream that has none
 // yet. A step is a file, whose bytes it sends with $ID replaced by the request's id; a
 // duration, for which it waits; hang: it works until the router closes the connection; close:
-// it closes the connection; or and: it reads the next request while it carries out the other steps.
+// it closes the connection; reset: it resets it; or and: it reads the next request while it carries out the other steps.
 func cmdRespond(ts *testscript.TestScript, w *world, a []string) {
 	w.upstreams[a[0]].respondWith(steps(ts, a[1:]))
 }
@@ -181,6 +181,8 @@
 			all = append(all, step{hang: true})
 		case text == "close":
 			all = append(all, step{closes: true})
+		case text == "reset":
+			all = append(all, step{resets: true})
 		case text == "next":
 			all = append(all, step{next: true})
 		default:
--- a/router/exchange/upstream_test.go
+++ b/router/exchange/upstream_test.go
@@ -50,8 +50,8 @@
 	data string
 	wait time.Duration
 	hang bool
-	// closes is true if the upstream closes the connection.
-	closes bool
+	// closes is true if the upstream closes the connection, resets if it resets it.
+	closes, resets bool
 	// next is true if the steps after it wait for the next request on the connection, and
 	// come ahead of the response to it.
 	next bool
@@ -152,6 +152,9 @@
 	}
 }
 
+// resetDelay is the wait before a connection is reset, so that the bytes before have arrived.
+const resetDelay = 20 * time.Millisecond
+
 // respond carries out the steps of one response, and returns those that wait for the next
 // request, which bear the id of this one. Open is false if the connection ended.
 func (u *scriptedUpstream) respond(conn net.Conn, reader *bufio.Reader, steps []step, id string, at time.Time) (late []step, open bool) {
@@ -165,6 +168,10 @@
 			return late, true
 		case s.closes:
 			return nil, false
+		case s.resets:
+			time.Sleep(resetDelay)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			return nil, false
 		case s.hang:
 			_, _ = io.Copy(io.Discard, reader)
 			u.left <- end{arrivedAt: at, at: time.Now()}
--- a/router/gateway/slow_verbs_test.go
+++ b/router/gateway/slow_verbs_test.go
@@ -35,12 +35,25 @@
 // small-buffers: bounds the kernel's buffers of callers' connections, so that what a caller
 // doesn't read waits in the gateway.
 func cmdSmallBuffers(ts *testscript.TestScript, f *fixture, _ []string) {
+	f.restartServer(ts, nil, smallBufferBytes)
+}
+
+// connections MAX: bounds the connections of callers.
+func cmdConnections(ts *testscript.TestScript, f *fixture, a []string) {
+	most, err := strconv.Atoi(a[0])
+	ts.Check(err)
+	f.restartServer(ts, listener.NewBound(most), 0)
+}
+
+// restartServer starts the server for callers again, with a bound on its connections and a size
+// of the kernel's buffers.
+func (f *fixture) restartServer(ts *testscript.TestScript, bound *listener.Bound, bufferBytes int) {
 	f.server.Close()
-	ln, err := listener.ListenBuffered("127.0.0.1:0", smallBufferBytes)
+	ln, err := listener.ListenBuffered("127.0.0.1:0", bufferBytes)
 	ts.Check(err)
 	s := httptest.NewUnstartedServer(f.gateway)
 	_ = s.Listener.Close()
-	s.Listener = gateway.WatchCallers(s.Config, ln, nil)
+	s.Listener = gateway.WatchCallers(s.Config, ln, bound)
 	s.Start()
 	f.server = s
 }
--- a/router/httpclient/roundtrip.go
+++ b/router/httpclient/roundtrip.go
@@ -53,6 +53,14 @@
 	return fmt.Sprintf("answer for request %q in place of %q", e.Got, e.Want)
 }
 
+// InvalidStatusError reports a response with a status that isn't one of HTTP.
+type InvalidStatusError struct {
+	Status string
+}
+
+// Error implements error.
+func (e *InvalidStatusError) Error() string { return fmt.Sprintf("invalid status %q", e.Status) }
+
 const (
 	// maxHeadBytes bounds the status lines and headers that are read for one request,
 	// interim responses and trailers included.
@@ -138,6 +146,10 @@
 			return wrap.Err(err, "read answer")
 		}
 		resp.conn.limit.End()
+		if received.StatusCode < http.StatusContinue {
+			// It is no interim response: its body would be taken for the next response.
+			return &InvalidStatusError{Status: received.Status}
+		}
 		if received.StatusCode < http.StatusOK {
 			continue
 		}
