--- a/router/frontend/listen.go
+++ b/router/frontend/listen.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"time"
 
 	"github.com/gofiber/fiber/v2"
 	"github.com/valyala/fasthttp"
@@ -36,13 +37,43 @@
 	if err != nil {
 		return nil, err
 	}
-	return &countedConn{Conn: c, entry: l.bound.Add(c)}, nil
+	return &countedConn{Conn: c, entry: l.bound.Add(c), timeout: writeTimeout}, nil
 }
 
 // countedConn is the connection of a caller.
 type countedConn struct {
 	net.Conn
 	entry *listener.Entry
+	// timeout is how long the caller may take nothing, writeUntil when a write fails. The
+	// writer alone uses it.
+	timeout    time.Duration
+	writeUntil time.Time
+}
+
+const (
+	// writeTimeout is how long a caller may take nothing of a response. It is far above the time
+	// for which a caller that reads at all lets its connection wait.
+	writeTimeout = 30 * time.Second
+	// pieceBytes is how much is written at a time, so that a slow caller shows that it reads.
+	pieceBytes = 16 << 10
+)
+
+// Write implements net.Conn. It fails once the caller takes nothing for the time-out.
+func (c *countedConn) Write(p []byte) (int, error) {
+	written := 0
+	for {
+		if now := time.Now(); c.writeUntil.Sub(now) <= c.timeout*3/4 {
+			c.writeUntil = now.Add(c.timeout)
+			if err := c.SetWriteDeadline(c.writeUntil); err != nil {
+				return written, err
+			}
+		}
+		n, err := c.Conn.Write(p[:min(len(p), pieceBytes)])
+		written += n
+		if p = p[n:]; err != nil || len(p) == 0 {
+			return written, err
+		}
+	}
 }
 
 // setIdle records that the connection has no complete request, as of now.
