--- a/router/cluster/gauges.go
+++ b/router/cluster/gauges.go
@@ -47,6 +47,9 @@
 			return int64(bad)
 		}},
 		{Name: "job_panics", Description: "panics that ended a job or an attempt", Read: worker.Panics},
+		{Name: "memory_held_bytes", Description: "bytes held for callers and upstreams", Read: r.memory.Held},
+		{Name: "memory_refused", Description: "bodies and responses that were refused or dropped because memory was short", Read: r.memory.Refused},
+		{Name: "caller_connections", Description: "connections of callers", Read: func() int64 { return int64(r.callerConns.Len()) }},
 		{Name: "log_lines_left_out", Description: "log lines over the budget of their kind", Read: logs.SuppressedLines},
 	}
 }
--- a/router/gateway/script_test.go
+++ b/router/gateway/script_test.go
@@ -39,6 +39,9 @@
 // has gone on elsewhere, or that its caller has left.
 func TestLeft(t *testing.T) { runScripts(t, "testdata/left") }
 
+// TestSlow runs the scripts in testdata/slow: callers that read or send slowly, or not at all.
+func TestSlow(t *testing.T) { runScripts(t, "testdata/slow") }
+
 // TestKnownRed runs the scripts in testdata/red, which fail for the faults in KNOWN-RED.txt.
 func TestKnownRed(t *testing.T) {
 	if os.Getenv("KNOWN_RED") == "" {
@@ -67,6 +70,8 @@
 			"told": with(cmdTold), "leave": with(cmdLeave), "pipeline": with(cmdPipeline), "stop-in": with(cmdStopIn), "told-stop": with(cmdToldStop),
 			"watch-told": with(cmdWatchTold), "told-pace": with(cmdToldPace), "told-nothing": with(cmdToldNothing),
 			"started": with(cmdStarted), "entry": with(cmdEntry), "answer-question": with(cmdAnswerQuestion), "asked": with(cmdAsked), "requests": with(cmdRequests), "slot-router": with(cmdSlotRouter), "slots-asked": with(cmdSlotsAsked), "slots-returned": with(cmdSlotsReturned), "received-at-most": with(cmdReceivedAtMost), "heap-at-most": with(cmdHeapAtMost),
+			"small-buffers": with(cmdSmallBuffers), "connections": with(cmdConnections), "write-timeout": with(cmdWriteTimeout), "memory": with(cmdMemory), "respond-size": with(cmdRespondSize),
+			"open": with(cmdOpen), "sent": with(cmdSent), "read": with(cmdRead), "cut": with(cmdCut),
 		},
 	})
 }
@@ -103,6 +108,8 @@
 	err    error
 	// took is how long the last request took.
 	took time.Duration
+	// open holds the callers that keep a connection open, by their request ids.
+	open map[string]*net.TCPConn
 	// heap is the highest size of the heap in bytes during the verb requests.
 	heap atomic.Uint64
 }
@@ -123,7 +130,7 @@
 // startServer starts a server for callers, with the context of all requests.
 func startServer(ctx context.Context, h http.Handler) *httptest.Server {
 	s := httptest.NewUnstartedServer(h)
-	s.Listener = gateway.WatchCallers(s.Config, s.Listener)
+	s.Listener = gateway.WatchCallers(s.Config, s.Listener, nil)
 	s.Config.BaseContext = func(net.Listener) context.Context { return ctx }
 	s.Start()
 	return s
@@ -163,6 +170,9 @@
 
 func (f *fixture) close() {
 	f.stop(nil)
+	for _, c := range f.open {
+		_ = c.Close()
+	}
 	f.server.CloseClientConnections()
 	f.server.Close()
 	for _, u := range f.upstreams {
--- a/router/httpclient/roundtrip.go
+++ b/router/httpclient/roundtrip.go
@@ -14,13 +14,14 @@
 	"github.com/go-faster/errors"
 
 	"camphorpulley.org/base/wrap"
+	"camphorpulley.org/router/blocks"
 )
 
 // Request is a request to an upstream.
 type Request struct {
 	Method, URI, Host string
 	Header            http.Header
-	Body              []byte
+	Body              blocks.Body
 	// HasBody reports whether the caller sent a body, even an empty one.
 	HasBody bool
 	// Deadline is when the request is given up whatever has arrived.
@@ -52,6 +53,14 @@
 	return fmt.Sprintf("answer for request %q in place of %q", e.Got, e.Want)
 }
 
+// InvalidStatusError reports a response with a status that isn't one of HTTP.
+type InvalidStatusError struct {
+	Status string
+}
+
+// Error implements error.
+func (e *InvalidStatusError) Error() string { return fmt.Sprintf("invalid status %q", e.Status) }
+
 const (
 	// maxHeadBytes bounds the status lines and headers that are read for one request,
 	// interim responses and trailers included.
@@ -93,15 +102,18 @@
 func (resp *Response) send(r Request) error {
 	var head bytes.Buffer
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
-	if r.HasBody || len(r.Body) > 0 {
-		head.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	length := r.Body.Len()
+	if r.HasBody || length > 0 {
+		head.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n")
 	}
 	if err := r.Header.Write(&head); err != nil {
 		return err
 	}
 	head.WriteString("\r\n")
-	if len(r.Body) <= maxInlineBytes {
-		head.Write(r.Body)
+	if length <= maxInlineBytes {
+		for _, block := range r.Body {
+			head.Write(block)
+		}
 		err := resp.conn.wait.write(head.Bytes())
 		resp.writeResult <- err
 		return err
@@ -112,8 +124,10 @@
 	}
 	go func() {
 		_, err := resp.conn.Write(head.Bytes())
-		if err == nil {
-			_, err = resp.conn.Write(r.Body)
+		for _, block := range r.Body {
+			if err == nil {
+				_, err = resp.conn.Write(block)
+			}
 		}
 		resp.writeResult <- err
 	}()
@@ -132,6 +146,10 @@
 			return wrap.Err(err, "read answer")
 		}
 		resp.conn.limit.End()
+		if received.StatusCode < http.StatusContinue {
+			// It is no interim response: its body would be taken for the next response.
+			return &InvalidStatusError{Status: received.Status}
+		}
 		if received.StatusCode < http.StatusOK {
 			continue
 		}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -16,6 +16,8 @@
 	"camphorpulley.org/core/fleet"
 	"camphorpulley.org/core/health"
 	"camphorpulley.org/core/lineage"
+	"camphorpulley.org/router/blocks"
+	"camphorpulley.org/router/budget"
 	"camphorpulley.org/router/httpclient"
 )
 
@@ -32,6 +34,8 @@
 	Notify func(fleet.Message)
 	// Send sends a message to one router. It doesn't wait, and may be nil.
 	Send func(fleet.Envelope)
+	// Memory bounds the responses that are held; nil if nothing does.
+	Memory *budget.Pool
 	// buffered is the size of the bodies that are held, in bytes.
 	buffered atomic.Int64
 	// loadRefusedAt is when a refused figure of a load report was last logged, in nanoseconds
@@ -106,6 +110,8 @@
 	// contentType is the one that it states. It stays false for buffered responses.
 	streamStarted bool
 	contentType   string
+	// ahead holds the events of a stream that its caller reads slowly; nil if it keeps up.
+	ahead *readAhead
 	// probe reports whether the call tests a part of its prompt that may be deadly.
 	probe bool
 	// connectFailed reports whether a connection to an upstream couldn't be
@@ -125,7 +131,7 @@
 type failedResponse struct {
 	status int
 	header http.Header
-	body   []byte
+	body   blocks.Body
 }
 
 // Forward sends a call to upstreams, one after another, until one has answered it
@@ -140,6 +146,12 @@
 	if c.ResumesStream() {
 		s.findOrigin(time.Now())
 	}
+	return s.finishAhead(s.run())
+}
+
+// run makes attempts until one has answered the call or no further one is permitted.
+func (s *callState) run() error {
+	f, c, ctx := s.forwarder, s.Call, s.ctx
 	for {
 		now := time.Now()
 		if ctx.Err() != nil {
@@ -224,8 +236,13 @@
 		return &IncompleteResponseError{Cause: refusal}
 	}
 	if f := s.failure; f != nil && refusal.Certainty != core.NotRun {
-		s.writer.WriteHeader(f.status, f.header, len(f.body))
-		return s.writer.Write(f.body)
+		s.writer.WriteHeader(f.status, f.header, f.body.Len())
+		for _, block := range f.body {
+			if err := s.writer.Write(block); err != nil {
+				return err
+			}
+		}
+		return nil
 	}
 	return refusal
 }
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -171,8 +171,8 @@
 		a.sendHeader(resp)
 	}
 	a.answerBytes += len(e.raw)
-	if err := a.writer.Write(e.raw); err != nil {
-		return &CallerWriteError{Cause: err}
+	if err := a.write(e.raw); err != nil {
+		return err
 	}
 	if e.empty {
 		return nil
