Let a router with much processor time grant the slots of scarce applications

Routers now state their capacity ([limits] cores), and those with half of the highest one or more are elected. Empty values of settings stand for zero only for the keys that permit it.

--- a/base/settings/decoder.go
+++ b/base/settings/decoder.go
@@ -153,11 +153,6 @@
 		field.SetInt(int64(d))
 		return nil
 	}
-	if text == "" && (field.CanInt() || field.CanUint() || field.CanFloat()) {
-		// A settings template leaves the value empty where the platform has none.
-		field.SetZero()
-		return nil
-	}
 	switch field.Kind() {
 	case reflect.String:
 		field.SetString(text)
--- a/core/fleet/dispatch.go
+++ b/core/fleet/dispatch.go
@@ -84,7 +84,7 @@
 		return current
 	}
 	routers, known, settled := f.reachableRouters(now)
-	e := election{router: firstFor("dispatch", string(p), routers), share: float64(len(routers)) / float64(known), until: now.Add(electionTTL)}
+	e := election{router: firstFor("dispatch", string(p), f.strongest(routers)), share: float64(len(routers)) / float64(known), until: now.Add(electionTTL)}
 	if e.understudy = !settled || e.router != f.settings.ID; e.understudy {
 		e.share = min(e.share, understudyShare)
 	}
@@ -92,6 +92,26 @@
 	return e
 }
 
+// strongFraction is the fraction of the highest capacity from which on a router may be the
+// dispatcher: on one that has little processor time answers come later than routers wait for them.
+const strongFraction = 0.5
+
+// strongest returns the routers whose capacity isn't far below the highest one.
+func (f *Fleet) strongest(routers []core.RouterID) []core.RouterID {
+	capacities := make(map[core.RouterID]int, len(routers))
+	f.members.Do(table.Hold{}, func(_ table.Hold, t *members) {
+		for _, id := range routers {
+			capacities[id] = t.byID[id].Capacity
+		}
+	})
+	capacities[f.settings.ID] = f.settings.Capacity
+	least := 0
+	for _, c := range capacities {
+		least = max(least, int(strongFraction*float64(c)))
+	}
+	return slices.DeleteFunc(slices.Clone(routers), func(id core.RouterID) bool { return capacities[id] < least })
+}
+
 // firstFor returns the first router by rendezvous for something of a kind.
 func firstFor(kind, name string, routers []core.RouterID) core.RouterID {
 	key := chat.Key(core.Account(kind), name, nil)
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -32,7 +32,10 @@
 	DataCentre core.DataCentre
 	// Detour is the address on which the router takes requests that others can't send to
 	// upstreams; empty if it takes none.
-	Detour      string
+	Detour string
+	// Capacity is the processor time that the router may use, in hundredths of a core; zero if it
+	// isn't stated.
+	Capacity    int
 	Incarnation core.Incarnation
 	// Regions holds the region of each data centre.
 	Regions map[core.DataCentre]string
--- a/core/fleet/members.go
+++ b/core/fleet/members.go
@@ -19,6 +19,9 @@
 	Detour string
 	// Incarnation identifies the router's process; zero if unknown.
 	Incarnation core.Incarnation
+	// Capacity is the processor time that the router may use, in hundredths of a core; zero if
+	// unknown.
+	Capacity int
 }
 
 // member is what this router knows of another one.
--- a/core/fleet/relay.go
+++ b/core/fleet/relay.go
@@ -41,7 +41,7 @@
 // Self returns the router itself as a member.
 func (f *Fleet) Self() Member {
 	s := f.settings
-	return Member{ID: s.ID, Address: s.Address, DataCentre: s.DataCentre, Detour: s.Detour, Incarnation: s.Incarnation}
+	return Member{ID: s.ID, Address: s.Address, DataCentre: s.DataCentre, Detour: s.Detour, Incarnation: s.Incarnation, Capacity: s.Capacity}
 }
 
 // neighbours returns the other routers in the local data centre.
--- a/router/cluster/settings.go
+++ b/router/cluster/settings.go
@@ -102,10 +102,13 @@
 type LimitsSection struct {
 	// MemoryMB is the memory of the machine in megabytes of 2^20 bytes; zero stands for that of
 	// the control group, or else of the machine.
-	MemoryMB float64 `ini:"memory" validate:"min=0"`
+	MemoryMB float64 `ini:"memory" empty:"zero" validate:"min=0"`
 	// Descriptors is the number of files and connections that may be open; zero stands for the
 	// limit of the process.
-	Descriptors int `ini:"descriptors" validate:"min=0"`
+	Descriptors int `ini:"descriptors" empty:"zero" validate:"min=0"`
+	// Cores is the share of processor cores that the router may use; zero means that it isn't
+	// stated.
+	Cores float64 `ini:"cores" empty:"zero" validate:"min=0"`
 }
 
 // LogSection holds the settings of the log.
@@ -119,6 +122,9 @@
 	Region string `ini:"region" validate:"required"`
 }
 
+// capacityPerCore is the capacity of a router that may use a whole core.
+const capacityPerCore = 100
+
 // fleetSettings returns the settings of the fleet's tables. Now, as a Unix time in
 // milliseconds, becomes the router's incarnation.
 func (s Settings) fleetSettings(now time.Time, a Adapter) fleet.Settings {
@@ -126,6 +132,7 @@
 		ID:          core.RouterID(s.Router.ID),
 		Address:     s.Router.Peer,
 		Detour:      s.Router.Detour,
+		Capacity:    int(s.Limits.Cores * capacityPerCore),
 		DataCentre:  core.DataCentre(s.Router.DataCentre),
 		Incarnation: core.Incarnation(now.UnixMilli()),
 		Regions: lo.SliceToMap(s.DataCentres, func(dc DataCentre) (core.DataCentre, string) {
--- a/router/setup/setup.go
+++ b/router/setup/setup.go
@@ -51,10 +51,10 @@
 	MaxBodyBytes int `ini:"body" validate:"min=0,max=1073741824"`
 	// MemoryMB is the memory of the machine in megabytes of 2^20 bytes; zero stands for that of
 	// the control group, or else of the machine.
-	MemoryMB float64 `ini:"memory" validate:"min=0"`
+	MemoryMB float64 `ini:"memory" empty:"zero" validate:"min=0"`
 	// Descriptors is the number of files and connections that may be open; zero stands for the
 	// limit of the process.
-	Descriptors int `ini:"descriptors" validate:"min=0"`
+	Descriptors int `ini:"descriptors" empty:"zero" validate:"min=0"`
 	// StreamIdleTimeout bounds the time without data in a stream; zero means
 	// DefaultStreamIdleTimeout.
 	StreamIdleTimeout time.Duration `ini:"stall" validate:"min=0"`
--- a/router/wire/fleet.go
+++ b/router/wire/fleet.go
@@ -67,6 +67,7 @@
 
 	Detour      string           `cbor:"5,keyasint,omitempty"`
 	Incarnation core.Incarnation `cbor:"4,keyasint,omitempty"`
+	Capacity    int              `cbor:"6,keyasint,omitempty"`
 }
 
 type fleetHeartbeat struct {
