Send the samples of a roll-out again to a conductor that has restarted

Change: a router that hears the conductor from another process sends its samples from the first one. Result: go test ./core/fleet passes; no script covers the restart under the same id yet.

--- a/core/fleet/rollout_sample.go
+++ b/core/fleet/rollout_sample.go
@@ -60,6 +60,18 @@
 	// sentTo is the conductor to which they are sent.
 	sentTo core.RouterID
 	sentAt time.Time
+	// heardFrom and incarnation are the conductor that was heard last and its process.
+	heardFrom   core.RouterID
+	incarnation core.Incarnation
+}
+
+// hearConductor records which process conducts. One that has restarted lacks the samples that
+// the one before had, and gets them again.
+func (c *collection) hearConductor(id core.RouterID, incarnation core.Incarnation) {
+	if c.heardFrom == id && c.incarnation != incarnation {
+		c.sentTo = ""
+	}
+	c.heardFrom, c.incarnation = id, incarnation
 }
 
 // add keeps a sample.
--- a/core/fleet/rollout_state.go
+++ b/core/fleet/rollout_state.go
@@ -101,6 +101,13 @@
 	if c := f.applyRolloutState(now, m, delayMS); c != nil {
 		e.RolloutChanges = append(e.RolloutChanges, *c)
 	}
+	if from.ID == m.Conductor {
+		f.rollouts.Do(table.Hold{}, func(_ table.Hold, t *rollouts) {
+			if p := t.byPool[m.State.Order.Pool]; p != nil {
+				p.collected.hearConductor(from.ID, from.Incarnation)
+			}
+		})
+	}
 	if m.IssuedAgeMS >= 0 {
 		m.IssuedAgeMS += delayMS
 	}
