Write the status of an order although that of an earlier era has a higher offset

Cause (soak): all routers were killed and the store came back from an older copy; the operator's order was written again at offset 0 in the new era, while the status in the copy named offset 1. Routers took it for that of a later order, and the roll-out, which they had rolled back, stayed running in the store, 24 s after its deadline.

Change: a status states the era of its order; one of an earlier era doesn't keep a status out.

Result: the script earlier-era failed before the change and passes with it. Soak was not run again yet.

--- a/core/fleet/rollout_status.go
+++ b/core/fleet/rollout_status.go
@@ -14,8 +14,9 @@
 type RolloutStatus struct {
 	Pool   core.Pool
 	Target string
-	// Offset is that of the order's record.
-	Offset uint64
+	// Offset is that of the order's record, Era the one of the store at that time; zero if the
+	// store states none.
+	Offset, Era uint64
 	// Stage is Completed or RolledBack; any other one means that the roll-out is running.
 	Stage rollout.Stage
 }
@@ -94,7 +95,7 @@
 // ownStatus returns the status that is to be in the store.
 func (p *poolRollout) ownStatus() RolloutStatus {
 	o := p.state.Order
-	return RolloutStatus{Pool: o.Pool, Target: o.Target, Offset: o.Offset, Stage: p.state.Stage}
+	return RolloutStatus{Pool: o.Pool, Target: o.Target, Offset: o.Offset, Era: o.Era, Stage: p.state.Stage}
 }
 
 // mustWrite reports whether it is the router's turn to write the status. The conductor writes
@@ -148,7 +149,8 @@
 			s, found := stored[pool]
 			found = found && s.Offset == p.state.Order.Offset && s.Target == p.state.Order.Target
 			p.status.running = found && !s.Stage.Final()
-			p.status.superseded = s.Offset > p.state.Order.Offset && s.Offset != NoOrder
+			// An offset of an earlier era says nothing: a restored store gives it out again.
+			p.status.superseded = s.Offset > p.state.Order.Offset && s.Offset != NoOrder && s.Era >= p.state.Order.Era
 			if !found || !s.Stage.Final() {
 				continue
 			}
--- a/router/cluster/rollout_writer_test.go
+++ b/router/cluster/rollout_writer_test.go
@@ -133,9 +133,16 @@
 	}
 }
 
-// other STAGE TARGET ORDER: another router has written a status.
+// other STAGE TARGET ORDER [ERA]: another router has written a status, in the era of the store if
+// none is named.
 func (w *writing) other(ts *testscript.TestScript, a []string) {
-	w.store.records = append(w.store.records, parsedStatus(ts, a))
+	s := parsedStatus(ts, a)
+	if s.Era = w.store.era; len(a) > 3 {
+		var err error
+		s.Era, err = strconv.ParseUint(a[3], 10, 64)
+		ts.Check(err)
+	}
+	w.store.records = append(w.store.records, s)
 }
 
 func parsedStatus(ts *testscript.TestScript, a []string) fleet.RolloutStatus {
