--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -54,11 +54,25 @@
 }
 
 // send makes a client attempt at a router's front address. It waits for the answer for patience.
-func send(t *http.Transport, front string, r request, patience time.Duration) (a answer) {
-	started := time.Now()
-	defer func() { a.took = time.Since(started) }()
+func send(t *http.Transport, front string, r request, patience time.Duration) answer {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
+	return attempt(ctx, t, front, r, func() {})
+}
+
+// sendPatient is send for a stream that the client abandons once no event has come for a time.
+func sendPatient(t *http.Transport, front string, r request, gap time.Duration) answer {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	timer := time.AfterFunc(gap, cancel)
+	defer timer.Stop()
+	return attempt(ctx, t, front, r, func() { timer.Reset(gap) })
+}
+
+// attempt makes a client attempt, and calls progress with each event.
+func attempt(ctx context.Context, t *http.Transport, front string, r request, progress func()) (a answer) {
+	started := time.Now()
+	defer func() { a.took = time.Since(started) }()
 	var body io.Reader
 	if r.body != "" {
 		body = strings.NewReader(r.body)
@@ -90,7 +104,7 @@
 		a.retryAfter = time.Duration(seconds * float64(time.Second))
 	}
 	if resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
-		a.readEvents(resp.Body)
+		a.readEvents(resp.Body, progress)
 		return a
 	}
 	text, err := io.ReadAll(resp.Body)
@@ -99,7 +113,7 @@
 }
 
 // readEvents reads a stream to its end.
-func (a *answer) readEvents(body io.Reader) {
+func (a *answer) readEvents(body io.Reader, progress func()) {
 	lines := bufio.NewScanner(body)
 	var e clientEvent
 	for lines.Scan() {
@@ -111,6 +125,7 @@
 			e.version, _, _ = strings.Cut(line[len("data: "):], " ")
 		case line == "" && e.number > 0:
 			a.events = append(a.events, e)
+			progress()
 			e = clientEvent{}
 		}
 	}
--- a/review/standin-2/router.go
+++ b/review/standin-2/router.go
@@ -132,6 +132,15 @@
 	m.process = nil
 }
 
+// signal sends a signal to the process.
+func (m *machine) signal(s os.Signal) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.process != nil {
+		_ = m.process.Process.Signal(s)
+	}
+}
+
 // alive reports whether the process runs.
 func (m *machine) alive() bool {
 	m.mu.Lock()
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -28,6 +28,8 @@
 	engine bool
 	// deadly records requests with a part that crashes engines; nil if there is none.
 	deadly *deadlyLog
+	// works records the runs of streams; nil doesn't.
+	works *workLog
 	// down is true once the runner crashes.
 	down    atomic.Bool
 	address string
@@ -37,6 +39,7 @@
 	sequence int
 	silent   bool
 	server   *http.Server
+	listener net.Listener
 	running  atomic.Int64
 	stopped  chan struct{}
 }
@@ -55,7 +58,7 @@
 		unable(err)
 	}
 	r.address, r.bornMS, r.stopped = ln.Addr().String(), time.Now().UnixMilli(), make(chan struct{})
-	r.server = &http.Server{Handler: r}
+	r.server, r.listener = &http.Server{Handler: r}, ln
 	go func() { _ = r.server.Serve(ln) }()
 	r.beat()
 	go func() {
@@ -102,6 +105,19 @@
 	_ = r.server.Close()
 }
 
+// refuse makes the runner refuse new connections. Those that are open live on.
+func (r *runner) refuse() { _ = r.listener.Close() }
+
+// admit ends refuse.
+func (r *runner) admit() {
+	ln, err := net.Listen("tcp4", r.address)
+	if err != nil {
+		unable(err)
+	}
+	r.listener = ln
+	go func() { _ = r.server.Serve(ln) }()
+}
+
 // ServeHTTP implements http.Handler.
 func (r *runner) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	switch q.URL.Path {
@@ -161,8 +177,18 @@
 func (r *runner) stream(w http.ResponseWriter, q *http.Request, id string) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	last, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
+	if r.works != nil {
+		run := r.works.begin(id, r.id)
+		defer r.works.end(run)
+	}
+	if strings.HasSuffix(q.URL.Path, "short") {
+		last = max(last, r.events-3)
+	}
 	for n := last + 1; n <= r.events; n++ {
 		pause(q.Context(), r.gap)
+		if q.Context().Err() != nil {
+			return
+		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %d %s\n\n", n, r.version, n, r.id); err != nil || http.NewResponseController(w).Flush() != nil {
 			return
 		}
