--- a/core/feed/progress.go
+++ b/core/feed/progress.go
@@ -25,8 +25,9 @@
 	Era uint64
 	// Next is the offset of the next record that the router needs.
 	Next uint64
-	// KnownUntil is the time up to which the router knows the feed.
-	KnownUntil time.Time
+	// KnownUntil is the time up to which the router knows the feed, ContinuousSince the one from
+	// which on it has got every record; zero if it has read nothing.
+	KnownUntil, ContinuousSince time.Time
 	// missedUntil is the highest offset after a batch that could not be applied. While
 	// it exceeds Next, the router has missed records.
 	missedUntil uint64
@@ -35,9 +36,16 @@
 }
 
 // Reset notes that the router has read the whole feed up to the offset next of an era, in
-// a read that started at start.
-func (p *Progress) Reset(era, next uint64, start time.Time) {
-	*p = Progress{Synced: true, Era: era, Next: next, KnownUntil: start, readStart: start}
+// a read that started at start. It reports whether earlier records may be unknown: the router
+// has read nothing before, or the store has dropped some.
+func (p *Progress) Reset(era, next uint64, start time.Time) (gap bool) {
+	since := p.ContinuousSince
+	gap = since.IsZero() || (!p.Synced && era == p.Era)
+	if gap {
+		since = start
+	}
+	*p = Progress{Synced: true, Era: era, Next: next, KnownUntil: start, ContinuousSince: since, readStart: start}
+	return gap
 }
 
 // Outdated reports whether something that was read in an era belongs to an earlier one than
--- a/core/fleet/catalog_verbs_test.go
+++ b/core/fleet/catalog_verbs_test.go
@@ -58,4 +58,5 @@
 		c.Version, c.Source = version, make([]byte, max(sim.catalogBytes, 1))
 		f.ApplyCatalog(sim.now, &c)
 	})
+	sim.syncMixedPools()
 }
--- a/core/fleet/dispatch.go
+++ b/core/fleet/dispatch.go
@@ -124,6 +124,17 @@
 	return first
 }
 
+// rankFor returns how many of the routers come before one of them by rendezvous for a key.
+func rankFor(key core.Digest, routers []core.RouterID, self core.RouterID) int {
+	own, rank := chat.Score(key, string(self)), 0
+	for _, id := range routers {
+		if id != self && chat.Score(key, string(id)) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
 // Dispatcher returns the router that grants the slots of a pool by this router's view; empty if
 // none does.
 func (f *Fleet) Dispatcher(now time.Time, p core.Pool) core.RouterID {
--- a/core/fleet/feed.go
+++ b/core/fleet/feed.go
@@ -6,6 +6,7 @@
 	"camphorpulley.org/core"
 	"camphorpulley.org/core/chat"
 	"camphorpulley.org/core/feed"
+	"camphorpulley.org/core/lineage"
 	"camphorpulley.org/core/roster"
 	"camphorpulley.org/core/table"
 )
@@ -109,7 +110,9 @@
 			u.roster.SetStoreAvailable(now, true)
 		})
 		changes = f.changeRoster(now, held, func(r *roster.Roster) []roster.Change { return r.ReplaceAll(now, entries, invalid) })
-		p.Reset(era, next, startedAt)
+		if p.Reset(era, next, startedAt) {
+			f.mixed.Do(held, func(_ table.Hold, m *lineage.MixedPools) { m.Read = false })
+		}
 	})
 	return changes
 }
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -79,6 +79,7 @@
 	parts    *table.Cell[prefix.Map]
 	suspects *table.Cell[suspects]
 	lineage  *table.Cell[lineage.Records]
+	mixed    *table.Cell[lineage.MixedPools]
 	digests  *table.Cell[digests]
 	budgets  *table.Cell[map[core.Pool]*retry.SharedBudget]
 	slots    *table.Cell[slots]
@@ -132,6 +133,7 @@
 		parts:    table.New(table.RankParts, prefix.Map{}),
 		suspects: table.New(table.RankSuspects, suspects{brokenByAddress: map[string][]brokenConnection{}}),
 		lineage:  table.New(table.RankLineage, lineage.Records{}),
+		mixed:    table.New(table.RankMixedPools, lineage.MixedPools{}),
 		digests:  table.New(table.RankDigests, digests{}),
 		budgets:  table.New(table.RankBudgets, map[core.Pool]*retry.SharedBudget{}),
 		slots:    table.New(table.RankSlots, slots{last: uint64(now.UnixMicro())}),
--- a/core/fleet/lineage.go
+++ b/core/fleet/lineage.go
@@ -194,8 +194,12 @@
 		// The upstreams state no releases.
 	case life > roster.RemovedRetention:
 		return lineage.Report{}
-	case now.Sub(f.started) < life && now.UnixMilli()-lastStartMS < life.Milliseconds():
-		// A process of another release may have been replaced before the router started.
+	case now.Sub(f.followsSince()) >= life:
+	case now.UnixMilli()-lastStartMS < life.Milliseconds():
+		// A process of another release may have been replaced before the router knew it.
+		return lineage.Report{}
+	case !table.Read(f.mixed, table.Hold{}, func(m *lineage.MixedPools) bool { return m.Excludes(p) }):
+		// Upstreams of another release may have left before the router knew them.
 		return lineage.Report{}
 	}
 	return lineage.Report{Knowledge: lineage.Uniform, Release: releases[0]}
--- a/core/fleet/message_verbs_test.go
+++ b/core/fleet/message_verbs_test.go
@@ -77,6 +77,7 @@
 	ts.Check(err)
 	for end := sim.now.Add(d); sim.now.Before(end); {
 		sim.now = sim.now.Add(runStep)
+		sim.syncMixedPools()
 		sim.sendHeartbeats()
 	}
 }
--- a/core/fleet/rollout_election.go
+++ b/core/fleet/rollout_election.go
@@ -56,14 +56,7 @@
 
 // placeOf returns how many of the routers come before this one.
 func placeOf(o rollout.Order, routers []core.RouterID, self core.RouterID) int {
-	key, place := rolloutKey(o), 0
-	own := chat.Score(key, string(self))
-	for _, id := range routers {
-		if id != self && chat.Score(key, string(id)) > own {
-			place++
-		}
-	}
-	return place
+	return rankFor(rolloutKey(o), routers, self)
 }
 
 // conducts reports whether this router decides on the roll-out. One that reaches fewer than
--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -49,6 +49,7 @@
 	copies   map[string]int
 	requests map[string]*sentRequest
 	rollout  rolloutStore
+	mixed    mixedStore
 	// paceMessages counts the messages about hosts that routers have begun to spread.
 	paceMessages int
 	slack        float64
@@ -168,6 +169,7 @@
 		"slots":                cmdSlots,
 	}
 	maps.Copy(all, rolloutCommands)
+	maps.Copy(all, mixedPoolCommands)
 	wrapped := map[string]func(*testscript.TestScript, bool, []string){}
 	for name, run := range all {
 		wrapped[name] = func(ts *testscript.TestScript, _ bool, args []string) {
@@ -271,4 +273,5 @@
 			sim.applySlots(id, effects)
 		}
 	}
+	sim.syncMixedPools()
 }
--- a/core/fleet/store_verbs_test.go
+++ b/core/fleet/store_verbs_test.go
@@ -79,6 +79,7 @@
 			segments[string(f.Settings().ID)] = *segment
 		}
 	})
+	sim.syncMixedPools()
 	return segments
 }
 
--- a/core/table/rank.go
+++ b/core/table/rank.go
@@ -10,31 +10,32 @@
 
 // The lock order, lowest rank first. It is defined only here.
 const (
-	RankNone      Rank = iota // not checked
-	RankConfig                // the sheet or the catalog
-	RankInstances             // the other routers
-	RankFeeds                 // the position in the discovery feed
-	RankUpstreams             // the upstreams
-	RankRollouts              // the orders of roll-outs
-	RankTrials                // the samples of a roll-out
-	RankPermits               // the permits of upstreams
-	RankHoldings              // the permits that the router's requests hold or ask for
-	RankLoads                 // the load and health of upstreams
-	RankParts                 // the cached parts of prompts
-	RankOrders                // the ledger of orders
-	RankSuspects              // the suspected poison requests
-	RankLineage               // where streams began
-	RankDigests               // what a relay has gathered for its next digests
-	RankBudgets               // the retry budgets
-	RankSlots                 // the slots that a dispatcher grants
-	RankBurn                  // the counts for burn rates
-	RankPolicies              // the state of chat policies
-	RankSnapshots             // when a snapshot was last seen in the log
-	RankClaims                // the router's claims that wait for the log
-	RankWaiters               // the reply channels of permit requests
-	RankClients               // the HTTP clients of upstreams
-	RankLinks                 // the connections to other routers
-	RankMemory                // the memory held for callers, and their connections
+	RankNone       Rank = iota // not checked
+	RankConfig                 // the sheet or the catalog
+	RankInstances              // the other routers
+	RankFeeds                  // the position in the discovery feed
+	RankUpstreams              // the upstreams
+	RankRollouts               // the orders of roll-outs
+	RankTrials                 // the samples of a roll-out
+	RankPermits                // the permits of upstreams
+	RankHoldings               // the permits that the router's requests hold or ask for
+	RankLoads                  // the load and health of upstreams
+	RankParts                  // the cached parts of prompts
+	RankOrders                 // the ledger of orders
+	RankSuspects               // the suspected poison requests
+	RankLineage                // where streams began
+	RankMixedPools             // the records of mixed pools in the store
+	RankDigests                // what a relay has gathered for its next digests
+	RankBudgets                // the retry budgets
+	RankSlots                  // the slots that a dispatcher grants
+	RankBurn                   // the counts for burn rates
+	RankPolicies               // the state of chat policies
+	RankSnapshots              // when a snapshot was last seen in the log
+	RankClaims                 // the router's claims that wait for the log
+	RankWaiters                // the reply channels of permit requests
+	RankClients                // the HTTP clients of upstreams
+	RankLinks                  // the connections to other routers
+	RankMemory                 // the memory held for callers, and their connections
 )
 
 // Hold states the highest rank of the locks that the caller holds. It is passed
--- a/router/cluster/entry_reader.go
+++ b/router/cluster/entry_reader.go
@@ -30,6 +30,8 @@
 	notifyPeers func(fleet.FeedSegment)
 	// eraEnded is called when the store has come back from an older copy; it may be nil.
 	eraEnded func()
+	// readWhole is called when all entries were read; it may be nil.
+	readWhole func()
 
 	// era is that of the store at the last read; zero if it states none.
 	era uint64
@@ -90,6 +92,9 @@
 		})
 		logChanges(e.log, "", e.fleet.ApplyFullRead(time.Now(), startedAt, page.Era, page.Next, found, invalid...))
 		e.log.Info("feed_read", zap.String("feed", UpstreamFeed.String()), zap.Int("records", len(page.Events)))
+		if e.readWhole != nil {
+			e.readWhole()
+		}
 		return nil
 	}
 	page, err := e.store.Since(ctx, UpstreamFeed, next, 0)
--- a/router/cluster/feed_reader.go
+++ b/router/cluster/feed_reader.go
@@ -56,6 +56,8 @@
 	// eraEnded is notified when the reader of another feed has learned that: a read that the
 	// store holds waits for an offset that says nothing any more. It may be nil.
 	eraEnded signal
+	// readWhole is called when the whole feed was read; it may be nil.
+	readWhole func()
 	// overtaken is true once a read was left to the store because of another router, until the
 	// next one is answered.
 	overtaken bool
@@ -113,6 +115,9 @@
 		f.applySnapshot(time.Now(), page)
 		f.synced = true
 		f.advance(page.Next)
+		if f.readWhole != nil {
+			f.readWhole()
+		}
 		return nil
 	}
 	page, end, err := f.poll(ctx, f.nextWait(now))
@@ -174,6 +179,7 @@
 	f.confirmAt = now.Add(f.restoreGrace)
 	if f.feed == OperatorFeed {
 		f.fleet.RecheckStatuses(now)
+		f.fleet.RecheckMixedPools()
 	}
 	if f.restored != nil {
 		f.restored()
--- a/router/cluster/router.go
+++ b/router/cluster/router.go
@@ -238,6 +238,9 @@
 		r.scheduler.Every(ctx, rolloutTick, r.tickRollouts)
 		r.scheduler.Repeat(ctx, statuses.step)
 	}
+	mixed := &mixedPoolWriter{store: r.adapter.MixedPools, fleet: r.fleet, log: r.log, feedRead: newSignal()}
+	operators.readWhole, upstreams.readWhole = mixed.feedRead.notify, mixed.feedRead.notify
+	r.scheduler.Repeat(ctx, mixed.step)
 	r.scheduler.Repeat(ctx, operators.step)
 	r.scheduler.Repeat(ctx, upstreams.step)
 }
--- a/router/cluster/signal.go
+++ b/router/cluster/signal.go
@@ -1,6 +1,9 @@
 package cluster
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // signal tells one goroutine that an event has occurred since it last asked.
 type signal chan struct{}
@@ -24,3 +27,14 @@
 		return false
 	}
 }
+
+// waitAtMost waits for an event, for a time at most.
+func (s signal) waitAtMost(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-s:
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/router/cluster/store.go
+++ b/router/cluster/store.go
@@ -127,6 +127,25 @@
 	AppendStatus(ctx context.Context, s fleet.RolloutStatus, at uint64) error
 }
 
+// MixedPoolPage holds the pools of which the store has a record as mixed pools.
+type MixedPoolPage struct {
+	Pools []core.Pool
+	// End is the offset after the newest record.
+	End uint64
+}
+
+// MixedPoolStore is the client of the service that holds the records of mixed pools.
+type MixedPoolStore interface {
+	// MixedPools returns the pools that have a record.
+	MixedPools(ctx context.Context) (MixedPoolPage, error)
+	// WriteMixedPool writes the record of a pool. Writer is the router that does so.
+	WriteMixedPool(ctx context.Context, pool core.Pool, writer core.RouterID) error
+	// RemoveMixedPool removes the record of a pool if the records end at an offset. The error is
+	// a *ConflictError if they don't. After any other error, the record may be removed, or be
+	// removed later.
+	RemoveMixedPool(ctx context.Context, pool core.Pool, at uint64) error
+}
+
 // Adapter holds the parts of a router that depend on the platform on which it
 // runs.
 type Adapter struct {
@@ -138,6 +157,8 @@
 	Outgoing relay.HeaderCodec
 	// Statuses holds the statuses of roll-outs; nil if there are no roll-outs.
 	Statuses StatusStore
+	// MixedPools holds the records of mixed pools.
+	MixedPools MixedPoolStore
 	// ParseCatalog parses the text of a configuration, ParseEntry that of an
 	// upstream's entry.
 	ParseCatalog func(text []byte) (*catalog.Catalog, error)
