--- a/core/fleet/admit.go
+++ b/core/fleet/admit.go
@@ -8,6 +8,7 @@
 	"camphorpulley.org/core/catalog"
 	"camphorpulley.org/core/chat"
 	"camphorpulley.org/core/lineage"
+	"camphorpulley.org/core/poison"
 	"camphorpulley.org/core/prefix"
 	"camphorpulley.org/core/retry"
 	"camphorpulley.org/core/roster"
@@ -179,41 +180,48 @@
 }
 
 // RecordBrokenConnection records that the connection to an upstream broke while it
-// ran a request. It counts as a crash once another process appears at the address.
+// ran a request. It counts as a crash once another process shows that this one has ended.
 func (f *Fleet) RecordBrokenConnection(now time.Time, r Request, t Target) {
 	f.suspects.Do(table.Hold{}, func(_ table.Hold, s *suspects) {
-		s.brokenByAddress[t.Address] = append(s.brokenByAddress[t.Address], brokenConnection{
-			crash: Crash{Content: r.Content, Process: processName(t.Entry)}, at: now,
+		s.breaks.Record(poison.Break{
+			Content: r.Content, Process: processName(t.Entry), Upstream: t.ID, Address: t.Address, Pool: t.Pool, At: now,
 		})
 	})
 }
 
-// recordRestart records that another process has appeared at an upstream's address. The
-// requests whose connections to the address broke within restartWindow count as
-// having crashed the previous process.
-func (s *suspects) recordRestart(now time.Time, e roster.Entry) {
-	for _, b := range s.brokenByAddress[e.Address] {
-		if now.Sub(b.at) > restartWindow {
-			continue
-		}
-		s.table.RecordCrash(now, b.crash.Content, b.crash.Process)
-		s.unsent = append(s.unsent, b.crash)
-	}
-	delete(s.brokenByAddress, e.Address)
+// recordProcess records that a process of an upstream has appeared.
+func (s *suspects) recordProcess(now time.Time, e roster.Entry) {
+	s.recordCrashes(now, s.breaks.Appeared(now, poison.Process{Upstream: e.ID, Address: e.Address, Pool: e.Pool}))
 }
 
-// expireBroken drops broken connections that were not followed by a restart.
-func (s *suspects) expireBroken(now time.Time) {
-	for address, all := range s.brokenByAddress {
-		if now.Sub(all[len(all)-1].at) > restartWindow {
-			delete(s.brokenByAddress, address)
-		}
+// recordCrashes records the requests that were running when upstreams crashed.
+func (s *suspects) recordCrashes(now time.Time, crashes []poison.Break) {
+	for _, b := range crashes {
+		s.table.RecordCrash(now, b.Content, b.Process)
+		s.unsent = append(s.unsent, Crash{Content: b.Content, Process: b.Process})
 	}
 }
 
-// restartWindow is how long after a broken connection a restart still counts as a
-// crash: an upstream needs some seconds to restart.
-const restartWindow = 20 * time.Second
+// recordPresence records for suspected crashes whether the entry of an upstream's process was
+// removed without notice, or is there again.
+func (f *Fleet) recordPresence(now time.Time, held table.Hold, up roster.Upstream) {
+	var lastSeen time.Time
+	f.states.Do(held, func(_ table.Hold, st *states) {
+		if s := st.byID[up.ID]; s != nil {
+			lastSeen = s.lastSeen
+		}
+	})
+	f.suspects.Do(held, func(_ table.Hold, s *suspects) {
+		process := processName(up.Entry)
+		switch {
+		case up.RemovedAt.IsZero():
+			s.breaks.Returned(process)
+			s.table.Withdraw(process)
+		case !up.Draining && up.RemovedInOutage == 0:
+			s.recordCrashes(now, s.breaks.Left(now, process, lastSeen))
+		}
+	})
+}
 
 // ClearSuspect removes a request that has completed from the suspect requests.
 func (f *Fleet) ClearSuspect(r Request) {
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -109,14 +109,8 @@
 	parts poison.Parts
 	// unsent holds the crashes to be sent with the next heartbeat.
 	unsent []Crash
-	// brokenByAddress holds the requests on broken connections by upstream address.
-	brokenByAddress map[string][]brokenConnection
-}
-
-// brokenConnection is a request whose connection to an upstream broke.
-type brokenConnection struct {
-	crash Crash
-	at    time.Time
+	// breaks holds the requests on broken connections.
+	breaks poison.Breaks
 }
 
 // New returns the empty tables of a router that starts now.
@@ -131,7 +125,7 @@
 		rollouts: table.New(table.RankRollouts, rollouts{}),
 		states:   table.New(table.RankLoads, states{}),
 		parts:    table.New(table.RankParts, prefix.Map{}),
-		suspects: table.New(table.RankSuspects, suspects{brokenByAddress: map[string][]brokenConnection{}}),
+		suspects: table.New(table.RankSuspects, suspects{}),
 		lineage:  table.New(table.RankLineage, lineage.Records{}),
 		mixed:    table.New(table.RankMixedPools, lineage.MixedPools{}),
 		digests:  table.New(table.RankDigests, digests{}),
--- a/core/fleet/heartbeat.go
+++ b/core/fleet/heartbeat.go
@@ -113,7 +113,7 @@
 		b.CachedParts = m.TakeUpdates()
 	})
 	f.suspects.Do(table.Hold{}, func(_ table.Hold, s *suspects) {
-		s.expireBroken(now)
+		s.breaks.Expire(now)
 		b.Crashes, s.unsent = s.unsent, nil
 		b.Parts = s.parts.Evidence(now, false)
 	})
--- a/core/fleet/roster.go
+++ b/core/fleet/roster.go
@@ -27,6 +27,9 @@
 			if c.NewProcess {
 				f.resetUpstream(now, held, u, c.ID)
 			}
+			if up, ok := u.roster.Get(c.ID); ok && (c.Kind == "removed" || c.Kind == "returned") {
+				f.recordPresence(now, held, up)
+			}
 		}
 		f.noteReleases(now, held, u, changes)
 	})
@@ -48,6 +51,6 @@
 		f.parts.Do(held, func(_ table.Hold, m *prefix.Map) { m.RemoveEngine(id) })
 	})
 	if up, ok := u.roster.Get(id); ok {
-		f.suspects.Do(held, func(_ table.Hold, s *suspects) { s.recordRestart(now, up.Entry) })
+		f.suspects.Do(held, func(_ table.Hold, s *suspects) { s.recordProcess(now, up.Entry) })
 	}
 }
--- a/core/fleet/store_verbs_test.go
+++ b/core/fleet/store_verbs_test.go
@@ -14,7 +14,7 @@
 )
 
 // upstream ID POOL DC [cold=D] [draining] [started=N] [sequence=N] [release=R] [age=D] [slots=N]
-// [unread]: writes an entry; age is the time since the start of the process, instead of
+// [address=A] [unread]: writes an entry; age is the time since the start of the process, instead of
 // started, which all routers read unless unread.
 func cmdUpstream(ts *testscript.TestScript, sim *simulation, a []string) {
 	_, draining := option(a, "draining")
@@ -23,6 +23,9 @@
 		StartedMS: int64(number(ts, a, "started")), Sequence: uint64(number(ts, a, "sequence")),
 		Draining: draining, ColdRemaining: duration(ts, a, "cold"),
 	}
+	if address, ok := option(a, "address"); ok {
+		e.Address = address
+	}
 	e.Release, _ = option(a, "release")
 	e.Slots = number(ts, a, "slots")
 	if age, ok := option(a, "age"); ok && age != "" {
--- a/core/poison/suspect.go
+++ b/core/poison/suspect.go
@@ -46,6 +46,15 @@
 	return len(suspect.CrashedProcesses)
 }
 
+// Withdraw removes a crash that wasn't one: the process lives.
+func (s *Suspects) Withdraw(process string) {
+	for d, suspect := range s.byDigest {
+		if delete(suspect.CrashedProcesses, process); len(suspect.CrashedProcesses) == 0 {
+			delete(s.byDigest, d)
+		}
+	}
+}
+
 // Clear removes a request that has completed.
 func (s *Suspects) Clear(d core.Digest) {
 	delete(s.byDigest, d)
