--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -166,7 +166,8 @@
 	case len(m.HostPaces) > 0:
 		return Effects{Forward: f.passOnPaces(now, from, f.mergePaces(now, m.HostPaces, delayMS))}
 	case m.PartEvidence != nil:
-		return Effects{PartChanges: f.mergeEvidence(now, m.PartEvidence.Parts), Forward: f.passOn(now, from, m)}
+		changes := append(f.mergePrompts(now, m.PartEvidence.Prompts), f.mergeEvidence(now, m.PartEvidence.Parts)...)
+		return Effects{PartChanges: changes, Forward: f.passOn(now, from, m)}
 	}
 	if m.RolloutState != nil || m.RolloutSamples != nil {
 		return f.receiveRollout(now, from, m, delayMS)
--- a/core/fleet/prompt_part.go
+++ b/core/fleet/prompt_part.go
@@ -17,6 +17,8 @@
 // upstreams. Heartbeats and digests repeat it.
 type PartEvidence struct {
 	Parts []poison.Evidence
+	// Prompts are broken prompts with many parts.
+	Prompts []poison.BrokenPrompt
 }
 
 // PartEffects are the effects of an observation on the parts of a prompt.
@@ -59,9 +61,16 @@
 		return e
 	}
 	f.suspects.Do(table.Hold{}, func(_ table.Hold, s *suspects) {
-		var urgent []core.Digest
-		urgent, e.Changes = s.parts.RecordBreak(now, r.sharedPartIDs(), r.draw, processName(t.Entry))
-		e.Notify = evidenceMessage(s.parts.EvidenceOf(now, append(urgent, changedParts(e.Changes)...)))
+		b := s.parts.RecordBreak(now, r.sharedPartIDs(), r.draw, processName(t.Entry))
+		e.Changes = b.Changes
+		e.Notify = evidenceMessage(s.parts.EvidenceOf(now, append(changedParts(e.Changes), b.Urgent...)))
+		if b.Prompt == nil {
+			return
+		}
+		if e.Notify == nil {
+			e.Notify = &Message{PartEvidence: &PartEvidence{}}
+		}
+		e.Notify.PartEvidence.Prompts = []poison.BrokenPrompt{*b.Prompt}
 	})
 	return e
 }
@@ -106,6 +115,14 @@
 	return table.Read(f.suspects, table.Hold{}, func(s *suspects) []poison.Change { return s.parts.Merge(now, all) })
 }
 
+// mergePrompts adds the broken prompts with many parts that another router has seen.
+func (f *Fleet) mergePrompts(now time.Time, all []poison.BrokenPrompt) []poison.Change {
+	if len(all) == 0 {
+		return nil
+	}
+	return table.Read(f.suspects, table.Hold{}, func(s *suspects) []poison.Change { return s.parts.MergePrompts(now, all) })
+}
+
 // proveParts records parts that engines of other routers' requests have answered on.
 // Inventories are left out: an engine reports parts that it has merely read.
 func (f *Fleet) proveParts(all []prefix.CachedPart) {
--- a/core/fleet/request_verbs_test.go
+++ b/core/fleet/request_verbs_test.go
@@ -9,6 +9,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"camphorpulley.org/core"
+	"camphorpulley.org/core/chat"
 	"camphorpulley.org/core/fleet"
 	"camphorpulley.org/core/health"
 	"camphorpulley.org/core/load"
@@ -29,10 +30,14 @@
 	waiting bool
 }
 
-// send NAME ROUTER ROUTE [parts=ID:TOKENS,...] [content=N] [count=N]: sends requests
-// NAME, NAME1 and so on to a router, which admits them and chooses upstreams.
+// send NAME ROUTER ROUTE [parts=ID:TOKENS,...] [turns=N] [content=N] [count=N]: sends requests
+// NAME, NAME1 and so on to a router, which admits them and chooses upstreams. Their prompts begin
+// with N parts that no other requests have, if the names differ.
 func cmdSend(ts *testscript.TestScript, sim *simulation, a []string) {
 	r := fleet.CallerRequest{ID: a[0], Host: a[2], Path: "/", Content: core.Digest(number(ts, a, "content"))}
+	for i := range number(ts, a, "turns") {
+		r.Parts = append(r.Parts, prefix.Part{ID: chat.Key(core.Account(a[0]), strconv.Itoa(i), nil), Tokens: 10})
+	}
 	if text, ok := option(a, "parts"); ok {
 		for _, part := range strings.Split(text, ",") {
 			id, tokens, _ := strings.Cut(part, ":")
--- a/core/poison/parts.go
+++ b/core/poison/parts.go
@@ -12,7 +12,7 @@
 const (
 	// maxSuspectParts bounds the suspected parts that are kept.
 	maxSuspectParts = 512
-	// maxStruckParts bounds the parts of one prompt that a break counts against.
+	// maxStruckParts bounds the parts of one prompt that are suspected because of a break.
 	maxStruckParts = 64
 	// maxProvenParts is how many parts that answers were given on are kept for sure.
 	maxProvenParts = 16384
@@ -30,7 +30,9 @@
 // fewest parts that explain the strikes are refused. The zero value suspects none.
 type Parts struct {
 	suspects map[core.Digest]*suspectPart
-	proven   recentSet[core.Digest]
+	proven   recentMap[core.Digest, struct{}]
+	// noted holds the strikes against parts of long prompts that aren't suspected.
+	noted recentMap[core.Digest, []note]
 }
 
 // Change is a part from which on requests are refused, or no longer are.
@@ -91,24 +93,41 @@
 	return refused
 }
 
+// BreakEffects are the effects of a broken connection.
+type BreakEffects struct {
+	// Urgent are the parts that other routers have to be told of at once: those that no answer
+	// was given on. Prompt is to be told if the prompt is long; nil otherwise.
+	Urgent []core.Digest
+	Prompt *BrokenPrompt
+	// Changes are the parts that are refused from now on, or no longer are.
+	Changes []Change
+}
+
 // RecordBreak records that the connection of a request to an upstream process broke
 // before the answer was under way. The strike is against the refused parts of the
 // prompt if there are any, else against those that no answer was given on, else against
-// all. RecordBreak also returns the parts that other routers have to be told of at once:
-// those that no answer was given on.
-func (p *Parts) RecordBreak(now time.Time, parts []core.Digest, request core.Digest, process string) (urgent []core.Digest, changes []Change) {
-	for _, id := range p.blamed(parts) {
+// all.
+func (p *Parts) RecordBreak(now time.Time, parts []core.Digest, request core.Digest, process string) BreakEffects {
+	var e BreakEffects
+	n := note{strike: strike{request: request, at: now}, process: process}
+	blamed := p.blamed(parts)
+	if len(blamed) > maxStruckParts {
+		e.Prompt = &BrokenPrompt{Process: process, Request: request, Parts: blamed[:min(len(blamed), maxPromptParts)]}
+		blamed = p.suspectsAmong(blamed, n)
+	}
+	for _, id := range blamed {
 		s := p.suspect(now, id)
 		s.lastUsed = now
-		if !s.add(process, strike{request: request, at: now}) {
+		if !s.add(process, n.strike) {
 			continue
 		}
 		s.changedAt = now
 		if !p.proven.has(id) {
-			urgent = append(urgent, id)
+			e.Urgent = append(e.Urgent, id)
 		}
 	}
-	return urgent, p.update()
+	e.Changes = p.update()
+	return e
 }
 
 // blamed returns the parts of a prompt that a break is a strike against.
@@ -121,14 +140,14 @@
 			break
 		}
 	}
-	return parts[:min(len(parts), maxStruckParts)]
+	return parts
 }
 
 // RecordAnswer records that an answer on the parts is under way.
 func (p *Parts) RecordAnswer(now time.Time, parts []core.Digest) []Change {
 	cleared := false
 	for _, id := range parts {
-		p.proven.add(id, maxProvenParts)
+		p.Prove(id)
 		if s := p.suspects[id]; s != nil && s.clear() {
 			s.changedAt, cleared = now, true
 		}
@@ -140,7 +159,10 @@
 }
 
 // Prove records that an answer was given on a part some time ago.
-func (p *Parts) Prove(part core.Digest) { p.proven.add(part, maxProvenParts) }
+func (p *Parts) Prove(part core.Digest) {
+	p.proven.put(part, struct{}{}, maxProvenParts)
+	p.noted.remove(part)
+}
 
 // suspect returns a suspected part, creating it on first use. If there are too many, the
 // one that was used the longest ago is dropped.
@@ -155,6 +177,13 @@
 		delete(p.suspects, p.leastUsed())
 	}
 	s := &suspectPart{byProcess: map[string]strike{}, lastUsed: now}
+	notes, _ := p.noted.get(id)
+	for _, n := range notes {
+		if now.Sub(n.at) <= partTTL {
+			s.add(n.process, n.strike)
+		}
+	}
+	p.noted.remove(id)
 	p.suspects[id] = s
 	return s
 }
--- a/router/wire/evidence.go
+++ b/router/wire/evidence.go
@@ -22,6 +22,21 @@
 	Cleared bool        `cbor:"4,keyasint,omitempty"`
 }
 
+type fleetBrokenPrompt struct {
+	Process string        `cbor:"1,keyasint"`
+	Request core.Digest   `cbor:"2,keyasint,omitempty"`
+	Parts   []core.Digest `cbor:"3,keyasint,omitempty"`
+	AgeMS   int64         `cbor:"4,keyasint,omitempty"`
+}
+
+func encodeBrokenPrompts(all []poison.BrokenPrompt) []fleetBrokenPrompt {
+	return lo.Map(all, func(b poison.BrokenPrompt, _ int) fleetBrokenPrompt { return fleetBrokenPrompt(b) })
+}
+
+func decodeBrokenPrompts(all []fleetBrokenPrompt) []poison.BrokenPrompt {
+	return lo.Map(all, func(b fleetBrokenPrompt, _ int) poison.BrokenPrompt { return poison.BrokenPrompt(b) })
+}
+
 func encodeEvidence(all []poison.Evidence) []fleetEvidence {
 	return lo.Map(all, func(e poison.Evidence, _ int) fleetEvidence {
 		return fleetEvidence{
--- a/router/wire/fleet.go
+++ b/router/wire/fleet.go
@@ -22,6 +22,7 @@
 	Digest          *fleetDigest          `cbor:"6,keyasint,omitempty"`
 	FullUpstream    *fleetFullUpstream    `cbor:"7,keyasint,omitempty"`
 	PartEvidence    []fleetEvidence       `cbor:"8,keyasint,omitempty"`
+	BrokenPrompts   []fleetBrokenPrompt   `cbor:"24,keyasint,omitempty"`
 	SentMS          int64                 `cbor:"9,keyasint,omitempty"`
 	Statements      []fleetStatement      `cbor:"10,keyasint,omitempty"`
 	QuotaRequest    *fleetQuotaRequest    `cbor:"11,keyasint,omitempty"`
@@ -166,7 +167,7 @@
 		w.Heartbeat = encodeFleetHeartbeat(*b)
 	}
 	if p := m.PartEvidence; p != nil {
-		w.PartEvidence = encodeEvidence(p.Parts)
+		w.PartEvidence, w.BrokenPrompts = encodeEvidence(p.Parts), encodeBrokenPrompts(p.Prompts)
 	}
 	if s := m.Snapshot; s != nil {
 		w.Snapshot = &fleetSnapshot{Catalog: s.Catalog, Entries: encodeEntries(s.Entries), Removed: encodeEntries(s.Removed), Statements: encodeStatements(s.Statements), CachedParts: encodeCachedParts(s.CachedParts), Rollouts: encodeRolloutStates(s.Rollouts)}
@@ -237,8 +238,8 @@
 	if b := w.Heartbeat; b != nil {
 		m.Heartbeat = decodeFleetHeartbeat(*b)
 	}
-	if len(w.PartEvidence) > 0 {
-		m.PartEvidence = &fleet.PartEvidence{Parts: decodeEvidence(w.PartEvidence)}
+	if len(w.PartEvidence)+len(w.BrokenPrompts) > 0 {
+		m.PartEvidence = &fleet.PartEvidence{Parts: decodeEvidence(w.PartEvidence), Prompts: decodeBrokenPrompts(w.BrokenPrompts)}
 	}
 	if s := w.Snapshot; s != nil {
 		m.Snapshot = &fleet.Snapshot{Catalog: s.Catalog, Entries: decodeEntries(s.Entries), Removed: decodeEntries(s.Removed), Statements: decodeStatements(s.Statements), CachedParts: decodeCachedParts(s.CachedParts), Rollouts: decodeRolloutStates(s.Rollouts)}
--- a/router/wire/fleet_test.go
+++ b/router/wire/fleet_test.go
@@ -38,7 +38,8 @@
 	{SlotGrant: &fleet.SlotGrant{Pool: "p", Number: 9, RetryMS: 40}},
 	{SlotGrant: &fleet.SlotGrant{Pool: "p", Number: 10, Alone: true}},
 	{SlotReturns: []fleet.SlotReturn{{Pool: "p", Number: 7, Outcome: 1, RanUS: 30500}, {Pool: "p", Number: 8}}},
-	{PartEvidence: &fleet.PartEvidence{Parts: partEvidence}},
+	{PartEvidence: &fleet.PartEvidence{Parts: partEvidence, Prompts: []poison.BrokenPrompt{}}},
+	{PartEvidence: &fleet.PartEvidence{Parts: []poison.Evidence{}, Prompts: []poison.BrokenPrompt{{Process: "u/1", Request: 4, Parts: []core.Digest{9, 10}, AgeMS: 7}}}},
 	{Segment: &fleet.FeedSegment{Era: 2, From: 5, Next: 9, AgeMS: 12, Records: []fleet.Record{
 		{Offset: 5, Upstream: "u", Source: []byte("{}")}, {Offset: 7, Upstream: "v"},
 	}}},
