--- a/core/fleet/detour.go
+++ b/core/fleet/detour.go
@@ -28,6 +28,9 @@
 	// probeInterval is the time between two connections that a router opens to a pool from
 	// which it is cut off.
 	probeInterval = 250 * time.Millisecond
+	// askInterval is the time between two questions to a router of another data centre whether it
+	// lives: several of them fit into relayTimeout.
+	askInterval = 400 * time.Millisecond
 	// ProbeTimeout bounds the opening of such a connection.
 	ProbeTimeout = maxConnectTimeout
 )
@@ -213,13 +216,39 @@
 	s.doubt = lineage.Doubt{Since: now, StartedMS: u.StartedMS, Sequence: u.Sequence}
 }
 
-// Heard reports whether another router was heard of recently, or isn't known. One that is
-// frozen or cut off closes no connection, and its callers leave it for other routers.
-func (f *Fleet) Heard(now time.Time, id core.RouterID) bool {
-	return table.Read(f.members, table.Hold{}, func(t *members) bool {
+// RecordContact records that another router has sent this one a request.
+func (f *Fleet) RecordContact(now time.Time, id core.RouterID) {
+	f.members.Do(table.Hold{}, func(_ table.Hold, t *members) {
+		if m, known := t.byID[id]; known {
+			m.contactAt = now
+			t.byID[id] = m
+		}
+	})
+}
+
+// Heard reports whether another router that has sent a request was heard of recently, or isn't
+// known. One that is frozen or cut off closes no connection, and its callers leave it for other
+// routers. A router of another data centre sends this one no heartbeats: Heard returns the
+// questions that it is to be sent.
+func (f *Fleet) Heard(now time.Time, id core.RouterID) (bool, []Envelope) {
+	heard, ask := true, false
+	f.members.Do(table.Hold{}, func(_ table.Hold, t *members) {
 		m, known := t.byID[id]
-		return !known || m.heard(now, m.DataCentre == f.settings.DataCentre, t.centres[m.DataCentre])
+		if !known {
+			return
+		}
+		local := m.DataCentre == f.settings.DataCentre
+		heard = m.heard(now, local, t.centres[m.DataCentre]) && (local || now.Sub(m.contactAt) < relayTimeout)
+		if ask = !local && now.Sub(m.askedAt) >= askInterval; ask {
+			m.askedAt = now
+			t.byID[id] = m
+		}
 	})
+	if !ask {
+		return heard, nil
+	}
+	// All builds that take detours reply to this message.
+	return heard, f.addressed(now, []core.RouterID{id}, Message{OriginRequest: &OriginRequest{}})
 }
 
 // RefuseRelayed returns the refusal of a request that another router has sent: it finds a
--- a/core/fleet/members.go
+++ b/core/fleet/members.go
@@ -45,6 +45,9 @@
 	helping health.Record
 	// cutOff holds the pools that it can't reach, as of its last heartbeat.
 	cutOff []core.Pool
+	// contactAt is when it has last sent this router a message or a request, askedAt when this
+	// router has last asked it whether it lives.
+	contactAt, askedAt time.Time
 }
 
 // members is the table of the other routers.
@@ -89,7 +92,7 @@
 	if old.Incarnation != m.Incarnation {
 		old.transit, old.silentUntil, old.helping, old.cutOff = transit{}, time.Time{}, health.Record{}, nil
 	}
-	t.byID[m.ID] = member{Member: m, refreshedAt: refreshedAt, snapshotRequested: old.snapshotRequested, lastSeen: lastSeen, score: old.score, transit: old.transit, silentUntil: old.silentUntil, helping: old.helping, cutOff: old.cutOff}
+	t.byID[m.ID] = member{Member: m, refreshedAt: refreshedAt, snapshotRequested: old.snapshotRequested, lastSeen: lastSeen, score: old.score, transit: old.transit, silentUntil: old.silentUntil, helping: old.helping, cutOff: old.cutOff, contactAt: old.contactAt, askedAt: old.askedAt}
 }
 
 // markMemberSeen records that a message from a router has arrived.
@@ -97,7 +100,7 @@
 	f.AddMember(now, from)
 	f.members.Do(table.Hold{}, func(_ table.Hold, t *members) {
 		if m, ok := t.byID[from.ID]; ok {
-			m.lastSeen = now
+			m.lastSeen, m.contactAt = now, now
 			t.byID[from.ID] = m
 		}
 	})
--- a/router/gateway/helper_verbs_test.go
+++ b/router/gateway/helper_verbs_test.go
@@ -78,16 +78,22 @@
 // silentTime is after which a caller leaves a stream that is silent, at the earliest.
 const silentTime = 2 * time.Second
 
-// silent-router ROUTE METHOD ID UPSTREAM told|kept [heard|remote]: sends the first helper a request of
-// router r1, which is frozen from then on, or only silent itself if it is heard of. With remote, it is in another
-// data centre, of which another router is heard. Once its
-// caller may have gone on elsewhere, the upstream must have been told, or must not.
+// silent-router ROUTE METHOD ID UPSTREAM told|kept [heard|remote|answering]: sends the first helper a
+// request of router r1, which is frozen from then on, or only silent itself if it is heard of. With
+// remote, it is in another data centre, of which another router is heard; with answering, it isn't
+// frozen there. Once its caller may have gone on elsewhere, the upstream must have been told, or must
+// not.
 func cmdSilentRouter(ts *testscript.TestScript, f *fixture, a []string) {
 	h := f.helpers[0]
 	heard := func() { h.fleet.AddMember(time.Now(), fleet.Member{ID: "r1", DataCentre: "a"}) }
-	if len(a) > 5 && a[5] == "remote" {
+	if len(a) > 5 && (a[5] == "remote" || a[5] == "answering") {
 		h.receiveDigest(fleet.SeenMember{Member: fleet.Member{ID: "r1", DataCentre: "b"}})
 		heard = func() { h.receiveDigest() }
+		h.gateway.Forwarder.Send = func(e fleet.Envelope) {
+			if e.To == "r1" && e.Message.OriginRequest != nil && a[5] == "answering" {
+				h.fleet.Receive(time.Now(), fleet.Member{ID: "r1", DataCentre: "b"}, fleet.Message{OriginReply: &fleet.OriginReply{}})
+			}
+		}
 	} else {
 		heard()
 	}
--- a/router/gateway/silent_router.go
+++ b/router/gateway/silent_router.go
@@ -20,13 +20,17 @@
 // kept.
 func (h *Handler) whileHeard(ctx context.Context, call *relay.Call, sender core.RouterID) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
-	if sender == "" || !call.Route.Repeatable() || !h.Fleet.Heard(time.Now(), sender) {
+	if sender == "" || !call.Route.Repeatable() {
+		return ctx, cancel
+	}
+	h.Fleet.RecordContact(time.Now(), sender)
+	if !h.heard(sender) {
 		return ctx, cancel
 	}
 	wasHeard := true
 	var looks worker.Scheduler
 	looks.Every(ctx, heardCheckInterval, func(context.Context) {
-		heard := h.Fleet.Heard(time.Now(), sender)
+		heard := h.heard(sender)
 		// After a pause of this router's own, the messages that have waited are read first.
 		if !heard && !wasHeard {
 			h.Log.Warn("silent_router_left", zap.String("request", call.ID), zap.String("router", string(sender)))
@@ -36,3 +40,14 @@
 	})
 	return ctx, cancel
 }
+
+// heard reports whether another router was heard of recently, and asks it if that is due.
+func (h *Handler) heard(router core.RouterID) bool {
+	heard, questions := h.Fleet.Heard(time.Now(), router)
+	for _, q := range questions {
+		if h.Forwarder.Send != nil {
+			h.Forwarder.Send(q)
+		}
+	}
+	return heard
+}
