--- a/core/prefix/map.go
+++ b/core/prefix/map.go
@@ -3,6 +3,8 @@
 package prefix
 
 import (
+	"container/list"
+	"slices"
 	"time"
 
 	"camphorpulley.org/core"
@@ -44,6 +46,8 @@
 type engine struct {
 	parts  map[core.Digest]*cached
 	tokens int
+	// used holds the ids of the parts that requests have used, the least recently seen first.
+	used list.List
 }
 
 type cached struct {
@@ -54,6 +58,8 @@
 	// fromInventory is true until a request uses the part; until then its tokens
 	// don't count towards those of the engine.
 	fromInventory bool
+	// place is the part's element in engine.used; nil while fromInventory.
+	place *list.Element
 }
 
 const (
@@ -71,8 +77,15 @@
 // that are new are queued for the other routers. cacheTokens is the size of the
 // engine's cache in tokens; zero means no limit.
 func (m *Map) AddUsed(now time.Time, id core.UpstreamID, parts []Part, cacheTokens int) {
-	for _, p := range parts {
-		m.addUpdate(m.add(now, CachedPart{Upstream: id, Part: p}, cacheTokens), CachedPart{Upstream: id, Part: p})
+	var fresh []CachedPart
+	// A part is of no use without those before it, so that the last ones are evicted first.
+	for _, p := range slices.Backward(parts) {
+		if c := (CachedPart{Upstream: id, Part: p}); m.add(now, c, cacheTokens) {
+			fresh = append(fresh, c)
+		}
+	}
+	for _, c := range slices.Backward(fresh) {
+		m.addUpdate(true, c)
 	}
 }
 
@@ -98,11 +111,12 @@
 // were not known.
 func (m *Map) AddFromPeer(now time.Time, parts []CachedPart, cacheTokens int) []CachedPart {
 	var unknown []CachedPart
-	for _, c := range parts {
+	for _, c := range slices.Backward(parts) {
 		if m.add(now, c, cacheTokens) {
 			unknown = append(unknown, c)
 		}
 	}
+	slices.Reverse(unknown)
 	return unknown
 }
 
@@ -121,15 +135,20 @@
 	held := e.parts[c.Part.ID]
 	if held != nil && (c.FromInventory || !held.fromInventory) {
 		held.lastSeen = now
+		if held.place != nil {
+			e.used.MoveToBack(held.place)
+		}
 		return false
 	}
-	e.parts[c.Part.ID] = &cached{tokens: c.Part.Tokens, lastSeen: now, fromInventory: c.FromInventory}
+	added := &cached{tokens: c.Part.Tokens, lastSeen: now, fromInventory: c.FromInventory}
+	e.parts[c.Part.ID] = added
 	if c.FromInventory {
 		return true
 	}
+	added.place = e.used.PushBack(c.Part.ID)
 	e.tokens += c.Part.Tokens
 	for limit := int(usableFraction * float64(cacheTokens)); cacheTokens > 0 && e.tokens > limit; {
-		e.evict()
+		e.drop(e.used.Front().Value.(core.Digest))
 	}
 	return held == nil
 }
@@ -146,18 +165,14 @@
 	return e
 }
 
-// evict drops the least recently used part, leaving out those that are known only
-// from the engine's inventory.
-func (e *engine) evict() {
-	var oldest core.Digest
-	var at time.Time
-	for id, held := range e.parts {
-		if !held.fromInventory && (at.IsZero() || held.lastSeen.Before(at)) {
-			oldest, at = id, held.lastSeen
-		}
+// drop drops a part.
+func (e *engine) drop(id core.Digest) {
+	held := e.parts[id]
+	delete(e.parts, id)
+	if held.place != nil {
+		e.used.Remove(held.place)
+		e.tokens -= held.tokens
 	}
-	e.tokens -= e.parts[oldest].tokens
-	delete(e.parts, oldest)
 }
 
 // CachedTokens returns the number of tokens in the longest run of parts from the
@@ -213,13 +228,9 @@
 	m.lastSweep = now
 	for _, e := range m.engines {
 		for id, held := range e.parts {
-			if now.Sub(held.lastSeen) < maxAge {
-				continue
-			}
-			if !held.fromInventory {
-				e.tokens -= held.tokens
+			if now.Sub(held.lastSeen) >= maxAge {
+				e.drop(id)
 			}
-			delete(e.parts, id)
 		}
 	}
 }
--- a/core/prefix/map_test.go
+++ b/core/prefix/map_test.go
@@ -43,6 +43,42 @@
 	})
 }
 
+// TestEvictsOldest guards against evicting a part that was seen later than others: what is left has
+// been seen at least as late, and of one prompt the first parts are left.
+func TestEvictsOldest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var m Map
+		now := time.Unix(0, 0)
+		lastSeen := map[core.Digest]time.Time{}
+		for range 100 {
+			now = now.Add(time.Second)
+			part := Part{ID: core.Digest(rapid.IntRange(1, 30).Draw(t, "part")), Tokens: rapid.IntRange(1, 400).Draw(t, "tokens")}
+			m.AddUsed(now, "e", []Part{part}, 1000)
+			lastSeen[part.ID] = now
+			var oldest time.Time
+			for id := range m.engine("e").parts {
+				if at := lastSeen[id]; oldest.IsZero() || at.Before(oldest) {
+					oldest = at
+				}
+			}
+			for id, at := range lastSeen {
+				if held := m.engine("e").parts[id]; held == nil && at.After(oldest) && id != part.ID {
+					t.Fatalf("part %d, seen at %s: got none, want it, since one seen at %s is left", id, at, oldest)
+				}
+				if m.engine("e").parts[id] == nil {
+					delete(lastSeen, id)
+				}
+			}
+		}
+	})
+	var m Map
+	m.AddUsed(time.Unix(0, 0), "e", []Part{{ID: 1, Tokens: 300}, {ID: 2, Tokens: 300}}, 1000)
+	m.AddUsed(time.Unix(1, 0), "e", []Part{{ID: 3, Tokens: 300}}, 1000)
+	if got, want := m.CachedTokens(time.Unix(1, 0), "e", []Part{{ID: 1, Tokens: 300}, {ID: 2, Tokens: 300}}), 300; got != want {
+		t.Errorf("tokens of a prompt whose part was evicted: got %d, want %d", got, want)
+	}
+}
+
 // TestCachedTokens checks that a part counts only if the engine holds all parts
 // before it, and only until maxAge.
 func TestCachedTokens(t *testing.T) {
