Don't go on with streams that a replaced process may have begun (ORDER)

Cause: the router recorded the release of the entry that it knew. A connection that had broken raised no doubt about the process, and nothing compared the entry when the stream broke.

Change: a broken connection makes the next stream that begins at the process ask which one it is. When the attempt fails by which a stream began, or another place is sought for it, and the entry is that of another process by then, its origin isn't known any more, and its holders are told.

--- a/core/fleet/candidates.go
+++ b/core/fleet/candidates.go
@@ -81,6 +81,7 @@
 			Excluded: s.excluded(now) || reach.Ejected(now), Limited: s.limited(now, u.StartedMS),
 			Leaving: s.said.Leaving(u.StartedMS), TurnedAwayFor: s.said.TurnedAwayFor(now, u.StartedMS),
 			Brittle: s.said.IsBrittle(now, u.StartedMS), Certain: s.doubt.Certain(now, u.StartedMS, u.Sequence),
+			Broken: !s.broken.Certain(now, u.StartedMS, u.Sequence),
 		}
 		if 2*all[i].CachedTokens >= prompt {
 			all[i].usefulTokens = all[i].CachedTokens
--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -29,6 +29,9 @@
 	SharedTokens int
 	// Certain reports whether the process at the address is known to be that of the entry.
 	Certain bool
+	// Broken is true if a connection to the process has broken since it was last known to live:
+	// a stream that begins there asks for its identity.
+	Broken bool
 	// ChosenAt is when the target was chosen.
 	ChosenAt time.Time
 	// Route is the name of the request's route, Engine true if its pool is one of engines.
@@ -157,7 +160,7 @@
 // newTarget returns the target for a chosen candidate.
 func (f *Fleet) newTarget(now time.Time, r Request, best Candidate, candidates int, p placement) Target {
 	t := Target{
-		Upstream: best.Upstream, Load: best.Load, CachedTokens: best.CachedTokens, SharedTokens: prefix.TotalTokens(r.SharedParts), Certain: best.Certain, ChosenAt: now, CandidateCount: candidates,
+		Upstream: best.Upstream, Load: best.Load, CachedTokens: best.CachedTokens, SharedTokens: prefix.TotalTokens(r.SharedParts), Certain: best.Certain, Broken: best.Broken, ChosenAt: now, CandidateCount: candidates,
 		Route: r.Route.Name, Engine: r.Pool.Engine != nil, Pace: best.Pace, Work: p.demand.work(best), Away: p.away,
 	}
 	if r.Pool.Engine != nil && t.CachedTokens < t.SharedTokens {
--- a/core/fleet/lineage.go
+++ b/core/fleet/lineage.go
@@ -69,9 +69,9 @@
 }
 
 // DependsOnProcess reports whether a stream depends on which process answers at a target: it
-// goes on there, or callers may resume it and the process is in doubt.
+// goes on there, or callers may resume it and the process is in doubt, or a connection to it broke.
 func (r Request) DependsOnProcess(t Target) bool {
-	return t.Release != "" && r.Route.Kind == catalog.Stream && r.Route.Deterministic && (r.Origin.Begun || !t.Certain)
+	return t.Release != "" && r.Route.Kind == catalog.Stream && r.Route.Deterministic && (r.Origin.Begun || !t.Certain || t.Broken)
 }
 
 // RecordIdentity records when the process that answers at a target has started, in
@@ -81,11 +81,14 @@
 	same := startedMS == t.StartedMS
 	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
 		s := st.get(t.ID)
-		switch {
-		case !same:
+		if !same {
 			s.raiseDoubt(now, t.Upstream)
-		case s.doubt.StartedMS == startedMS && s.doubt.Since.Before(now):
-			s.doubt = lineage.Doubt{}
+			return
+		}
+		for _, d := range []*lineage.Doubt{&s.doubt, &s.broken} {
+			if d.StartedMS == startedMS && d.Since.Before(now) {
+				*d = lineage.Doubt{}
+			}
 		}
 	})
 	return same
@@ -108,6 +111,23 @@
 	return f.unsentRecords(now, map[core.Pool]bool{r.Pool.Name: true})
 }
 
+// RevokeBeginning is called when the attempt has failed by which a stream began. If the
+// upstream's entry is that of another process by now, the stream may have begun at that one:
+// RevokeBeginning then reports true, and returns the messages that tell the stream's holders.
+func (f *Fleet) RevokeBeginning(now time.Time, r Request, t Target) (bool, []Envelope) {
+	replaced := false
+	f.roster.Do(table.Hold{}, func(_ table.Hold, u *upstreams) {
+		up, known := u.roster.Get(t.ID)
+		replaced = known && up.StartedMS != t.StartedMS
+	})
+	if !replaced {
+		return false, nil
+	}
+	record := lineage.Record{Stream: streamOf(r.ID), Pool: r.Pool.Name, Until: now.Add(streamLife(r.Route))}
+	f.lineage.Do(table.Hold{}, func(_ table.Hold, l *lineage.Records) { l.Begin(now, record) })
+	return true, f.unsentRecords(now, map[core.Pool]bool{r.Pool.Name: true})
+}
+
 // unsentRecords returns the messages with the records of some pools that their holders
 // haven't been told.
 func (f *Fleet) unsentRecords(now time.Time, pools map[core.Pool]bool) []Envelope {
--- a/core/fleet/lineage_verbs_test.go
+++ b/core/fleet/lineage_verbs_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -23,6 +24,31 @@
 	}
 }
 
+// identify NAME STARTED asked|unasked: an upstream is asked for its identity before a request is
+// sent there if that depends on it, and states when its process has started.
+func cmdIdentify(ts *testscript.TestScript, sim *simulation, a []string) {
+	s := sim.requests[a[0]]
+	started, err := strconv.ParseInt(a[1], 10, 64)
+	ts.Check(err)
+	if got, want := s.request.DependsOnProcess(s.target), a[2] == "asked"; got != want {
+		ts.Fatalf("request %s depends on the process: got %t, want %t", a[0], got, want)
+	}
+	if a[2] == "asked" {
+		s.target.Certain = s.router.RecordIdentity(sim.now, s.target, started)
+	}
+}
+
+// revoke NAME...: attempts by which streams began have failed.
+func cmdRevoke(_ *testscript.TestScript, sim *simulation, a []string) {
+	for _, name := range a {
+		s := sim.requests[name]
+		revoked, all := s.router.RevokeBeginning(sim.now, s.request, s.target)
+		if sim.deliverAll(s.router, all); revoked {
+			s.request.Origin.Known = false
+		}
+	}
+}
+
 // resume NAME ROUTER ROUTE STREAM: a caller resumes the stream that an earlier request has
 // begun at a router, which asks others where it began and chooses an upstream.
 func cmdResume(_ *testscript.TestScript, sim *simulation, a []string) {
--- a/core/fleet/outcome.go
+++ b/core/fleet/outcome.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"camphorpulley.org/core/health"
+	"camphorpulley.org/core/lineage"
 	"camphorpulley.org/core/load"
 	"camphorpulley.org/core/table"
 )
@@ -37,8 +38,11 @@
 		if ejected = s.health.Observe(now, o); ejected {
 			s.ejectedLocally = true
 		}
-		if o == health.Unreachable {
+		switch o {
+		case health.Unreachable:
 			s.raiseDoubt(now, t.Upstream)
+		case health.Broken:
+			s.broken = lineage.Doubt{Since: now, StartedMS: t.StartedMS, Sequence: t.Sequence}
 		}
 		if o.ContactFailure() {
 			s.reachability.RecordFailure(now, t.ID)
--- a/core/fleet/policy.go
+++ b/core/fleet/policy.go
@@ -52,6 +52,8 @@
 	slotShare int
 	// Certain is true if the process at the address is known to be that of the entry.
 	Certain bool
+	// Broken is true if a connection to the process has broken since it was last known to live.
+	Broken bool
 	// Limited is true if the upstream keeps to a limit on its requests per second.
 	Limited bool
 	// WorthQuota is true if a limited upstream is to run the request rather than others.
--- a/core/fleet/script_test.go
+++ b/core/fleet/script_test.go
@@ -152,6 +152,8 @@
 		"restore-store":        cmdRestoreStore,
 		"begin":                cmdBegin,
 		"resume":               cmdResume,
+		"identify":             cmdIdentify,
+		"revoke":               cmdRevoke,
 		"sent-release":         cmdSentRelease,
 		"knows":                cmdKnows,
 		"helper":               cmdHelper,
--- a/core/fleet/slot.go
+++ b/core/fleet/slot.go
@@ -179,6 +179,7 @@
 	f.states.Do(table.Hold{}, func(_ table.Hold, st *states) {
 		s := st.get(u.ID)
 		t.Load, t.Certain = s.load.Total(now, peerAge), s.doubt.Certain(now, u.StartedMS, u.Sequence)
+		t.Broken = !s.broken.Certain(now, u.StartedMS, u.Sequence)
 		s.load.Local++
 		if u.Cold(now) {
 			s.cold.Add(now)
--- a/core/fleet/upstream_state.go
+++ b/core/fleet/upstream_state.go
@@ -43,6 +43,9 @@
 	pausedUntil time.Time
 	// doubt is the doubt whether the process is still the one of the entry.
 	doubt lineage.Doubt
+	// broken is the weaker doubt that a broken connection raises: streams go on at the process,
+	// but those that begin there ask for its identity.
+	broken lineage.Doubt
 	// allotment is who grants requests within the limit, bucket what this router may
 	// grant as the allotter, purse what it was granted.
 	allotment allotment
--- a/router/gateway/copy_verbs_test.go
+++ b/router/gateway/copy_verbs_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -25,6 +26,22 @@
 	f.fleet.ApplyFullRead(time.Now(), time.Now(), 0, 0, f.entries)
 }
 
+// replace-entry UPSTREAM STARTED RELEASE DELAY: after a time, the upstream's entry states another
+// start of its process and another release.
+func cmdReplaceEntry(ts *testscript.TestScript, f *fixture, a []string) {
+	started, err := strconv.ParseInt(a[1], 10, 64)
+	ts.Check(err)
+	delay, err := time.ParseDuration(a[3])
+	ts.Check(err)
+	entries := slices.Clone(f.entries)
+	for i, e := range entries {
+		if string(e.ID) == a[0] {
+			entries[i].StartedMS, entries[i].Release = started, a[2]
+		}
+	}
+	time.AfterFunc(delay, func() { f.fleet.ApplyFullRead(time.Now(), time.Now(), 0, 0, entries) })
+}
+
 // answer-question UPSTREAM FILE|started keep|copied: sets the answer to the question which
 // process answers; the usual one with started. With copied, it is sent once more, ahead of the next answer.
 func cmdAnswerQuestion(ts *testscript.TestScript, f *fixture, a []string) {
--- a/router/gateway/script_test.go
+++ b/router/gateway/script_test.go
@@ -69,7 +69,7 @@
 			"each-cut": with(cmdEachCut), "request-while-closing": with(cmdRequestWhileClosing), "helper": with(cmdHelper), "cut-off": with(cmdCutOff), "stop-helper-in": with(cmdStopHelperIn), "relayed": with(cmdRelayed), "silent-router": with(cmdSilentRouter),
 			"told": with(cmdTold), "leave": with(cmdLeave), "pipeline": with(cmdPipeline), "stop-in": with(cmdStopIn), "told-stop": with(cmdToldStop),
 			"watch-told": with(cmdWatchTold), "told-pace": with(cmdToldPace), "told-nothing": with(cmdToldNothing),
-			"started": with(cmdStarted), "entry": with(cmdEntry), "answer-question": with(cmdAnswerQuestion), "asked": with(cmdAsked), "requests": with(cmdRequests), "slot-router": with(cmdSlotRouter), "slots-asked": with(cmdSlotsAsked), "slots-returned": with(cmdSlotsReturned), "received-at-most": with(cmdReceivedAtMost), "heap-at-most": with(cmdHeapAtMost),
+			"started": with(cmdStarted), "entry": with(cmdEntry), "replace-entry": with(cmdReplaceEntry), "answer-question": with(cmdAnswerQuestion), "asked": with(cmdAsked), "requests": with(cmdRequests), "slot-router": with(cmdSlotRouter), "slots-asked": with(cmdSlotsAsked), "slots-returned": with(cmdSlotsReturned), "received-at-most": with(cmdReceivedAtMost), "heap-at-most": with(cmdHeapAtMost),
 			"small-buffers": with(cmdSmallBuffers), "connections": with(cmdConnections), "write-timeout": with(cmdWriteTimeout), "memory": with(cmdMemory), "respond-size": with(cmdRespondSize),
 			"open": with(cmdOpen), "sent": with(cmdSent), "read": with(cmdRead), "cut": with(cmdCut),
 		},
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -60,6 +60,9 @@
 	answerBytes int
 	// outcome is what the fleet is told of the attempt.
 	outcome health.Outcome
+	// began is true if the caller got the first event of the stream by this attempt, from an
+	// upstream.
+	began bool
 }
 
 // run makes the attempt and sets its outcome.
--- a/router/relay/identity.go
+++ b/router/relay/identity.go
@@ -73,7 +73,10 @@
 		startedMS, err = f.Identity.Parse(body)
 	}
 	known := status == http.StatusOK && err == nil
-	a.target.Certain = known && f.Fleet.RecordIdentity(now, a.target, startedMS)
+	// An upstream that can't be asked is in no more doubt than before if a connection has broken.
+	if known || a.Origin.Begun {
+		a.target.Certain = known && f.Fleet.RecordIdentity(now, a.target, startedMS)
+	}
 	f.Log.Info("process_identified", zap.String("request", a.ID), zap.String("upstream", string(a.target.ID)), zap.Int("status", status),
 		zap.Int64("started", startedMS), zap.Int64("entry", a.target.StartedMS), zap.Bool("same", a.target.Certain), logs.Err(err))
 	if a.Origin.Begun && !a.target.Certain {
--- a/router/relay/origin.go
+++ b/router/relay/origin.go
@@ -72,3 +72,24 @@
 		f.Send(e)
 	}
 }
+
+// revokeBeginning forgets at which release the stream began, and tells its holders, if another
+// process may have begun it than the one by whose entry the upstream was chosen.
+func (a *attempt) revokeBeginning(now time.Time) {
+	f := a.forwarder
+	if !a.began {
+		return
+	}
+	revoked, messages := f.Fleet.RevokeBeginning(now, a.Request, a.target)
+	if !revoked {
+		return
+	}
+	a.began, a.Origin.Known = false, false
+	f.Log.Info("stream_origin_revoked", zap.String("request", a.ID), zap.String("upstream", string(a.target.ID)), zap.String("release", a.target.Release))
+	if f.Send == nil {
+		return
+	}
+	for _, e := range messages {
+		f.Send(e)
+	}
+}
--- a/router/relay/overdue.go
+++ b/router/relay/overdue.go
@@ -28,6 +28,7 @@
 // overdue decides on an attempt of which nothing has come within its wait. It returns until
 // when to wait on, or zero if the request has another place to go or no time left.
 func (a *attempt) overdue(now time.Time) time.Time {
+	a.revokeBeginning(now)
 	if a.ctx.Err() != nil || !now.Before(a.Deadline) || a.secureNext(now) {
 		return time.Time{}
 	}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -259,6 +259,9 @@
 			f.applyPartEffects(s.ID, f.Fleet.RecordBreak(now, s.Request, target))
 		}
 	}
+	if err != nil {
+		a.revokeBeginning(now)
+	}
 	if err == nil {
 		f.Fleet.ClearSuspect(s.Request)
 		if !a.underWay() && a.status < http.StatusMultipleChoices {
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -143,6 +143,7 @@
 	if !a.Origin.Begun {
 		// Where another router has begun the stream, the holders of its record know.
 		a.Origin = lineage.Origin{Begun: true, Known: a.target.Certain, Release: a.target.Release}
+		a.began = a.helper == ""
 	}
 	a.writer.WriteHeader(resp.StatusCode, resp.Header, -1)
 	if a.headers.Load != nil && a.helper == "" {
