--- a/review/standin-3/deadly.go
+++ b/review/standin-3/deadly.go
@@ -30,7 +30,7 @@
 // deadlyAfterRestart lets a request come again that crashes each runner that begins to run it,
 // while the routers are stopped and started in turn.
 func deadlyAfterRestart(d *deployment, trouble bool) int {
-	if err := d.open(9); err != nil {
+	if err := d.open(9, kind{service: "orders", slots: 6, queue: 24, restartTime: 2 * time.Second}); err != nil {
 		fmt.Println(err)
 		return exitFailed
 	}
@@ -54,13 +54,13 @@
 		fmt.Println("the routers could not be restarted in turn")
 		return exitFailed
 	}
-	return d.judgeDeadly(attempts, innocent)
+	return d.judgeDeadly(attempts, 3, innocent)
 }
 
 // sendDeadly sends one attempt of the deadly request: the same path, caller and body each time.
 func (d *deployment) sendDeadly(r *router) attempt {
 	a := attempt{id: d.nextID("deadly"), router: r.id, at: time.Now()}
-	status := d.send(r, a.id, "GET", "/look"+deadlyPath, "")
+	status := d.send(r, a.id, "GET", "/look"+deadlyPath, "", "")
 	a.inTouch = r.inTouch(contact)
 	d.journal.printf("deadly request %s sent to %s: status %d, %d runs", a.id, r.id, status, len(d.runsOf(a.id)))
 	return a
@@ -113,7 +113,7 @@
 				}
 			}
 			id := d.nextID("order")
-			status := d.send(r, id, "POST", "/book/order", id)
+			status := d.send(r, id, "POST", "/book/order", id, "")
 			missed := status != 200 && len(d.runsOf(id)) > 0
 			if missed {
 				d.journal.printf("order %s sent to %s ran at a runner that crashed meanwhile: status %d", id, r.id, status)
@@ -123,28 +123,32 @@
 	}
 }
 
-// judgeDeadly applies the rule: retries that reach runners, sent by machines in touch, later than
-// contact after the third crash.
-func (d *deployment) judgeDeadly(attempts []attempt, innocent int) int {
-	var third time.Time
+// judgeDeadly applies the rule: attempts that reach runners, sent by machines in touch, later than
+// contact after a crash, counted from one.
+func (d *deployment) judgeDeadly(attempts []attempt, crash, innocent int) int {
+	var from time.Time
 	crashes := 0
 	for _, a := range attempts {
 		for _, r := range d.runsOf(a.id) {
-			if crashes++; crashes == 3 {
-				third = r.at
+			if crashes++; crashes == crash {
+				from = r.at
 			}
 		}
 	}
 	retries := 0
 	for _, a := range attempts {
-		if !third.IsZero() && a.inTouch && a.at.Sub(third) > contact && len(d.runsOf(a.id)) > 0 {
+		if !from.IsZero() && a.inTouch && a.at.Sub(from) > contact && len(d.runsOf(a.id)) > 0 {
 			retries++
-			d.journal.printf("counted: %s, %d runs, %.1f s after the third crash, by %s", a.id, len(d.runsOf(a.id)), a.at.Sub(third).Seconds(), a.router)
+			d.journal.printf("counted: %s, %d runs, %.1f s after crash %d, by %s", a.id, len(d.runsOf(a.id)), a.at.Sub(from).Seconds(), crash, a.router)
 		}
 	}
-	d.journal.printf("%d attempts of the deadly request, %d crashes; %d retries reached runners later than contact_ms after the third crash, at most %d may; %d orders ran and were lost",
-		len(attempts), crashes, retries, mostRetries, innocent)
-	fmt.Printf("%d crashes, %d retries after the third crash (at most %d may), %d orders lost\n", crashes, retries, mostRetries, innocent)
+	summary := fmt.Sprintf("%d deadly attempts, %d crashes; %d attempts reached runners later than contact_ms after crash %d, at most %d may",
+		len(attempts), crashes, retries, crash, mostRetries)
+	if innocent > 0 {
+		summary += fmt.Sprintf("; %d other requests ran at runners that crashed and were lost", innocent)
+	}
+	d.journal.printf("%s", summary)
+	fmt.Println(summary)
 	if retries > mostRetries {
 		return exitBroken
 	}
--- a/review/standin-3/deployment.go
+++ b/review/standin-3/deployment.go
@@ -33,8 +33,8 @@
 	sent int
 }
 
-// open starts a deployment with runners, and waits until all routers are ready.
-func (d *deployment) open(runners int) error {
+// open starts a deployment with runners of a kind, and waits until all routers are ready.
+func (d *deployment) open(runners int, k kind) error {
 	var err error
 	if d.store, err = startStore(); err != nil {
 		return err
@@ -42,10 +42,11 @@
 	config, err := json.Marshal(map[string]any{
 		"version": 7,
 		"routes": []map[string]any{
+			{"name": "r-sort", "host": host, "path_prefix": "/sort/", "type": "streaming", "timeout_ms": 2500, "target_latency_ms": 300, "priority": 2, "service": "camphor", "max_attempts": 2, "public": false, "sticky": true, "stream_resume": true, "target_gap_ms": 300},
 			{"name": "r-look", "host": host, "path_prefix": "/look/", "type": "safe", "timeout_ms": 800, "target_latency_ms": 150, "priority": 2, "service": "orders", "max_attempts": 2, "public": false, "sticky": false, "stream_resume": false},
 			{"name": "r-book", "host": host, "path_prefix": "/book/", "type": "unsafe", "timeout_ms": 800, "target_latency_ms": 150, "priority": 2, "service": "orders", "max_attempts": 1, "public": false, "sticky": false, "stream_resume": false},
 		},
-		"services": []map[string]any{{"name": "orders", "health_path": "/health", "max_connections": 110, "protocol": "h1", "tls": false, "cold_s": 0.0, "cold_per_s": 0.0}},
+		"services": []map[string]any{{"name": "camphor", "health_path": "/health", "max_connections": 370, "protocol": "h1", "tls": false, "cold_s": 3.0, "cold_per_s": 18.0, "engine": map[string]any{"slots": 64, "kv_capacity_tokens": 596163, "kv_token_bytes": 327680, "models": []map[string]any{{"name": "m"}}}}, {"name": "orders", "health_path": "/health", "max_connections": 110, "protocol": "h1", "tls": false, "cold_s": 0.0, "cold_per_s": 0.0}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants":  []map[string]any{{"name": "hule930", "api_keys": []string{key}, "priority": 1}},
 	})
@@ -54,7 +55,7 @@
 	}
 	d.store.put("keyed.op", -1, record{key: "config", value: config})
 	for i := range runners {
-		if _, err := startRunner(fmt.Sprintf("i-%02d", i), zones[1+i%3], "orders", d.store, d.record); err != nil {
+		if _, err := startRunner(k, fmt.Sprintf("i-%02d", i), zones[1+i%3], d.store, d.record); err != nil {
 			return err
 		}
 	}
@@ -118,8 +119,8 @@
 }
 
 // send sends one attempt to a router over a new connection, and returns the status; zero if there
-// was no complete answer.
-func (d *deployment) send(r *router, id, method, path, body string) int {
+// was no complete answer. Prompt is the list of the parts of its prompt; empty if it has none.
+func (d *deployment) send(r *router, id, method, path, body, prompt string) int {
 	q, err := http.NewRequest(method, "http://"+r.front+path, strings.NewReader(body))
 	if err != nil {
 		return 0
@@ -128,6 +129,11 @@
 	q.Header.Set(headerID, id)
 	q.Header.Set("Camphorpulley-Key", key)
 	q.Header.Set("Camphorpulley-Deadline-Ms", "1500")
+	if prompt != "" {
+		q.Header.Set("Camphorpulley-Model", "m")
+		q.Header.Set("Camphorpulley-Token-Count", "1029,80")
+		q.Header.Set("Camphorpulley-Prompt-Prefix", prompt)
+	}
 	client := &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(q)
 	if err != nil {
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -46,7 +46,7 @@
 		return exitFailed
 	}
 	defer func() { _ = file.Close() }()
-	cases := map[string]func(*deployment, bool) int{"deadly-after-restart": deadlyAfterRestart}
+	cases := map[string]func(*deployment, bool) int{"deadly-after-restart": deadlyAfterRestart, "deadly-part": deadlyPartAfterKill}
 	run, ok := cases[*name]
 	if !ok {
 		fmt.Println("no such case:", *name)
--- a/review/standin-3/runner.go
+++ b/review/standin-3/runner.go
@@ -20,14 +20,15 @@
 
 	// beat is heartbeat_ms of the settings.
 	beat = 1200 * time.Millisecond
-	// restartTime is how long a crashed runner is away.
-	restartTime = 2 * time.Second
 	// workTime is how long a request runs.
 	workTime = 30 * time.Millisecond
-	slots    = 6
-	queue    = 24
-	// deadlyPath is the end of the path of requests that crash the runner that begins to run them.
+	// events is the number of events of a stream, eventGap the time between two.
+	events   = 12
+	eventGap = 20 * time.Millisecond
+	// deadlyPath is the end of the path of requests that crash the runner that begins to run them,
+	// and deadlyPart a part of prompts that crashes each runner that begins to write an answer on it.
 	deadlyPath = "/deadly"
+	deadlyPart = "dead:200"
 )
 
 // run is a request that a runner has begun to run.
@@ -39,11 +40,20 @@
 	deadly bool
 }
 
-// runner is a stand-in for an application. It crashes when it begins to run a deadly request: its
+// kind is what the runners of a service have in common.
+type kind struct {
+	service      string
+	slots, queue int
+	// restartTime is how long a runner is away that has crashed.
+	restartTime time.Duration
+}
+
+// runner is a stand-in for an application or a model engine. It crashes when it begins to run a deadly request: its
 // listener and its connections end with a reset, and it is back under its id and address.
 type runner struct {
-	id, zone, service, addr string
-	store                   *store
+	kind
+	id, zone, addr string
+	store          *store
 	// ran is called when a request begins to run.
 	ran func(run)
 
@@ -57,12 +67,12 @@
 	waiting  int
 }
 
-func startRunner(id, zone, service string, s *store, ran func(run)) (*runner, error) {
+func startRunner(k kind, id, zone string, s *store, ran func(run)) (*runner, error) {
 	a, err := freeAddresses(1)
 	if err != nil {
 		return nil, err
 	}
-	r := &runner{id: id, zone: zone, service: service, addr: a[0], store: s, ran: ran}
+	r := &runner{kind: k, id: id, zone: zone, addr: a[0], store: s, ran: ran}
 	return r, r.start()
 }
 
@@ -73,7 +83,7 @@
 	}
 	r.mu.Lock()
 	r.conns, r.born, r.sequence, r.alive = map[net.Conn]bool{}, time.Now().UnixMilli(), 0, true
-	r.running, r.waiting = make(chan struct{}, slots), 0
+	r.running, r.waiting = make(chan struct{}, r.slots), 0
 	r.server = &http.Server{Handler: r, ConnState: r.track}
 	server, born := r.server, r.born
 	r.mu.Unlock()
@@ -105,7 +115,7 @@
 	}
 	r.sequence++
 	text, err := json.Marshal(map[string]any{
-		"service": r.service, "address": r.addr, "zone": r.zone, "version": "v1", "slots": slots,
+		"service": r.service, "address": r.addr, "zone": r.zone, "version": "v1", "slots": r.slots,
 		"state": "ready", "cold_left_ms": 0, "sequence": r.sequence, "born": r.born,
 	})
 	if err != nil {
@@ -132,7 +142,7 @@
 	server := r.server
 	r.mu.Unlock()
 	_ = server.Close()
-	time.AfterFunc(restartTime, func() {
+	time.AfterFunc(r.restartTime, func() {
 		if err := r.start(); err != nil {
 			fmt.Println("runner", r.id, "isn't back:", err)
 		}
@@ -142,7 +152,7 @@
 // place takes a place of the runner; false if it is full.
 func (r *runner) place(q *http.Request) (release func(), ok bool) {
 	r.mu.Lock()
-	if r.waiting >= queue {
+	if r.waiting >= r.queue {
 		r.mu.Unlock()
 		return nil, false
 	}
@@ -169,6 +179,10 @@
 		_ = json.NewEncoder(w).Encode(map[string]any{"born": r.born, "running": len(r.running)})
 		return
 	}
+	if q.URL.Path == "/kv-list" {
+		_, _ = io.WriteString(w, `{"epoch":1,"next":0,"held":[]}`)
+		return
+	}
 	if q.URL.Path == "/health" {
 		w.Header().Set(headerRunnerID, r.id)
 		return
@@ -194,17 +208,41 @@
 		return
 	}
 	defer release()
-	deadly := strings.HasSuffix(q.URL.Path, deadlyPath)
+	prompt := q.Header.Get("Camphorpulley-Prompt-Prefix")
+	deadly := strings.HasSuffix(q.URL.Path, deadlyPath) || strings.Contains(prompt, deadlyPart)
 	r.ran(run{at: time.Now(), id: id, runner: r.id, path: q.URL.Path, deadly: deadly})
 	if deadly {
 		r.crash()
 		panic(http.ErrAbortHandler)
 	}
-	select {
-	case <-time.After(workTime):
-	case <-q.Context().Done():
+	if !pause(q, workTime) {
 		return
 	}
 	w.Header().Set(headerSignature, "sig."+id)
+	if prompt != "" {
+		stream(w, q, id)
+		return
+	}
 	_, _ = io.WriteString(w, "answer to "+id+"\n")
 }
+
+// pause waits; false if the connection ends before.
+func pause(q *http.Request, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-q.Context().Done():
+		return false
+	}
+}
+
+// stream writes the events of a stream.
+func stream(w http.ResponseWriter, q *http.Request, id string) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	for n := 1; n <= events && pause(q, eventGap); n++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", n, id, n)
+		if http.NewResponseController(w).Flush() != nil {
+			return
+		}
+	}
+}
